Lay out the workspace, the document formats and the peer messages

The packages, the tools and the forms that everything else grows in: settings, configuration, VM list, peer messages, errors, events.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# The two commands of the README are `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := core router ctl standins
+
+.PHONY: demo test format lint types unit soak bench measure capacity clean
+
+$(STAMP): requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps \
+	  --no-build-isolation $(PACKAGES:%=-e packages/%)
+	touch $@
+
+demo: $(STAMP)
+	KEEP=$(KEEP) bash scripts/demo.sh
+
+test: format lint types unit
+
+format: $(STAMP)
+	$(BIN)/ruff format --check .
+
+lint: $(STAMP)
+	$(BIN)/ruff check .
+
+types: $(STAMP)
+	$(BIN)/mypy packages/core/nutmegpost_core packages/router/nutmegpost_router \
+	  packages/ctl/nutmegpost_ctl packages/standins/nutmegpost_standins
+
+unit: $(STAMP)
+	$(BIN)/python -m pytest -n 4 --dist loadgroup
+
+soak: $(STAMP)
+	$(BIN)/python -m nutmegpost_standins.soak --seed=$(or $(SEED),0) \
+	  --seconds=$(or $(SECONDS),600)
+
+bench: $(STAMP)
+	$(BIN)/python -m nutmegpost_standins.bench
+
+measure: $(STAMP)
+	$(BIN)/python -m nutmegpost_standins.measure --seed=$(or $(SEED),1)
+
+capacity: $(STAMP)
+	$(BIN)/python -m nutmegpost_standins.capacity
+
+clean:
+	rm -rf $(VENV) .hypothesis .mypy_cache .ruff_cache
--- /dev/null
+++ b/packages/core/nutmegpost_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions, messages and document formats, free of clocks and sockets."""
--- /dev/null
+++ b/packages/core/nutmegpost_core/vms.py
@@ -0,0 +1,93 @@
+"""The VM list of the platform: its form and its checks."""
+
+from typing import Annotated
+from typing import NamedTuple
+from typing import TypedDict
+
+import msgspec
+
+from nutmegpost_core import documents
+from nutmegpost_core import errors
+
+__all__ = ["Address", "Vm", "VmList", "parse", "parse_address"]
+
+HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
+Name = Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=64)
+]
+
+
+class Address(NamedTuple):
+    """A TCP or UDP address."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Vm(TypedDict):
+    """One process of interest on a VM.
+
+    Attributes:
+        name: Name, unique in the list.
+        address: IPv4 address and port of its HTTP server; for a router, of
+            its server for callers.
+        peer_address: For a router, the address of its peer port (UDP and
+            TCP); the same as `address` otherwise.
+        zone: Availability zone.
+        kind: What it is.
+        pool: Model or service it serves; empty for a router.
+        state: Whether it may get new work.
+        fenced: Whether it refuses orders with an old fencing number.
+    """
+
+    name: Name
+    address: HostPort
+    peer_address: HostPort
+    zone: Name
+    kind: Annotated[str, msgspec.Meta(pattern="^(router|engine|service)$")]
+    pool: str
+    state: Annotated[str, msgspec.Meta(pattern="^(live|leaving)$")]
+    fenced: bool
+
+
+class VmList(TypedDict):
+    """The list of VMs as of some moment.
+
+    Attributes:
+        version: Number that grows with each change.
+        vms: The VMs.
+    """
+
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    vms: list[Vm]
+
+
+def parse(data: bytes, source: str) -> VmList:
+    """Checks a VM list.
+
+    Args:
+        data: The list as published, JSON in UTF-8.
+        source: Where it came from, for the error.
+
+    Returns:
+        The list.
+
+    Raises:
+        errors.DocumentError: The list is broken.
+    """
+    return documents.decode(data, VmList, source, errors.DocumentError)
+
+
+def parse_address(text: str) -> Address:
+    """Splits `host:port`.
+
+    Raises:
+        ValueError: The text is not an IPv4 address and a port.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return Address(host, int(port))
--- /dev/null
+++ b/packages/ctl/nutmegpost_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/packages/router/nutmegpost_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: tasks that own sockets around the pure decisions."""
--- /dev/null
+++ b/packages/standins/nutmegpost_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the endpoints and the callers."""
