--- a/packages/core/nutmegpost_core/configuration.py
+++ b/packages/core/nutmegpost_core/configuration.py
@@ -7,10 +7,7 @@
 
 import collections
 import hashlib
-from typing import Annotated
-from typing import NamedTuple
-from typing import NotRequired
-from typing import TypedDict
+from typing import Annotated, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 
--- a/packages/core/nutmegpost_core/documents.py
+++ b/packages/core/nutmegpost_core/documents.py
@@ -5,8 +5,7 @@
 """
 
 import re
-from typing import Any
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -1,9 +1,10 @@
 """The catalogue of log events.
 
-Each event has a number that never changes its meaning. The hundreds group them:
-1xx process and settings, 2xx platform and configuration, 3xx members and peers,
-4xx requests, 5xx endpoints and placement, 6xx services and permits, 7xx rollouts,
-8xx quarantine, 9xx violated invariants. docs/EVENTS.md explains each one.
+Each event has a number that never changes its meaning. The hundreds group
+them: 1xx process and settings, 2xx platform and configuration, 3xx members and
+peers, 4xx requests, 5xx endpoints and placement, 6xx services and permits, 7xx
+rollouts, 8xx quarantine, 9xx violated invariants. docs/EVENTS.md explains each
+one.
 """
 
 from typing import NamedTuple
--- a/packages/core/nutmegpost_core/vms.py
+++ b/packages/core/nutmegpost_core/vms.py
@@ -1,8 +1,6 @@
 """The VM list of the platform: its form and its checks."""
 
-from typing import Annotated
-from typing import NamedTuple
-from typing import TypedDict
+from typing import Annotated, NamedTuple, TypedDict
 
 import msgspec
 
--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -6,8 +6,7 @@
 successive wire versions work together.
 """
 
-from typing import NamedTuple
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import cbor2
 import msgspec
