Add the HTTP server and client on h11

Both sides of the path need one. The client's errors tell apart whether a byte can have been sent. Ruled out: the streams API for the client's read side, which wakes a task for each read.

--- /dev/null
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -0,0 +1,374 @@
+"""An HTTP/1.1 client on h11 and asyncio.
+
+The two errors tell apart what a router must tell apart: whether a byte of the
+request can have reached the other side.
+"""
+
+import asyncio
+import collections
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import h11
+
+from nutmegpost_core import errors
+from nutmegpost_core import vms
+
+__all__ = ["Client", "ConnectError", "ExchangeError", "Response", "Stream"]
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_LIMIT_S = 4.0
+IDLE_COUNT_MAX = 256
+HEADER_BYTES_MAX = 65_536
+BODY_BYTES_MAX = 8_000_000
+
+
+class ConnectError(errors.PeerError):
+    """No connection could be made: no byte of the request was sent."""
+
+
+class ExchangeError(errors.PeerError):
+    """The exchange broke off: the request may have arrived."""
+
+
+class Response(NamedTuple):
+    """A complete response.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header values by lower-case name.
+        body: The body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Connection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self) -> None:
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEADER_BYTES_MAX
+        )
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._body = bytearray()
+        self._error: str | None = None
+        self.head: h11.Response | None = None
+        self.ended = False
+        self.idle_since = 0.0
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent."""
+        return (
+            self._error is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+            and self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+        )
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection still stands."""
+        return (
+            self._error is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the reader that no more will come."""
+        if self._error is None and not self.ended:
+            # A body without a length ends with the connection.
+            self._feed(b"")
+        self._error = self._error or f"connection lost: {exc}"
+        self._wake()
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        self._feed(data)
+        self._wake()
+
+    def next_cycle(self) -> None:
+        """Prepares for another request."""
+        self._h11.start_next_cycle()
+        self.head = None
+        self.ended = False
+        self._body.clear()
+
+    def send(
+        self,
+        host: str,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> None:
+        """Sends a request."""
+        lines = [("Host", host), ("Content-Length", str(len(body)))]
+        lines.extend(headers.items())
+        parts = [
+            self._h11.send(
+                h11.Request(method=method, target=path, headers=lines)
+            )
+        ]
+        if body:
+            parts.append(self._h11.send(h11.Data(data=body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        assert self._transport is not None
+        self._transport.write(b"".join(part for part in parts if part))
+
+    async def read_head(self) -> h11.Response:
+        """Waits for the head of the response."""
+        while self.head is None:
+            await self._wait()
+        return self.head
+
+    async def read(self) -> bytes:
+        """Waits for data; empty at the end of the body."""
+        while not self._body:
+            if self.ended:
+                return b""
+            await self._wait()
+        data = bytes(self._body)
+        self._body.clear()
+        return data
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes the connection without sending what waits."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._h11.receive_data(data)
+            self._parse()
+        except h11.RemoteProtocolError as caught:
+            self._error = f"out of protocol: {caught}"
+            self.close()
+
+    def _parse(self) -> None:
+        while True:
+            event = self._h11.next_event()
+            if isinstance(event, h11.Response):
+                self.head = event
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                self.ended = True
+                return
+            elif not isinstance(event, h11.InformationalResponse):
+                return
+
+    async def _wait(self) -> None:
+        if self._error is not None:
+            raise ExchangeError(self._error)
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class Stream:
+    """A response whose body is read as it comes."""
+
+    def __init__(
+        self, client: "Client", address: vms.Address, connection: _Connection
+    ):
+        self._client = client
+        self._address = address
+        self._connection = connection
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        head = self._connection.head
+        assert head is not None
+        return head.status_code
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Header values by lower-case name."""
+        head = self._connection.head
+        assert head is not None
+        return {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+
+    async def read(self, timeout_s: float) -> bytes:
+        """Returns all data that waits.
+
+        Args:
+            timeout_s: Longest wait for the first byte, seconds.
+
+        Returns:
+            The data; empty at the end of the body.
+
+        Raises:
+            ExchangeError: The connection broke, or nothing came in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._connection.read()
+        except TimeoutError:
+            raise ExchangeError(f"silent for {timeout_s} s") from None
+
+    async def read_all(self, timeout_s: float) -> bytes:
+        """Returns the whole body.
+
+        Args:
+            timeout_s: Longest wait in all, seconds.
+
+        Raises:
+            ExchangeError: The body is not complete in time, or too large.
+        """
+        body = bytearray()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while data := await self._connection.read():
+                    body += data
+                    if len(body) > BODY_BYTES_MAX:
+                        raise ExchangeError("body too large")
+        except TimeoutError:
+            raise ExchangeError(f"not complete in {timeout_s} s") from None
+        return bytes(body)
+
+    def close(self) -> None:
+        """Gives the connection back, or closes it if the body is not read."""
+        self._client.give_back(self._address, self._connection)
+
+
+class Client:
+    """A client with a pool of idle connections."""
+
+    def __init__(self) -> None:
+        self._idle: dict[vms.Address, collections.deque[_Connection]] = {}
+        self._idle_count = 0
+
+    async def request(
+        self,
+        address: vms.Address,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+        fresh: bool = False,
+    ) -> Response:
+        """Sends a request and reads its whole response.
+
+        Args:
+            address: Where to.
+            method: HTTP method.
+            path: Path with query.
+            headers: Headers besides Host and Content-Length.
+            body: The body.
+            timeout_s: Longest wait in all, seconds.
+            fresh: Whether to open a connection for it.
+
+        Returns:
+            The response.
+
+        Raises:
+            ConnectError: No byte was sent.
+            ExchangeError: The request may have arrived.
+        """
+        stream = await self.stream(
+            address, method, path, headers, body, timeout_s, fresh
+        )
+        try:
+            content = await stream.read_all(timeout_s)
+            return Response(stream.status, stream.headers, content)
+        finally:
+            stream.close()
+
+    async def stream(
+        self,
+        address: vms.Address,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+        fresh: bool = False,
+    ) -> Stream:
+        """Sends a request and waits for the head of its response.
+
+        Args and errors are those of `request`; `timeout_s` bounds the wait
+        for the head.
+        """
+        connection = None if fresh else self._take(address)
+        if connection is None:
+            connection = await self._connect(address)
+        connection.send(str(address), method, path, headers, body)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await connection.read_head()
+        except TimeoutError:
+            connection.abort()
+            raise ExchangeError(f"no answer in {timeout_s} s") from None
+        except BaseException:
+            connection.abort()
+            raise
+        return Stream(self, address, connection)
+
+    def give_back(self, address: vms.Address, connection: _Connection) -> None:
+        """Keeps a connection for another request if it can take one."""
+        if not connection.reusable or self._idle_count >= IDLE_COUNT_MAX:
+            connection.abort()
+            return
+        connection.next_cycle()
+        connection.idle_since = asyncio.get_running_loop().time()
+        self._idle.setdefault(address, collections.deque()).append(connection)
+        self._idle_count += 1
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        self._idle.clear()
+        self._idle_count = 0
+
+    def _take(self, address: vms.Address) -> _Connection | None:
+        connections = self._idle.get(address)
+        oldest = asyncio.get_running_loop().time() - IDLE_LIMIT_S
+        while connections:
+            connection = connections.pop()
+            self._idle_count -= 1
+            if connection.usable and connection.idle_since > oldest:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, address: vms.Address) -> _Connection:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    _Connection, address.host, address.port
+                )
+        except (OSError, TimeoutError) as caught:
+            reason = f"cannot connect to {address}: {caught}"
+            raise ConnectError(reason) from caught
+        return connection
--- /dev/null
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -0,0 +1,463 @@
+"""An HTTP/1.1 server on h11 and asyncio.
+
+A connection is owned by its protocol object. Each request gets an `Exchange`,
+through which its handler answers at once or in pieces.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import json
+from typing import NamedTuple
+
+import h11
+
+from nutmegpost_core import errors
+from nutmegpost_core import vms
+
+__all__ = [
+    "BODY_BYTES_MAX",
+    "Exchange",
+    "Handler",
+    "HttpServer",
+    "Request",
+    "Response",
+    "error_response",
+    "responder",
+    "serve",
+]
+
+BODY_BYTES_MAX = 2_000_000
+HEADER_BYTES_MAX = 32_768
+HEADER_COUNT_MAX = 64
+REQUEST_TIMEOUT_S = 15.0
+IDLE_TIMEOUT_S = 75.0
+CONNECTION_COUNT_MAX = 20_000
+# A handler waits once this much of its answer is not yet taken by the caller.
+WRITE_BUFFER_BYTES = 262_144
+
+
+class Request(NamedTuple):
+    """A complete request.
+
+    Attributes:
+        method: HTTP method.
+        target: Path with query.
+        headers: Header values by lower-case name.
+        body: The body.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Response(NamedTuple):
+    """A complete response."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+Handler = Callable[["Exchange"], Awaitable[None]]
+
+
+def error_response(error: errors.RequestError) -> Response:
+    """Returns the response that tells a caller of an error."""
+    body: dict[str, object] = {
+        "code": error.code,
+        "message": str(error),
+        "outcome": error.outcome.value,
+    }
+    headers = [
+        ("Content-Type", "application/json"),
+        ("X-Outcome", error.outcome.value),
+    ]
+    if error.retry_after is not None:
+        body["retry_after"] = round(error.retry_after, 3)
+        headers.append(("Retry-After", str(max(1, round(error.retry_after)))))
+    permit = getattr(error, "permit", None)
+    if permit:
+        body["permit"] = permit
+    return Response(error.status, headers, json.dumps({"error": body}).encode())
+
+
+class Exchange:
+    """One request and the means to answer it."""
+
+    def __init__(self, connection: "_Connection", request: Request):
+        self._connection = connection
+        self._request = request
+        self._started = False
+
+    @property
+    def request(self) -> Request:
+        """The request."""
+        return self._request
+
+    @property
+    def started(self) -> bool:
+        """Whether a response was begun."""
+        return self._started
+
+    @property
+    def gone(self) -> asyncio.Event:
+        """Set once the caller's connection is lost."""
+        return self._connection.lost
+
+    def send(self, response: Response) -> None:
+        """Sends a complete response."""
+        self._started = True
+        headers = [*response.headers, ("Content-Length", _length(response))]
+        connection = self._connection
+        connection.send(_head(response.status, headers))
+        if response.body and self._request.method != "HEAD":
+            connection.send(h11.Data(data=response.body))
+        connection.send(h11.EndOfMessage())
+
+    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begins a response that is sent in pieces."""
+        self._started = True
+        self._connection.send(_head(status, headers))
+
+    def write(self, data: bytes) -> None:
+        """Sends a piece of the response."""
+        self._connection.send(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """Ends a response that was sent in pieces."""
+        self._connection.send(h11.EndOfMessage())
+
+    async def drain(self) -> None:
+        """Waits while the caller takes its data too slowly."""
+        await self._connection.drain()
+
+
+def responder(
+    handle: Callable[[Request], Awaitable[Response]],
+) -> Handler:
+    """Returns a handler that answers each request at once."""
+
+    async def run(exchange: Exchange) -> None:
+        exchange.send(await handle(exchange.request))
+
+    return run
+
+
+def _length(response: Response) -> str:
+    return str(len(response.body))
+
+
+def _head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
+    return h11.Response(status_code=status, headers=headers)
+
+
+class _Connection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: "HttpServer"):
+        self._server = server
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=HEADER_BYTES_MAX
+        )
+        self._transport: asyncio.Transport | None = None
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._timer: asyncio.TimerHandle | None = None
+        self.lost = asyncio.Event()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being received or answered."""
+        return self._task is None and self._head is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the new connection, or refuses it over the limit."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        if not self._server.add(self):
+            transport.close()
+            return
+        self._arm(IDLE_TIMEOUT_S)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Lets the handler know that its caller is gone."""
+        self._disarm()
+        self._server.remove(self)
+        self._writable.set()
+        self.lost.set()
+
+    def pause_writing(self) -> None:
+        """Holds the handler back."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Lets the handler go on."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        self._h11.receive_data(data)
+        if self._task is None:
+            self._advance()
+
+    def eof_received(self) -> bool:
+        """Closes when the caller closes."""
+        return False
+
+    def send(self, event: h11.Event) -> None:
+        """Writes a part of the response."""
+        if self.lost.is_set():
+            return
+        data = self._h11.send(event)
+        if data and self._transport is not None:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Waits until the transport takes more."""
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _arm(self, seconds: float) -> None:
+        self._disarm()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self.close)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _advance(self) -> None:
+        try:
+            self._parse()
+        except h11.RemoteProtocolError as caught:
+            hint = caught.error_status_hint
+            self._refuse(errors.InvalidRequestError(str(caught), hint))
+        except errors.InvalidRequestError as caught:
+            self._refuse(caught)
+
+    def _parse(self) -> None:
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._continue_expected()
+                return
+            if event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                self._begin(event)
+            elif isinstance(event, h11.Data):
+                self._add_body(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._dispatch()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                self.close()
+                return
+
+    def _continue_expected(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _begin(self, event: h11.Request) -> None:
+        self._arm(REQUEST_TIMEOUT_S)
+        if len(event.headers) > HEADER_COUNT_MAX:
+            raise errors.InvalidRequestError(
+                f"more than {HEADER_COUNT_MAX} headers", 431
+            )
+        self._head = event
+        self._body.clear()
+
+    def _add_body(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > self._server.body_bytes_max:
+            raise errors.InvalidRequestError(
+                f"body over {self._server.body_bytes_max} bytes", 413
+            )
+
+    def _refuse(self, error: errors.InvalidRequestError) -> None:
+        self._server.refused(error)
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            response = error_response(error)
+            headers = [
+                *response.headers,
+                ("Content-Length", _length(response)),
+                ("Connection", "close"),
+            ]
+            self.send(_head(response.status, headers))
+            self.send(h11.Data(data=response.body))
+            self.send(h11.EndOfMessage())
+        self.close()
+
+    def _dispatch(self) -> None:
+        self._disarm()
+        head = self._head
+        assert head is not None
+        request = Request(
+            head.method.decode("ascii"),
+            head.target.decode("ascii"),
+            {
+                name.decode("ascii"): value.decode("latin-1")
+                for name, value in head.headers
+            },
+            bytes(self._body),
+        )
+        self._body.clear()
+        exchange = Exchange(self, request)
+        self._task = asyncio.create_task(self._run(exchange))
+
+    async def _run(self, exchange: Exchange) -> None:
+        try:
+            await self._server.handler(exchange)
+        except errors.RequestError as caught:
+            self._fail(exchange, caught)
+        except Exception as caught:  # A fault of one request ends only it.
+            self._server.failed(caught)
+            reason = f"internal error: {type(caught).__name__}"
+            self._fail(exchange, errors.AttemptLostError(reason))
+        finally:
+            self._task = None
+            self._head = None
+        self._next()
+
+    def _fail(self, exchange: Exchange, error: errors.RequestError) -> None:
+        if exchange.started:
+            self.close()
+        else:
+            exchange.send(error_response(error))
+
+    def _next(self) -> None:
+        if self.lost.is_set():
+            return
+        if (
+            self._h11.our_state is not h11.DONE
+            or self._h11.their_state is not h11.DONE
+            or self._server.stopping
+        ):
+            self.close()
+            return
+        self._h11.start_next_cycle()
+        self._arm(IDLE_TIMEOUT_S)
+        self._advance()
+
+
+class HttpServer:
+    """A listening server with its connections."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        body_bytes_max: int,
+        on_refused: Callable[[errors.RequestError], None],
+        on_failed: Callable[[Exception], None],
+    ):
+        self._handler = handler
+        self._body_bytes_max = body_bytes_max
+        self._on_refused = on_refused
+        self._on_failed = on_failed
+        self._connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+        self._stopping = False
+
+    @property
+    def handler(self) -> Handler:
+        """What answers the requests."""
+        return self._handler
+
+    @property
+    def body_bytes_max(self) -> int:
+        """Most bytes of a body."""
+        return self._body_bytes_max
+
+    @property
+    def stopping(self) -> bool:
+        """Whether connections close after their current request."""
+        return self._stopping
+
+    def add(self, connection: _Connection) -> bool:
+        """Counts a new connection; False when there are too many."""
+        if len(self._connections) >= CONNECTION_COUNT_MAX:
+            return False
+        self._connections.add(connection)
+        return True
+
+    def remove(self, connection: _Connection) -> None:
+        """Forgets a connection that was lost."""
+        self._connections.discard(connection)
+
+    def refused(self, error: errors.RequestError) -> None:
+        """Reports a request that could not be read."""
+        self._on_refused(error)
+
+    def failed(self, error: Exception) -> None:
+        """Reports a fault of a handler."""
+        self._on_failed(error)
+
+    async def listen(self, address: vms.Address) -> None:
+        """Starts to listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self),
+            address.host,
+            address.port,
+            backlog=1024,
+            reuse_address=True,
+        )
+
+    def drain(self) -> None:
+        """Closes idle connections now and others after their request."""
+        self._stopping = True
+        for connection in list(self._connections):
+            if connection.idle:
+                connection.close()
+
+    async def close(self) -> None:
+        """Stops listening and closes all connections."""
+        self._stopping = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+        await asyncio.sleep(0)
+
+
+def _ignore(_: Exception) -> None:
+    pass
+
+
+async def serve(
+    address: vms.Address,
+    handler: Handler,
+    body_bytes_max: int = BODY_BYTES_MAX,
+    on_refused: Callable[[errors.RequestError], None] = _ignore,
+    on_failed: Callable[[Exception], None] = _ignore,
+) -> HttpServer:
+    """Starts a server.
+
+    Args:
+        address: Where to listen.
+        handler: Answers each request; a RequestError it raises is sent.
+        body_bytes_max: Most bytes of a request body.
+        on_refused: Told of each request that could not be read.
+        on_failed: Told of each fault of the handler.
+
+    Returns:
+        The server.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    server = HttpServer(handler, body_bytes_max, on_refused, on_failed)
+    await server.listen(address)
+    return server
