--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -46,6 +46,11 @@
 )
 FRAME_DROPPED = Event(404, "WARNING", "frame of {request} dropped: {reason}")
 
+# 9xx violated invariants
+CHART_REFUSED = Event(
+    901, "ERROR", "chart {chart} refuses {trigger} in state {state}"
+)
+
 
 def catalogue() -> list[Event]:
     """Returns all events by number."""
