--- a/packages/core/nutmegpost_core/burn.py
+++ b/packages/core/nutmegpost_core/burn.py
@@ -10,8 +10,8 @@
 """
 
 import array
-import enum
 from collections.abc import Iterable, Sequence
+import enum
 from typing import NamedTuple
 
 from nutmegpost_core import configuration
@@ -101,34 +101,33 @@
         self._bucket_s = bucket_s
         # The bucket that is still filling stands beside the full ones.
         self._size = int(window_s / bucket_s) + 1
-        self._counts = array.array("I", bytes(4 * self._size * len(Verdict)))
+        self._counts = [
+            array.array("I", bytes(4 * self._size)) for _ in Verdict
+        ]
         self._latest = 0
 
     def add(self, verdict: Verdict, now: float) -> None:
         self._advance(now)
-        place = self._latest % self._size * len(Verdict)
-        self._counts[place + verdict] += 1
+        self._counts[verdict][self._latest % self._size] += 1
 
     def sums(self, window_s: float, now: float) -> list[int]:
         self._advance(now)
         wanted = min(int(window_s / self._bucket_s) + 1, self._size)
-        sums = [0] * len(Verdict)
-        for bucket in range(self._latest - wanted + 1, self._latest + 1):
-            place = bucket % self._size * len(Verdict)
-            for verdict in range(len(Verdict)):
-                sums[verdict] += self._counts[place + verdict]
-        return sums
+        end = self._latest % self._size + 1
+        start = end - wanted
+        if start >= 0:
+            return [sum(counts[start:end]) for counts in self._counts]
+        return [
+            sum(counts[:end]) + sum(counts[start:]) for counts in self._counts
+        ]
 
     def _advance(self, now: float) -> None:
         bucket = int(now / self._bucket_s)
-        if bucket <= self._latest:
-            return
         first = max(self._latest + 1, bucket - self._size + 1)
         for passed in range(first, bucket + 1):
-            place = passed % self._size * len(Verdict)
-            for verdict in range(len(Verdict)):
-                self._counts[place + verdict] = 0
-        self._latest = bucket
+            for counts in self._counts:
+                counts[passed % self._size] = 0
+        self._latest = max(self._latest, bucket)
 
 
 class _Series:
@@ -354,9 +353,18 @@
     work_class: str, window_s: float, sums: Sequence[int], within: float
 ) -> BurnRow:
     total = sum(sums)
-    good, *missed = sums
-    bad = sum(missed)
-    rate = bad / total / (1 - within) if total else 0.0
+    bad = total - sums[Verdict.GOOD]
     return BurnRow(
-        work_class, window_s, total, good, bad, *missed, within, rate
+        work_class=work_class,
+        window_s=window_s,
+        total=total,
+        good=sums[Verdict.GOOD],
+        bad=bad,
+        late_first=sums[Verdict.LATE_FIRST],
+        slow_tokens=sums[Verdict.SLOW_TOKENS],
+        late_finish=sums[Verdict.LATE_FINISH],
+        refused=sums[Verdict.REFUSED],
+        lost=sums[Verdict.LOST],
+        within=within,
+        rate=bad / total / (1 - within) if total else 0.0,
     )
--- a/packages/core/nutmegpost_core/charts.py
+++ b/packages/core/nutmegpost_core/charts.py
@@ -77,7 +77,7 @@
     moves: dict[str, dict[str, str]] = {state: {} for state in machine.states}
     for trigger, event in machine.events.items():
         for source, found in event.transitions.items():
-            moves[source][trigger] = found[0].dest
+            moves[source][trigger] = str(found[0].dest)
     return Definition(
         name, document["initial"], tuple(document["states"]), moves
     )
