--- /dev/null
+++ b/packages/core/nutmegpost_core/ownership.py
@@ -0,0 +1,69 @@
+"""Which router owns an endpoint: rendezvous hashing over the live routers.
+
+Every router computes the same owner from the same two lists. When a router
+leaves, only its own endpoints move; when one joins, it takes endpoints from
+each of the others.
+"""
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+__all__ = ["Owners", "owner"]
+
+
+def owner(endpoint: str, routers: Sequence[str]) -> str:
+    """Returns the router that owns an endpoint.
+
+    Args:
+        endpoint: Name of the endpoint.
+        routers: Names of the live routers, in any order.
+
+    Raises:
+        LookupError: There are no routers.
+    """
+    if not routers:
+        raise LookupError("no routers")
+    return max(routers, key=lambda router: (_score(endpoint, router), router))
+
+
+def _score(endpoint: str, router: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{router}|{endpoint}".encode())
+
+
+class Owners:
+    """The owners of all endpoints under one membership."""
+
+    def __init__(self, routers: Iterable[str], endpoints: Iterable[str]):
+        """Computes the table.
+
+        Args:
+            routers: Names of the live routers.
+            endpoints: Names of the endpoints.
+        """
+        self._routers = sorted(set(routers))
+        self._owners: dict[str, str] = {}
+        self._owned: dict[str, list[str]] = {}
+        if not self._routers:
+            return
+        for endpoint in sorted(set(endpoints)):
+            router = owner(endpoint, self._routers)
+            self._owners[endpoint] = router
+            self._owned.setdefault(router, []).append(endpoint)
+
+    @property
+    def routers(self) -> list[str]:
+        """The routers of this membership, sorted."""
+        return list(self._routers)
+
+    def of(self, endpoint: str) -> str:
+        """Returns the owner of an endpoint.
+
+        Raises:
+            LookupError: The endpoint is unknown, or there are no routers.
+        """
+        return self._owners[endpoint]
+
+    def owned_by(self, router: str) -> list[str]:
+        """Returns the endpoints that a router owns, sorted."""
+        return list(self._owned.get(router, ()))
