--- a/packages/router/nutmegpost_router/settings.py
+++ b/packages/router/nutmegpost_router/settings.py
@@ -1,5 +1,10 @@
-"""The settings of a router process: a JSON file, checked when it is read."""
+"""The settings of a router process: a JSON file, checked when it is read.
 
+docs/SETTINGS.md explains each field.
+"""
+
+import collections
+import ipaddress
 import pathlib
 from typing import Annotated, NotRequired, TypedDict
 
@@ -7,8 +12,11 @@
 
 from nutmegpost_core import documents
 from nutmegpost_core import errors
+from nutmegpost_core import vms
+
+__all__ = ["SETTINGS_BYTES_MAX", "Settings", "load", "parse"]
 
-__all__ = ["Settings", "load"]
+SETTINGS_BYTES_MAX = 100_000
 
 HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
 Name = Annotated[
@@ -16,6 +24,13 @@
 ]
 Secret = Annotated[str, msgspec.Meta(min_length=16, max_length=256)]
 
+_ADDRESSES = (
+    "public_address",
+    "peer_address",
+    "admin_address",
+    "platform_address",
+)
+
 
 class Settings(TypedDict):
     """Settings of a router.
@@ -47,6 +62,32 @@
     stop_grace_s: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=86_400)]]
 
 
+def parse(data: bytes, source: str) -> Settings:
+    """Checks settings.
+
+    Args:
+        data: The settings, JSON in UTF-8.
+        source: File they came from, for the error.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        errors.SettingsError: A value is missing or wrong.
+    """
+    if len(data) > SETTINGS_BYTES_MAX:
+        raise errors.SettingsError(
+            source, "$", f"at most {SETTINGS_BYTES_MAX} bytes"
+        )
+    found = documents.decode(data, Settings, source, errors.SettingsError)
+    _check_addresses(found, source)
+    if found["peer_key"] == found["admin_key"]:
+        raise errors.SettingsError(
+            source, "$.admin_key", "another secret than peer_key"
+        )
+    return found
+
+
 def load(path: str) -> Settings:
     """Reads a settings file.
 
@@ -61,6 +102,23 @@
     """
     try:
         data = pathlib.Path(path).read_bytes()
-    except OSError as caught:
+    except (OSError, ValueError) as caught:
         raise errors.SettingsError(path, "$", str(caught)) from caught
-    return documents.decode(data, Settings, path, errors.SettingsError)
+    return parse(data, path)
+
+
+def _check_addresses(found: Settings, source: str) -> None:
+    texts = [(key, str(found[key])) for key in _ADDRESSES]  # type: ignore[literal-required]
+    for key, text in texts:
+        try:
+            ipaddress.IPv4Address(vms.parse_address(text).host)
+        except ValueError:
+            raise errors.SettingsError(
+                source, f"$.{key}", f"an IPv4 address and port, got {text!r}"
+            ) from None
+    counts = collections.Counter(text for _, text in texts)
+    for key, text in texts:
+        if counts[text] > 1:
+            raise errors.SettingsError(
+                source, f"$.{key}", f"an address of its own, got {text!r}"
+            )
