--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -51,6 +51,18 @@
     901, "ERROR", "chart {chart} refuses {trigger} in state {state}"
 )
 
+PERMIT_SENT_TWICE = Event(
+    961, "ERROR", "permit {incarnation}/{sequence} was sent twice"
+)
+PERMIT_ENDED_TWICE = Event(
+    962, "ERROR", "permit {incarnation}/{sequence} ended twice"
+)
+PERMIT_REFUSED_AFTER_SENDING = Event(
+    963,
+    "ERROR",
+    "permit {incarnation}/{sequence} was refused after it was sent",
+)
+
 
 def catalogue() -> list[Event]:
     """Returns all events by number."""
