--- /dev/null
+++ b/packages/core/tests/test_permits.py
@@ -0,0 +1,504 @@
+"""Tests of the permits, alone and as a fleet under faults."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from nutmegpost_core import errors
+from nutmegpost_core import permits
+
+KEY = b"0123456789abcdef"
+DIGEST = permits.call_digest("line", "release", b"{}")
+ANSWER = permits.Result("answered", 200, "", b"done")
+NOT_RUN = permits.Result("not-run", 503, "unavailable", b"no runner")
+
+
+def _table(name="a", incarnation=1, now=0.0, **options):
+    return permits.Table(name, incarnation, KEY, now, **options)
+
+
+def _permit(table, account="plant", now=0.0):
+    return permits.read(table.issue(account, now), KEY)
+
+
+def _elsewhere(table, name):
+    return permits.Elsewhere(name, table.incarnation)
+
+
+def test_text_round_trip():
+    permit = permits.Permit("a", 2**63, 7, 600_000, "plant")
+    assert permits.read(permits.write(permit, KEY), KEY) == permit
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(st.text(max_size=300))
+def test_any_text_is_refused(text):
+    with pytest.raises(errors.PermitError):
+        permits.read(text, KEY)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(st.data())
+def test_changed_text_is_refused(data):
+    text = permits.write(permits.Permit("a", 5, 7, 600_000, "plant"), KEY)
+    place = data.draw(st.integers(0, len(text) - 1))
+    sign = data.draw(st.characters(codec="utf-8"))
+    hypothesis.assume(text[place] != sign)
+    with pytest.raises(errors.PermitError):
+        permits.read(text[:place] + sign + text[place + 1 :], KEY)
+
+
+def test_permit_of_another_key_is_refused():
+    with pytest.raises(errors.PermitError) as caught:
+        permits.read(_table().issue("plant", 0.0), b"another key 1234")
+    assert caught.value.outcome is errors.Outcome.NOT_RUN
+
+
+def test_call_digest_separates_its_parts():
+    assert permits.call_digest("ab", "c", b"") != permits.call_digest(
+        "a", "bc", b""
+    )
+
+
+def test_first_claim_runs_second_joins_third_gets_the_record():
+    table = _table()
+    permit = _permit(table)
+    assert table.claim(permit, "plant", DIGEST, 1.0) == permits.Run(permit)
+    assert table.claim(permit, "plant", DIGEST, 1.0) == permits.Join(permit)
+    table.sending(permit)
+    table.record(permit, ANSWER)
+    found = table.claim(permit, "plant", DIGEST, 1.0)
+    assert found == permits.Recorded(ANSWER)
+
+
+def test_refused_permit_is_spent():
+    table = _table()
+    permit = _permit(table)
+    table.claim(permit, "plant", DIGEST, 1.0)
+    table.sending(permit)
+    table.unsent(permit)
+    table.refuse(permit, NOT_RUN)
+    found = table.claim(permit, "plant", DIGEST, 2.0)
+    assert found == permits.Recorded(NOT_RUN)
+
+
+def test_refusal_after_sending_violates_an_invariant():
+    table = _table()
+    permit = _permit(table)
+    table.claim(permit, "plant", DIGEST, 1.0)
+    table.sending(permit)
+    with pytest.raises(errors.NutmegpostError):
+        table.refuse(permit, NOT_RUN)
+
+
+def test_sending_twice_violates_an_invariant():
+    table = _table()
+    permit = _permit(table)
+    table.claim(permit, "plant", DIGEST, 1.0)
+    table.sending(permit)
+    with pytest.raises(errors.NutmegpostError):
+        table.sending(permit)
+
+
+def test_other_account_and_other_call_are_refused():
+    table = _table()
+    permit = _permit(table)
+    with pytest.raises(errors.PermitError):
+        table.claim(permit, "timber", DIGEST, 1.0)
+    table.claim(permit, "plant", DIGEST, 1.0)
+    with pytest.raises(errors.IdempotencyError):
+        table.claim(permit, "plant", b"other", 1.0)
+
+
+def test_expiry_is_not_run_only_while_uses_are_remembered():
+    table = _table(lifetime_s=10, retention_s=10)
+    unused = _permit(table)
+    used = _permit(table)
+    table.claim(used, "plant", DIGEST, 9.0)
+    table.record(used, ANSWER)
+    with pytest.raises(errors.PermitError) as early:
+        table.claim(unused, "plant", DIGEST, 10.0)
+    assert early.value.outcome is errors.Outcome.NOT_RUN
+    found = table.claim(used, "plant", DIGEST, 19.0)
+    assert found == permits.Recorded(ANSWER)
+    with pytest.raises(errors.AttemptLostError) as late:
+        table.claim(used, "plant", DIGEST, 20.0)
+    assert late.value.outcome is errors.Outcome.UNKNOWN
+
+
+def test_results_are_bounded_and_a_lost_one_is_unknown():
+    table = _table(result_bytes_max=6)
+    first, second = _permit(table), _permit(table)
+    for permit in (first, second):
+        table.claim(permit, "plant", DIGEST, 1.0)
+        table.record(permit, ANSWER)
+    found = table.claim(first, "plant", DIGEST, 1.0)
+    assert isinstance(found, permits.Recorded)
+    assert found.result.outcome == "unknown"
+    found = table.claim(second, "plant", DIGEST, 1.0)
+    assert found == permits.Recorded(ANSWER)
+
+
+def test_hand_over_through_a_chain():
+    first, second = _table("a", 1), _table("b", 2)
+    third, entry = _table("c", 3), _table("d", 4)
+    used, unused = _permit(first), _permit(first)
+    first.claim(used, "plant", DIGEST, 1.0)
+    first.record(used, ANSWER)
+    second.adopt(first.export(_elsewhere(second, "b"), 2.0), 102.0)
+    third.adopt(second.export(_elsewhere(third, "c"), 103.0), 3.0)
+    for pointer in third.pointers(3.0):
+        entry.learn(pointer, 50.0)
+    assert entry.route(unused, 50.0) == permits.Elsewhere("c", 3)
+    assert first.route(unused, 2.0) == permits.Elsewhere("b", 2)
+    assert third.route(used, 3.0) == permits.Here()
+    found = third.claim(used, "plant", DIGEST, 3.0)
+    assert found == permits.Recorded(ANSWER)
+    found = third.claim(unused, "plant", DIGEST, 3.0)
+    assert found == permits.Run(unused)
+
+
+def test_exported_table_runs_nothing_more():
+    first, second = _table("a", 1), _table("b", 2)
+    permit = _permit(first)
+    first.export(_elsewhere(second, "b"), 1.0)
+    with pytest.raises(errors.AttemptLostError):
+        first.claim(permit, "plant", DIGEST, 1.0)
+    with pytest.raises(errors.StoppingError):
+        first.issue("plant", 1.0)
+    with pytest.raises(errors.PeerError):
+        first.export(permits.Elsewhere("c", 3), 1.0)
+
+
+def test_result_of_a_running_call_follows_the_hand_over():
+    first, second = _table("a", 1), _table("b", 2)
+    permit = _permit(first)
+    first.claim(permit, "plant", DIGEST, 1.0)
+    first.sending(permit)
+    second.adopt(first.export(_elsewhere(second, "b"), 1.0), 1.0)
+    found = second.claim(permit, "plant", DIGEST, 1.0)
+    assert isinstance(found, permits.Recorded)
+    assert found.result.outcome == "unknown"
+    first.record(permit, ANSWER)
+    second.adopt(first.export(_elsewhere(second, "b"), 2.0), 2.0)
+    found = second.claim(permit, "plant", DIGEST, 2.0)
+    assert found == permits.Recorded(ANSWER)
+
+
+def test_repeated_hand_over_keeps_what_ran_since():
+    first, second = _table("a", 1), _table("b", 2)
+    permit = _permit(first)
+    data = first.export(_elsewhere(second, "b"), 1.0)
+    second.adopt(data, 1.0)
+    second.claim(permit, "plant", DIGEST, 1.0)
+    second.record(permit, ANSWER)
+    second.adopt(data, 5.0)
+    found = second.claim(permit, "plant", DIGEST, 5.0)
+    assert found == permits.Recorded(ANSWER)
+
+
+def test_hand_over_to_a_restarted_successor_is_refused():
+    first, second = _table("a", 1), _table("b", 2)
+    data = first.export(_elsewhere(second, "b"), 1.0)
+    with pytest.raises(errors.PeerError):
+        _table("b", 22).adopt(data, 1.0)
+    with pytest.raises(errors.PeerError):
+        first.reopen(22)
+
+
+def test_refusal_of_a_hand_over_is_final():
+    first, second = _table("a", 1), _table("b", 2)
+    data = first.export(_elsewhere(second, "b"), 1.0)
+    second.export(permits.Elsewhere("c", 3), 1.0)
+    with pytest.raises(errors.PeerError):
+        second.adopt(data, 1.0)
+    first.reopen(2)
+    second.reopen(None)
+    with pytest.raises(errors.PeerError):
+        second.adopt(data, 1.0)
+
+
+def test_repeat_of_an_adopted_hand_over_is_never_called_refused():
+    first, second = _table("a", 1), _table("b", 2)
+    data = first.export(_elsewhere(second, "b"), 1.0)
+    second.adopt(data, 1.0)
+    second.export(permits.Elsewhere("c", 3), 1.0)
+    assert second.adopt(data, 1.0) == [1]
+
+
+def test_permit_handed_here_but_not_arrived_is_unknown():
+    table = _table("b", 2)
+    table.learn(permits.Pointer(1, "b", 2, 0, 60_000), 0.0)
+    with pytest.raises(errors.AttemptLostError):
+        table.route(permits.Permit("a", 1, 1, 9_000, "plant"), 1.0)
+
+
+def test_permit_of_an_earlier_process_of_this_name_is_unknown():
+    with pytest.raises(errors.AttemptLostError):
+        _table("a", 2).route(permits.Permit("a", 1, 1, 9_000, "plant"), 1.0)
+
+
+def test_pointers_in_a_circle_end():
+    table = _table("d", 9)
+    table.learn(permits.Pointer(1, "b", 2, 0, 60_000), 0.0)
+    table.learn(permits.Pointer(2, "a", 1, 0, 60_000), 0.0)
+    found = table.route(permits.Permit("a", 1, 1, 9_000, "plant"), 1.0)
+    assert isinstance(found, permits.Elsewhere)
+
+
+def test_old_books_and_pointers_are_dropped():
+    first = _table("a", 1, lifetime_s=10, retention_s=10)
+    second = _table("b", 2, lifetime_s=10, retention_s=10)
+    permit = _permit(first)
+    data = first.export(_elsewhere(second, "b"), 1.0)
+    second.adopt(data, 1.0)
+    assert second.pointers(30.0) == []
+    with pytest.raises(errors.PeerError):
+        second.adopt(data, 31.0)
+    with pytest.raises(errors.AttemptLostError):
+        second.claim(permit, "plant", DIGEST, 31.0)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+@hypothesis.given(st.binary(max_size=200))
+def test_any_hand_over_gives_the_typed_error(data):
+    with pytest.raises(errors.PeerError):
+        _table().adopt(data, 0.0)
+
+
+class _Node:
+    """One process: a table and the calls it has claimed."""
+
+    def __init__(self, name, incarnation, now, offset):
+        self.name = name
+        self.offset = offset
+        self.table = permits.Table(
+            name, incarnation, KEY, now + offset, 40.0, 40.0, 64
+        )
+        self.claimed = {}
+        self.alive = True
+        self.paused = False
+
+
+class Fleet(stateful.RuleBasedStateMachine):
+    """Routers that stop, restart, pause and lose messages.
+
+    Messages are kept in a list and delivered in any order, any number of
+    times or never. The service counts executions by permit. Clocks differ
+    between routers.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.random = random.Random(7)
+        self.incarnations = 0
+        self.nodes = {}
+        self.old = []
+        self.messages = []
+        self.texts = []
+        self.executed = collections.Counter()
+        self.refused = set()
+        for name in "abcd":
+            self._start(name)
+
+    def _start(self, name):
+        self.incarnations += 1
+        self.nodes[name] = _Node(
+            name, self.incarnations, self.now, self.random.uniform(0, 1e4)
+        )
+
+    def _time(self, node):
+        return self.now + node.offset
+
+    def _awake(self, node):
+        return node.alive and not node.paused
+
+    def _all(self):
+        return [*self.nodes.values(), *self.old]
+
+    def _told(self, permit, outcome):
+        if outcome == "not-run":
+            self.refused.add(permit)
+
+    def _claimed(self, data):
+        ready = [
+            (node, permit)
+            for node in self._all()
+            if self._awake(node)
+            for permit in node.claimed
+        ]
+        hypothesis.assume(ready)
+        return data.draw(st.sampled_from(ready))
+
+    @stateful.rule(name=st.sampled_from("abcd"))
+    def issue(self, name):
+        node = self.nodes[name]
+        if self._awake(node) and not node.table.successor:
+            self.texts.append(node.table.issue("plant", self._time(node)))
+
+    @stateful.precondition(lambda self: self.texts)
+    @stateful.rule(name=st.sampled_from("abcd"), data=st.data())
+    def call(self, name, data):
+        recent = self.texts[-6:]
+        text = data.draw(st.sampled_from(recent))
+        self._handle_call(self.nodes[name], text, 0)
+
+    @stateful.precondition(lambda self: self.texts)
+    @stateful.rule(data=st.data())
+    def call_through_all(self, data):
+        text = data.draw(st.sampled_from(self.texts[-6:]))
+        for node in self._all():
+            self._handle_call(node, text, 0)
+
+    def _handle_call(self, node, text, hops):
+        if not self._awake(node):
+            return
+        permit = permits.read(text, KEY)
+        try:
+            where = node.table.route(permit, self._time(node))
+            if isinstance(where, permits.Elsewhere):
+                if hops < 4:
+                    self.messages.append((where, text, hops + 1))
+                return
+            claim = node.table.claim(permit, "plant", DIGEST, self._time(node))
+        except errors.RequestError as caught:
+            self._told(permit, caught.outcome)
+            return
+        if isinstance(claim, permits.Run):
+            node.claimed[permit] = "claimed"
+        elif isinstance(claim, permits.Recorded):
+            self._told(permit, claim.result.outcome)
+
+    @stateful.rule(data=st.data(), executes=st.booleans())
+    def send(self, data, executes):
+        node, permit = self._claimed(data)
+        if node.claimed[permit] == "claimed":
+            node.table.sending(permit)
+            node.claimed[permit] = "sent"
+            self.executed[permit] += executes
+
+    @stateful.rule(data=st.data(), answered=st.booleans())
+    def end(self, data, answered):
+        node, permit = self._claimed(data)
+        if node.claimed.pop(permit) == "claimed":
+            node.table.sending(permit)
+            node.table.unsent(permit)
+            node.table.refuse(permit, NOT_RUN)
+            self._told(permit, "not-run")
+        elif answered and self.executed[permit]:
+            node.table.record(permit, ANSWER)
+        else:
+            node.table.record(permit, permits._RESULT_LOST)
+
+    @stateful.precondition(lambda self: self.messages)
+    @stateful.rule(data=st.data(), fate=st.sampled_from(["keep", "use"]))
+    def deliver(self, data, fate):
+        place = data.draw(st.integers(0, len(self.messages) - 1))
+        where, content, hops = self.messages[place]
+        if fate == "use":
+            del self.messages[place]
+        for node in self._all():
+            if node.name == where.name and self._awake(node):
+                self._receive(node, content, hops)
+
+    def _receive(self, node, content, hops):
+        if isinstance(content, str):
+            self._handle_call(node, content, hops)
+        elif isinstance(content, bytes):
+            self._handle_export(node, content)
+        else:
+            node.table.learn(content, self._time(node))
+
+    def _handle_export(self, node, data):
+        sender = permits._decode_export(data)
+        try:
+            node.table.adopt(data, self._time(node))
+        except errors.PeerError:
+            self._handle_refusal(sender, node.table.incarnation)
+
+    def _handle_refusal(self, export, refused_by):
+        for node in self._all():
+            table = node.table
+            if table.incarnation != export.incarnation or not node.alive:
+                continue
+            if export.generation != table._generation or not table.successor:
+                continue
+            try:
+                table.reopen(refused_by)
+            except errors.PeerError:
+                return
+
+    @stateful.rule(
+        name=st.sampled_from("abcd"), successor=st.sampled_from("abcd")
+    )
+    def export(self, name, successor):
+        node = self.nodes[name]
+        if not self._awake(node) or name == successor:
+            return
+        table = node.table
+        target = table.successor or permits.Elsewhere(
+            successor, self.nodes[successor].table.incarnation
+        )
+        data = table.export(target, self._time(node))
+        self.messages.append((target, data, 0))
+
+    @stateful.rule(name=st.sampled_from("abcd"))
+    def export_without_a_connection(self, name):
+        node = self.nodes[name]
+        if self._awake(node) and not node.table.successor:
+            other = "b" if name == "a" else "a"
+            target = permits.Elsewhere(
+                other, self.nodes[other].table.incarnation
+            )
+            node.table.export(target, self._time(node))
+            node.table.reopen(None)
+
+    @stateful.rule(name=st.sampled_from("abcd"))
+    def replace(self, name):
+        """Starts a new process while the old one finishes."""
+        if self.nodes[name].table.successor:
+            self.old.append(self.nodes[name])
+            self._start(name)
+
+    @stateful.rule(name=st.sampled_from("abcd"))
+    def kill(self, name):
+        self.nodes[name].alive = False
+        self._start(name)
+
+    @stateful.rule(name=st.sampled_from("abcd"), paused=st.booleans())
+    def pause(self, name, paused):
+        self.nodes[name].paused = paused
+
+    @stateful.rule(name=st.sampled_from("abcd"), to=st.sampled_from("abcd"))
+    def gossip(self, name, to):
+        for pointer in self.nodes[name].table.pointers(
+            self._time(self.nodes[name])
+        ):
+            self.messages.append((permits.Elsewhere(to, 0), pointer, 0))
+
+    @stateful.rule(seconds=st.sampled_from([1.0, 9.0, 39.0, 41.0, 81.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.invariant()
+    def runs_at_most_once(self):
+        assert all(count <= 1 for count in self.executed.values())
+
+    @stateful.invariant()
+    def not_run_is_true(self):
+        assert not any(self.executed[permit] for permit in self.refused)
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=300,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
