--- /dev/null
+++ b/packages/ctl/nutmegpost_ctl/fleet.py
@@ -0,0 +1,131 @@
+"""Reads one view of the administration API from every router at once."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+import http
+from typing import Generic, NamedTuple, TypeVar
+import urllib.parse
+
+import msgspec
+
+from nutmegpost_core import errors
+from nutmegpost_core import vms
+from nutmegpost_ctl import exits
+from nutmegpost_router import http_client
+
+__all__ = ["Answers", "fetch"]
+
+T = TypeVar("T")
+
+
+class _Problem(msgspec.Struct):
+    code: str
+    message: str
+
+
+class _ErrorBody(msgspec.Struct):
+    error: _Problem
+
+
+class Answers(NamedTuple, Generic[T]):
+    """What the routers said.
+
+    Attributes:
+        values: The views, in the order of the addresses.
+        failures: Why others gave none.
+    """
+
+    values: list[T]
+    failures: list[exits.RouterError]
+
+    @property
+    def code(self) -> exits.Exit:
+        """The exit code that tells how many routers answered."""
+        if not self.failures:
+            return exits.Exit.OK
+        return exits.Exit.PARTIAL if self.values else exits.Exit.UNREACHABLE
+
+
+async def fetch(
+    addresses: Sequence[vms.Address],
+    path: str,
+    query: Mapping[str, str],
+    key: str,
+    kind: type[T],
+    timeout_s: float,
+) -> Answers[T]:
+    """Asks all routers for the same view.
+
+    Args:
+        addresses: Administration addresses.
+        path: Path of the view.
+        query: Fields of the query.
+        key: Administration key.
+        kind: Type of the view.
+        timeout_s: Longest wait for each router, seconds.
+
+    Returns:
+        The views that came, and the failures; no router's failure hides
+        another's view.
+    """
+    target = path
+    if query:
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+    client = http_client.Client()
+    found = await asyncio.gather(
+        *(
+            _fetch_one(client, address, target, key, kind, timeout_s)
+            for address in addresses
+        ),
+        return_exceptions=True,
+    )
+    client.close()
+    answers: Answers[T] = Answers([], [])
+    for item in found:
+        if isinstance(item, exits.RouterError):
+            answers.failures.append(item)
+        elif isinstance(item, BaseException):
+            raise item
+        else:
+            answers.values.append(item)
+    return answers
+
+
+async def _fetch_one(
+    client: http_client.Client,
+    address: vms.Address,
+    target: str,
+    key: str,
+    kind: type[T],
+    timeout_s: float,
+) -> T:
+    try:
+        response = await client.request(
+            address,
+            "GET",
+            target,
+            {"Authorization": f"Bearer {key}"},
+            timeout_s=timeout_s,
+        )
+    except errors.PeerError as caught:
+        raise exits.RouterError(str(address), str(caught)) from caught
+    if response.status != http.HTTPStatus.OK:
+        raise _failure(address, response)
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as caught:
+        raise exits.RouterError(
+            str(address), f"not the expected document: {caught}"
+        ) from caught
+
+
+def _failure(
+    address: vms.Address, response: http_client.Response
+) -> exits.RouterError:
+    try:
+        body = msgspec.json.decode(response.body, type=_ErrorBody)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return exits.RouterError(str(address), f"status {response.status}")
+    return exits.RefusedError(
+        str(address), f"{body.error.code}: {body.error.message}"
+    )
--- a/packages/router/nutmegpost_router/settings.py
+++ b/packages/router/nutmegpost_router/settings.py
@@ -22,7 +22,9 @@
 Name = Annotated[
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=64)
 ]
-Secret = Annotated[str, msgspec.Meta(min_length=16, max_length=256)]
+Secret = Annotated[
+    str, msgspec.Meta(pattern="^[!-~]+$", min_length=16, max_length=256)
+]
 
 _ADDRESSES = (
     "public_address",
