--- a/packages/standins/nutmegpost_standins/platform.py
+++ b/packages/standins/nutmegpost_standins/platform.py
@@ -14,7 +14,7 @@
 from nutmegpost_standins import faults
 from nutmegpost_standins import http
 
-__all__ = ["Options", "Platform", "serve"]
+__all__ = ["ByteRate", "Options", "Platform", "serve"]
 
 _POLL_S = 0.05
 _WAIT_S_MAX = 60.0
@@ -98,6 +98,20 @@
         return shown
 
 
+class ByteRate:
+    """A rate that all readers share, first come first served."""
+
+    def __init__(self, bytes_per_s: int):
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
+
+    def reserve(self, size: int, now: float) -> float:
+        """Returns the time at which so many bytes have passed."""
+        start = max(self._free_at, now)
+        self._free_at = start + size / self._bytes_per_s
+        return self._free_at
+
+
 class Platform:
     """The state of the platform.
 
@@ -120,7 +134,7 @@
             ("reads", "configuration", "vms", "weights", "refused", "peak"), 0
         )
         self._second = (0, 0)
-        self._weights_free_at = 0.0
+        self._weight_rate = ByteRate(options.weight_bytes_per_s)
 
     async def watch_files(self) -> None:
         """Looks at the files for ever."""
@@ -228,10 +242,8 @@
         rest = self._options.weight_bytes
         while rest > 0:
             size = min(rest, _WEIGHT_PIECE_BYTES)
-            start = max(self._weights_free_at, loop.time())
-            cost = size / self._options.weight_bytes_per_s
-            self._weights_free_at = start + cost
-            await asyncio.sleep(self._weights_free_at - loop.time())
+            due = self._weight_rate.reserve(size, loop.time())
+            await asyncio.sleep(due - loop.time())
             yield bytes(size)
             rest -= size
 
--- a/packages/standins/nutmegpost_standins/relay.py
+++ b/packages/standins/nutmegpost_standins/relay.py
@@ -52,6 +52,13 @@
         self._server: asyncio.Server | None = None
         self._port: asyncio.DatagramTransport | None = None
 
+    @property
+    def address(self) -> str:
+        """Address that it accepts connections on."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
     async def start(self) -> None:
         """Binds the listening sockets."""
         host, port = http.split_address(self._options.listen)
--- /dev/null
+++ b/packages/standins/tests/test_engine.py
@@ -0,0 +1,187 @@
+import asyncio
+import contextlib
+import json
+
+from nutmegpost_standins import batching
+from nutmegpost_standins import engine
+from nutmegpost_standins import http
+from nutmegpost_standins import sse
+
+MESSAGES = [{"role": "user", "content": "one two three"}]
+CHAT = "/v1/chat/completions"
+
+
+class Fixture:
+    def __init__(self, **options):
+        defaults = {"step_ms": 1.0, "load_lag_s": 0.01, "cache_event_lag_s": 0}
+        self.engine = engine.Engine(
+            engine.Options("127.0.0.1:0", **(defaults | options))
+        )
+
+    async def __aenter__(self):
+        self.server = await http.serve("127.0.0.1:0", self.engine.handle)
+        self.task = asyncio.create_task(self.engine.run())
+        return self
+
+    async def __aexit__(self, *_):
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+        await self.server.close()
+
+    async def ask(self, method: str, target: str, value=None, **headers):
+        body = b"" if value is None else json.dumps(value).encode()
+        return await http.request(
+            self.server.address, method, target, headers, body
+        )
+
+    async def chat(self, name: str, attempt: int = 1, tokens: int = 4):
+        return await self.ask(
+            "POST", CHAT, _body(tokens), **_headers(name, attempt)
+        )
+
+
+def _body(tokens: int):
+    return {"model": "m", "messages": MESSAGES, "max_tokens": tokens}
+
+
+def _headers(name: str, attempt: int = 1):
+    return {
+        "x-request-id": name,
+        "x-attempt": str(attempt),
+        "x-cache-key": "k",
+    }
+
+
+def _events(body: bytes) -> list[sse.Event]:
+    async def pieces():
+        yield body
+
+    async def collect():
+        return [event async for event in sse.read(pieces())]
+
+    return asyncio.run(collect())
+
+
+def test_stream_and_its_rest():
+    async def main():
+        async with Fixture() as fixture:
+            whole = await fixture.chat("a/1")
+            target = "/v1/streams/a/1?attempt=1"
+            rest = await fixture.ask("GET", target, **{"last-event-id": "1"})
+            later = await fixture.ask("GET", "/v1/streams/a/1?attempt=2")
+            earlier = await fixture.ask("GET", "/v1/streams/a/1?attempt=0")
+            return whole, rest, later.status, earlier.status
+
+    whole, rest, later, earlier = asyncio.run(main())
+    events = _events(whole.body)
+    assert [event.id for event in events] == ["0", "1", "2", "3", "4", ""]
+    digest = batching.text_digest(MESSAGES)
+    first = json.loads(events[0].data)
+    assert first["choices"][0]["delta"]["content"] == f"{digest}-0 "
+    assert events[-1].data == "[DONE]"
+    assert _events(rest.body) == events[2:]
+    assert (later, earlier) == (404, 409)
+
+
+def test_cancel_tells_whether_it_ran():
+    async def main():
+        async with Fixture(batch=1, step_ms=20.0) as fixture:
+            first = asyncio.create_task(fixture.chat("a/1", tokens=1000))
+            await _until(fixture, running=1)
+            second = asyncio.create_task(fixture.chat("a/2"))
+            await _until(fixture, waiting=1)
+            ran = []
+            for name in ("a/2", "a/1", "a/3"):
+                reply = await fixture.ask(
+                    "DELETE", f"/v1/streams/{name}?attempt=1"
+                )
+                ran.append(json.loads(reply.body)["ran"])
+            late = await fixture.chat("a/3")
+            await asyncio.gather(first, second)
+            return ran, late.status
+
+    assert asyncio.run(main()) == ([False, True, False], 409)
+
+
+async def _until(fixture: Fixture, **wanted):
+    for _ in range(500):
+        reply = await fixture.ask("GET", "/standin/state")
+        state = json.loads(reply.body)
+        if all(state[name] == value for name, value in wanted.items()):
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError(f"{wanted} not reached: {state}")
+
+
+def test_fences():
+    async def order(fenced: bool):
+        async with Fixture(fenced=fenced) as fixture:
+            order = {"fence": [2, 0], "version": "v2", "role": "both"}
+            first = await fixture.ask("POST", "/v1/orders", order)
+            await _until(fixture, version="v2", state="ready")
+            order = {"fence": [1, 5], "version": "v1", "role": "both"}
+            second = await fixture.ask("POST", "/v1/orders", order)
+            return first.status, second.status
+
+    assert asyncio.run(order(True)) == (202, 409)
+    assert asyncio.run(order(False)) == (202, 202)
+
+
+def test_cache_events_and_kv_transfer():
+    async def main():
+        async with Fixture(cache_event_loss=0) as fixture:
+            await fixture.chat("a/1")
+            target = "/v1/cache-events?after=0&wait=5"
+            events = json.loads((await fixture.ask("GET", target)).body)
+            kv = await fixture.ask("GET", "/v1/kv/k")
+            await http.request(
+                fixture.server.address, "PUT", "/v1/kv/other", body=kv.body
+            )
+            copy = await fixture.ask("GET", "/v1/kv/other")
+            return events["events"], kv.body == copy.body
+
+    rows, is_same = asyncio.run(main())
+    assert [row[1:] for row in rows] == [["stored", "k", 7]]
+    assert is_same
+
+
+def test_refuses_while_leaving():
+    async def main():
+        async with Fixture() as fixture:
+            await fixture.ask("POST", "/standin/faults", {"leaving": True})
+            reply = await fixture.chat("a/1")
+            await _until(fixture, state="leaving")
+            return reply.status, json.loads(reply.body)["error"]["code"]
+
+    assert asyncio.run(main()) == (503, "leaving")
+
+
+def test_silent_streams_are_resumed_on_a_new_connection():
+    async def main():
+        async with Fixture(step_ms=5.0) as fixture:
+            task = asyncio.create_task(fixture.chat("a/1", tokens=100))
+            await _until(fixture, running=1)
+            await fixture.ask("POST", "/standin/faults", {"silent": True})
+            await _until(fixture, running=0)
+            whole = await fixture.ask("GET", "/v1/streams/a/1?attempt=1")
+            is_silent = not task.done()
+            task.cancel()
+            return is_silent, whole.body
+
+    is_silent, body = asyncio.run(main())
+    assert is_silent
+    assert len(_events(body)) == 102
+
+
+def test_records_tell_dispatches_and_executions():
+    async def main():
+        async with Fixture() as fixture:
+            await fixture.chat("a/1")
+            reply = await fixture.ask("GET", "/standin/records")
+            return json.loads(reply.body)
+
+    found = asyncio.run(main())
+    assert [row[1] for row in found["rows"]] == ["arrive", "begin", "finished"]
+    assert [row[4] for row in found["rows"]] == [1, 1, 0]
+    assert found["executions"] == {"a/1#1": 1}
