--- a/packages/core/nutmegpost_core/charts.py
+++ b/packages/core/nutmegpost_core/charts.py
@@ -13,6 +13,7 @@
 import transitions
 
 from nutmegpost_core import documents
+from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import invariants
 
@@ -60,8 +61,8 @@
         The chart.
 
     Raises:
-        errors.DocumentError: The file does not have the form of a chart.
-        ValueError: A transition names a state that is not declared.
+        errors.DocumentError: The file does not have the form of a chart, or
+            a transition is ambiguous or names a state that is not declared.
         FileNotFoundError: There is no such chart.
     """
     folder = importlib.resources.files("nutmegpost_core")
@@ -74,13 +75,31 @@
         transitions=msgspec.to_builtins(document["transitions"]),
         auto_transitions=False,
     )
+    return Definition(
+        name, document["initial"], tuple(machine.states), _moves(machine, name)
+    )
+
+
+def _moves(
+    machine: transitions.Machine, name: str
+) -> dict[str, dict[str, str]]:
+    """Returns the only move of each state and trigger.
+
+    The library looks at a destination only when it is reached, and takes the
+    first of several moves; a chart must fail when it is read.
+    """
     moves: dict[str, dict[str, str]] = {state: {} for state in machine.states}
     for trigger, event in machine.events.items():
         for source, found in event.transitions.items():
-            moves[source][trigger] = str(found[0].dest)
-    return Definition(
-        name, document["initial"], tuple(document["states"]), moves
-    )
+            dest = str(found[0].dest)
+            if source not in moves or dest not in moves or len(found) > 1:
+                raise errors.DocumentError(
+                    f"charts/{name}.json",
+                    f"$.transitions, {trigger} in {source}",
+                    "one move between declared states",
+                )
+            moves[source][trigger] = dest
+    return moves
 
 
 class Chart:
--- /dev/null
+++ b/packages/core/tests/test_charts.py
@@ -0,0 +1,166 @@
+import json
+import pathlib
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from nutmegpost_core import charts
+from nutmegpost_core import errors
+from nutmegpost_core import events
+from nutmegpost_core import invariants
+
+_FOLDER = pathlib.Path(charts.__file__).parent / "charts"
+_STATES = {
+    "router": "starting joining serving stopping stopped",
+    "endpoint": ("joining ready suspect ejected draining loading leaving gone"),
+    "request": (
+        "received placed queued dispatched streaming answered withdrawn "
+        "refused failed"
+    ),
+    "link": "connecting proving open silent closed",
+}
+
+
+def _sources(item):
+    source = item["source"]
+    return source if isinstance(source, list) else [source]
+
+
+@pytest.fixture
+def violations():
+    found = []
+    invariants.install(lambda event, fields: found.append((event, fields)))
+    yield found
+    invariants.install(None)
+
+
+def test_every_file_is_named_and_every_name_has_a_file():
+    assert sorted(path.stem for path in _FOLDER.iterdir()) == list(charts.NAMES)
+
+
+@pytest.mark.parametrize("name", charts.NAMES)
+def test_states_are_those_of_the_documents(name):
+    assert list(charts.definition(name).states) == _STATES[name].split()
+
+
+@pytest.mark.parametrize("name", charts.NAMES)
+def test_every_state_is_reached_from_the_initial_one(name):
+    definition = charts.definition(name)
+    reached = {definition.initial}
+    waiting = [definition.initial]
+    while waiting:
+        for dest in definition.moves[waiting.pop()].values():
+            if dest not in reached:
+                reached.add(dest)
+                waiting.append(dest)
+    assert reached == set(definition.states)
+
+
+@pytest.mark.parametrize(
+    ("name", "finals"),
+    [
+        ("router", {"stopped"}),
+        ("endpoint", set()),
+        ("request", {"answered", "withdrawn", "refused", "failed"}),
+        ("link", {"closed"}),
+    ],
+)
+def test_final_states_are_left_by_nothing(name, finals):
+    moves = charts.definition(name).moves
+    assert {state for state, found in moves.items() if not found} == finals
+
+
+def test_a_request_that_may_have_run_is_never_sent_back_to_the_queue_unplaced():
+    moves = charts.definition("request").moves
+    assert "queue" not in moves["dispatched"]
+    assert "refuse" not in moves["streaming"]
+
+
+def test_a_leaving_endpoint_becomes_ready_only_by_joining_again():
+    moves = charts.definition("endpoint").moves
+    assert set(moves["leaving"]) == {"vanish", "join"}
+
+
+@pytest.mark.parametrize("name", charts.NAMES)
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+@hypothesis.given(data=strategies.data())
+def test_an_instance_follows_its_file(name, data):
+    document = json.loads((_FOLDER / f"{name}.json").read_text())
+    triggers = sorted({item["trigger"] for item in document["transitions"]})
+    found = []
+    invariants.install(lambda event, fields: found.append(event))
+    try:
+        chart = charts.Chart(name)
+        for trigger in data.draw(
+            strategies.lists(strategies.sampled_from(triggers))
+        ):
+            before = chart.state
+            dests = [
+                item["dest"]
+                for item in document["transitions"]
+                if item["trigger"] == trigger and before in _sources(item)
+            ]
+            assert chart.allows(trigger) == bool(dests)
+            count = len(found)
+            assert chart.fire(trigger) == bool(dests)
+            assert chart.state == (dests[0] if dests else before)
+            assert len(found) - count == (0 if dests else 1)
+    finally:
+        invariants.install(None)
+
+
+def test_a_refused_trigger_is_an_invariant_event(violations):
+    chart = charts.Chart("link")
+    assert not chart.fire("prove")
+    assert chart.state == "connecting"
+    assert violations == [
+        (
+            events.CHART_REFUSED,
+            {"chart": "link", "state": "connecting", "trigger": "prove"},
+        )
+    ]
+
+
+def test_a_refused_trigger_raises_where_no_handler_is_installed():
+    with pytest.raises(invariants.InvariantError, match="refuses prove"):
+        charts.Chart("link").fire("prove")
+
+
+def test_instances_share_the_definition_and_not_the_state():
+    first = charts.Chart("link")
+    second = charts.Chart("link")
+    first.fire("connect")
+    assert (first.state, second.state) == ("proving", "connecting")
+    assert first._definition is second._definition
+    assert repr(first) == "Chart('link', 'proving')"
+    assert first.name == "link"
+
+
+def test_an_unknown_chart_is_not_found():
+    with pytest.raises(FileNotFoundError):
+        charts.definition("none")
+
+
+_STAY = '{"trigger": "t", "source": "a", "dest": "a"}'
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "{}",
+        "[",
+        '{"initial": "a", "states": ["a"], "transitions": '
+        '[{"trigger": "t", "source": "a", "dest": "b"}]}',
+        '{"initial": "a", "states": ["a"], "transitions": '
+        '[{"trigger": "t", "source": "b", "dest": "a"}]}',
+        '{"initial": "a", "states": ["a"], "transitions": '
+        f"[{_STAY}, {_STAY}]}}",
+    ],
+)
+def test_a_broken_chart_fails_loudly(tmp_path, monkeypatch, text):
+    (tmp_path / "charts").mkdir()
+    (tmp_path / "charts" / "broken.json").write_text(text)
+    monkeypatch.setattr(charts.importlib.resources, "files", lambda _: tmp_path)
+    with pytest.raises(errors.DocumentError):
+        charts.definition("broken")
