Add the gossip task over UDP

An empty Rumours is false, so Membership replaced the one it was given by one of its own and nothing that was published ever left: the test of arriving rumours timed out after 20 s before and passes after comparing to None.

--- a/packages/core/nutmegpost_core/datagrams.py
+++ b/packages/core/nutmegpost_core/datagrams.py
@@ -14,6 +14,8 @@
 __all__ = [
     "DATAGRAM_BYTES_MAX",
     "HEADER_BYTES",
+    "IP_HEADER_BYTES",
+    "MAC_BYTES",
     "Entry",
     "Kind",
     "Packet",
@@ -27,7 +29,8 @@
 WIRE_VERSION = 1
 DATAGRAM_BYTES_MAX = 1_200
 MAC_BYTES = 16
-HEADER_BYTES = 28 + MAC_BYTES
+IP_HEADER_BYTES = 28
+HEADER_BYTES = IP_HEADER_BYTES + MAC_BYTES
 _ADDRESS_BYTES = 6
 
 
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -36,20 +36,73 @@
 CLOCK_GAP = Event(105, "WARNING", "process was paused for {seconds:.1f} s")
 TASK_FAILED = Event(106, "ERROR", "task {task} failed and restarts: {reason}")
 
+# 3xx members and peers
+MEMBER_CHANGED = Event(301, "INFO", "member {name} is {state}, was {previous}")
+DATAGRAM_FORGED = Event(
+    302, "WARNING", "datagram from {source} has a wrong MAC"
+)
+DATAGRAM_MALFORMED = Event(
+    303, "WARNING", "datagram from {source} is malformed: {reason}"
+)
+LINK_OPENED = Event(350, "INFO", "link to {peer} is open")
+LINK_LOST = Event(351, "INFO", "link with {peer} is lost: {reason}")
+PEER_REFUSED = Event(352, "WARNING", "peer refused: {reason}")
+
 # 4xx requests
 REQUEST_REFUSED = Event(401, "INFO", "request refused, {code}: {reason}")
 REQUEST_FAILED = Event(
     402, "WARNING", "request {request} of {account} failed, {code}: {reason}"
 )
 STREAM_RESUMED = Event(
-    403, "INFO", "stream {request} resumed on {engine} after event {event}"
+    403, "INFO", "stream {request} resumed on {engine} at {position}"
 )
 FRAME_DROPPED = Event(404, "WARNING", "frame of {request} dropped: {reason}")
+REQUEST_RETRIED = Event(
+    405, "INFO", "request {request} tried again after {engine}: {reason}"
+)
+REQUEST_MOVED = Event(406, "DEBUG", "request {request} moved to {engine}")
+REQUEST_CANCELLED = Event(
+    407, "INFO", "request {request} cancelled, nobody reads it"
+)
+
+# 5xx endpoints and placement
+ENGINE_OWNED = Event(501, "INFO", "endpoint {engine} is owned by this router")
+ENGINE_RELEASED = Event(502, "INFO", "endpoint {engine} has another owner")
+ENGINE_UNREACHABLE = Event(
+    503, "WARNING", "endpoint {engine} is unreachable: {reason}"
+)
+ENGINE_READY = Event(504, "INFO", "endpoint {engine} is ready")
+ENGINE_LEAVING = Event(505, "INFO", "endpoint {engine} is leaving")
+ENGINE_EJECTED = Event(506, "WARNING", "endpoint {engine} is ejected")
+
+# 8xx quarantine
+REQUEST_SUSPECTED = Event(
+    801, "WARNING", "request {digest} ran on {engine} as it crashed"
+)
+REQUEST_QUARANTINED = Event(
+    802, "ERROR", "request {digest} is refused, it crashed {crashes} engines"
+)
+REQUEST_CLEARED = Event(803, "INFO", "request {digest} is no suspect any more")
 
 # 9xx violated invariants
 CHART_REFUSED = Event(
     901, "ERROR", "chart {chart} refuses {trigger} in state {state}"
 )
+STREAM_GAP = Event(
+    904, "ERROR", "stream {request} got event {first}, expected {expected}"
+)
+LOAD_OVER_BOUND = Event(
+    905, "ERROR", "endpoint {engine} has load {load} over bound {bound}"
+)
+BUDGET_EXCEEDED = Event(
+    931, "ERROR", "control traffic is {bytes} bytes over its budget"
+)
+STATE_REGRESSED = Event(
+    932, "ERROR", "member {name} went back from revision {old} to {new}"
+)
+ENGINES_CRASHED = Event(
+    981, "ERROR", "request {digest} crashed {crashes} engines"
+)
 
 PERMIT_SENT_TWICE = Event(
     961, "ERROR", "permit {incarnation}/{sequence} was sent twice"
--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -111,7 +111,8 @@
         """
         self._rng = rng
         self._timing = timing or Timing()
-        self._riders = riders or rumours.Rumours(rng)
+        # Rumours that hold nothing are false, so they are compared to None.
+        self._riders = rumours.Rumours(rng) if riders is None else riders
         self._budget = spending or budget.Budget()
         self._name = me.name
         self._table = member_table.MemberTable(me)
@@ -237,16 +238,28 @@
         if packet.sender.name == self._name:
             self._refute(_member(packet.sender), now)
             return []
-        self._merge(packet, now)
-        return self._answer(packet, source, now)
+        urgent = self._merge(packet, now)
+        sent = self._answer(packet, source, now)
+        return sent + self.announce(now) if urgent else sent
 
     def leave(self, now: float) -> list[Datagram]:
-        """Announces that this router takes no new work."""
-        return self._announce(State.LEAVING, now)
+        """States that this router takes no new work."""
+        return self._become(State.LEAVING, now)
 
     def left(self, now: float) -> list[Datagram]:
-        """Announces that this router ends now."""
-        return self._announce(State.LEFT, now)
+        """States that this router ends now."""
+        return self._become(State.LEFT, now)
+
+    def announce(self, now: float) -> list[Datagram]:
+        """Tells some members at once what is new here.
+
+        News that each receiver announces in turn reaches the whole fleet
+        within a few round trips.
+        """
+        sent: list[Datagram] = []
+        for name in self._pick(self._spread(), self._name):
+            sent += self._send(datagrams.Kind.ANNOUNCE, name, now)
+        return sent
 
     def paused(self, now: float, gap_s: float) -> None:
         """Notes that this process did not run for a while.
@@ -477,14 +490,11 @@
             datagrams.Kind.PING, packet.subject, now, sequence=self._sequence
         )
 
-    def _announce(self, state: State, now: float) -> list[Datagram]:
+    def _become(self, state: State, now: float) -> list[Datagram]:
         self._now = now
         me = self.me
         self._put(me._replace(state=state, revision=me.revision + 1), now)
-        sent: list[Datagram] = []
-        for name in self._pick(self._spread(), self._name):
-            sent += self._send(datagrams.Kind.ANNOUNCE, name, now)
-        return sent
+        return self.announce(now)
 
     def _send(
         self,
@@ -603,7 +613,7 @@
 
     # Statements on members.
 
-    def _merge(self, packet: datagrams.Packet, now: float) -> None:
+    def _merge(self, packet: datagrams.Packet, now: float) -> bool:
         sender = _member(packet.sender)
         self._take(sender, now)
         self._note_configuration(packet)
@@ -613,7 +623,7 @@
             known = self._table.members.get(short.name)
             if known is not None:
                 self._take_short(known, short, now)
-        self._riders.merge(packet.items, now)
+        return self._riders.merge(packet.items, now)
 
     def _note_configuration(self, packet: datagrams.Packet) -> None:
         name = packet.sender.name
--- a/packages/core/nutmegpost_core/rumours.py
+++ b/packages/core/nutmegpost_core/rumours.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-__all__ = ["Item", "Kind", "Rumour", "Rumours", "size"]
+__all__ = ["Item", "Kind", "Rumour", "Rumours", "URGENT", "size"]
 
 ITEMS_MAX = 20_000
 ITEM_BYTES_MAX = 400
@@ -38,6 +38,7 @@
     Kind.ENDPOINT_LEAVING: 2,
     Kind.LOADS: 3,
 }
+URGENT = frozenset([Kind.SUSPECT_REQUEST, Kind.ENDPOINT_LEAVING])
 _LASTING = frozenset(
     [Kind.SUCCESSOR, Kind.SUSPECT_REQUEST, Kind.ENDPOINT_LEAVING]
 )
@@ -193,21 +194,29 @@
         self._rng.shuffle(names)
         return [self._item(name, now) for name in self._fit(names, room, now)]
 
-    def merge(self, items: list[Item], now: float) -> None:
-        """Takes in the items of a datagram."""
+    def merge(self, items: list[Item], now: float) -> bool:
+        """Takes in the items of a datagram.
+
+        Returns:
+            Whether one of them is news of an urgent kind.
+        """
+        urgent = False
         for item in items:
-            if item.kind in _IMPORTANCE:
-                self._merge_item(item, now)
+            if item.kind in _IMPORTANCE and self._merge_item(item, now):
+                urgent = urgent or item.kind in URGENT
+        return urgent
 
-    def _merge_item(self, item: Item, now: float) -> None:
+    def _merge_item(self, item: Item, now: float) -> bool:
         name = (Kind(item.kind), item.key)
         if item.version <= self._expired.get(name, (0, 0.0))[0]:
-            return
+            return False
         held = self._held.get(name)
         expires = now + item.lifetime_ms / 1000
         new = _Held(item.version, item.payload, expires, 0, False)
-        if held is None or _order(new) > _order(held):
-            self._replace(name, held, new)
+        if held is not None and _order(new) <= _order(held):
+            return False
+        self._replace(name, held, new)
+        return True
 
     def _replace(self, name: _Id, held: _Held | None, new: _Held) -> None:
         if held is not None and held.own and name[0] is Kind.LOADS:
--- /dev/null
+++ b/packages/router/nutmegpost_router/gossip.py
@@ -0,0 +1,327 @@
+"""The task that owns the UDP socket of membership and gossip.
+
+It runs the decisions of `nutmegpost_core.membership`. Commands come in by one
+queue, and what it learns goes out by another. Each datagram ends with a MAC
+under the peer key.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+import hmac
+import time
+from typing import NamedTuple
+
+from nutmegpost_core import datagrams
+from nutmegpost_core import errors
+from nutmegpost_core import events
+from nutmegpost_core import membership
+from nutmegpost_core import rumours
+from nutmegpost_core import vms
+from nutmegpost_router import log
+from nutmegpost_router import settings
+
+__all__ = [
+    "Command",
+    "Counts",
+    "Gossip",
+    "Leave",
+    "MemberChanged",
+    "Notice",
+    "Paused",
+    "PeerConfiguration",
+    "Publish",
+    "RumourArrived",
+    "Seed",
+    "SetConfiguration",
+    "Stop",
+]
+
+_TICK_S = 0.1
+_PAUSE_S = 1.0
+_QUEUE_MAX = 2_000
+_MAC_PURPOSE = b"nutmegpost datagram"
+
+
+class Seed(NamedTuple):
+    """Gives the peer addresses of the routers in the VM list."""
+
+    addresses: Sequence[str]
+
+
+class SetConfiguration(NamedTuple):
+    """States the configuration that is in force here."""
+
+    version: int
+    digest: str
+
+
+class Publish(NamedTuple):
+    """Spreads a rumour; see `rumours.Rumours.publish`."""
+
+    kind: int
+    key: bytes
+    payload: bytes
+    lifetime_s: float
+
+
+class Leave(NamedTuple):
+    """Announces that this router takes no new work."""
+
+
+class Stop(NamedTuple):
+    """Announces that this router ends, and ends the task."""
+
+
+class _Received(NamedTuple):
+    data: bytes
+    source: str
+
+
+Command = Seed | SetConfiguration | Publish | Leave | Stop
+
+
+class MemberChanged(NamedTuple):
+    """A member is new, or its state changed.
+
+    Attributes:
+        member: The member now.
+        previous_state: Its state before; None when its process is new.
+    """
+
+    member: membership.Member
+    previous_state: membership.State | None
+
+
+class RumourArrived(NamedTuple):
+    """A rumour came from another router."""
+
+    kind: rumours.Kind
+    key: bytes
+    payload: bytes
+
+
+class PeerConfiguration(NamedTuple):
+    """Another configuration came into force at a member."""
+
+    name: str
+    version: int
+    digest: str
+
+
+class Paused(NamedTuple):
+    """This process did not run for a while."""
+
+    seconds: float
+
+
+Notice = MemberChanged | RumourArrived | PeerConfiguration | Paused
+
+
+class Counts(NamedTuple):
+    """Totals since the start.
+
+    Attributes:
+        received_bytes: Bytes received, headers of UDP and IP included.
+        forged: Datagrams whose MAC is wrong.
+        malformed: Datagrams that could not be decoded.
+        dropped: Datagrams that came faster than they could be handled.
+    """
+
+    received_bytes: int = 0
+    forged: int = 0
+    malformed: int = 0
+    dropped: int = 0
+
+
+class _Protocol(asyncio.DatagramProtocol):
+    def __init__(self, deliver: Callable[[_Received], None]):
+        self._deliver = deliver
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._deliver(_Received(data, f"{addr[0]}:{addr[1]}"))
+
+    def error_received(self, exc: Exception) -> None:
+        # ICMP errors say nothing that a probe does not find out.
+        pass
+
+
+class Gossip:
+    """Membership and rumours over UDP."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        members: membership.Membership,
+        riders: rumours.Rumours,
+        outbox: "asyncio.Queue[Notice]",
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Prepares the task.
+
+        Args:
+            config: Settings of this router.
+            members: Its view of the fleet, made with `riders`.
+            riders: The rumours that it spreads.
+            outbox: Where what it learns goes.
+            clock: Monotonic time in seconds.
+        """
+        self._address = vms.parse_address(config["peer_address"])
+        self._key = hmac.digest(
+            config["peer_key"].encode(), _MAC_PURPOSE, "sha256"
+        )
+        self._members = members
+        self._riders = riders
+        self._outbox = outbox
+        self._clock = clock
+        self._inbox: asyncio.Queue[Command | _Received] = asyncio.Queue()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._counts = Counts()
+        self._ran_at = clock()
+        self._next_tick = 0.0
+        self._stopping = False
+
+    @property
+    def counts(self) -> Counts:
+        """Totals of what came in."""
+        return self._counts
+
+    @property
+    def members(self) -> membership.Membership:
+        """The view of the fleet; only this task changes it."""
+        return self._members
+
+    def send(self, command: Command) -> None:
+        """Puts a command into the inbox of the task."""
+        self._inbox.put_nowait(command)
+
+    async def run(self) -> None:
+        """Runs until a `Stop` command.
+
+        Raises:
+            OSError: The peer address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Protocol(self._deliver),
+            local_addr=(self._address.host, self._address.port),
+        )
+        self._ran_at = self._clock()
+        try:
+            while not self._stopping:
+                await self._step()
+        finally:
+            self._transport.close()
+
+    async def _step(self) -> None:
+        message = await self._next_message()
+        now = self._clock()
+        self._notice_pause(now)
+        if message is not None:
+            self._transmit(self._handle(message, now))
+        if now >= self._next_tick:
+            self._next_tick = now + _TICK_S
+            self._transmit(self._members.tick(now))
+        self._report()
+
+    async def _next_message(self) -> Command | _Received | None:
+        if not self._inbox.empty():
+            return self._inbox.get_nowait()
+        delay = self._next_tick - self._clock()
+        if delay <= 0:
+            return None
+        try:
+            async with asyncio.timeout(delay):
+                return await self._inbox.get()
+        except TimeoutError:
+            return None
+
+    def _notice_pause(self, now: float) -> None:
+        gap = now - self._ran_at - _TICK_S
+        self._ran_at = now
+        if gap < _PAUSE_S:
+            return
+        log.emit(events.CLOCK_GAP, seconds=gap)
+        self._members.paused(now, gap)
+        self._outbox.put_nowait(Paused(gap))
+
+    def _handle(
+        self, message: Command | _Received, now: float
+    ) -> list[membership.Datagram]:
+        match message:
+            case _Received():
+                return self._receive(message, now)
+            case Seed(addresses):
+                self._members.seed(addresses)
+            case SetConfiguration(version, digest):
+                self._members.set_configuration(version, digest)
+                return self._members.announce(now)
+            case Publish(kind, key, payload, lifetime_s):
+                self._riders.publish(kind, key, payload, now, lifetime_s)
+                if kind in rumours.URGENT:
+                    return self._members.announce(now)
+            case Leave():
+                return self._members.leave(now)
+            case Stop():
+                self._stopping = True
+                return self._members.left(now)
+        return []
+
+    def _receive(
+        self, received: _Received, now: float
+    ) -> list[membership.Datagram]:
+        size = datagrams.MAC_BYTES
+        data, mac = received.data[:-size], received.data[-size:]
+        if not hmac.compare_digest(mac, self._mac(data)):
+            self._count(forged=self._counts.forged + 1)
+            log.emit(events.DATAGRAM_FORGED, source=received.source)
+            return []
+        try:
+            return self._members.receive(data, received.source, now)
+        except errors.PeerError as caught:
+            self._count(malformed=self._counts.malformed + 1)
+            log.emit(
+                events.DATAGRAM_MALFORMED,
+                source=received.source,
+                reason=str(caught),
+            )
+            return []
+
+    def _deliver(self, received: _Received) -> None:
+        size = len(received.data) + datagrams.IP_HEADER_BYTES
+        self._count(received_bytes=self._counts.received_bytes + size)
+        if self._inbox.qsize() >= _QUEUE_MAX:
+            self._count(dropped=self._counts.dropped + 1)
+            return
+        self._inbox.put_nowait(received)
+
+    def _transmit(self, sent: Sequence[membership.Datagram]) -> None:
+        assert self._transport is not None
+        for datagram in sent:
+            address = vms.parse_address(datagram.address)
+            self._transport.sendto(
+                datagram.data + self._mac(datagram.data), tuple(address)
+            )
+
+    def _report(self) -> None:
+        for change in self._members.changes():
+            self._outbox.put_nowait(MemberChanged(*change))
+            log.emit(
+                events.MEMBER_CHANGED,
+                name=change.member.name,
+                state=change.member.state,
+                previous=change.previous_state or "unknown",
+            )
+        for rumour in self._riders.arrived():
+            self._outbox.put_nowait(RumourArrived(*rumour))
+        for member in self._members.configurations():
+            self._outbox.put_nowait(
+                PeerConfiguration(
+                    member.name, member.config_version, member.config_digest
+                )
+            )
+
+    def _mac(self, data: bytes) -> bytes:
+        return hmac.digest(self._key, data, "sha256")[: datagrams.MAC_BYTES]
+
+    def _count(self, **changes: int) -> None:
+        self._counts = self._counts._replace(**changes)
