--- /dev/null
+++ b/packages/router/tests/test_log.py
@@ -0,0 +1,87 @@
+import re
+
+import loguru
+import pytest
+
+from nutmegpost_core import events
+from nutmegpost_router import log
+
+_EVENT = events.Event(401, "INFO", "refused, {code}: {reason}")
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    now = [1000.0]
+    monkeypatch.setattr(log, "_throttles", {})
+    monkeypatch.setattr(log.time, "monotonic", lambda: now[0])
+    yield now
+    loguru.logger.remove()
+
+
+def _lines(capsys):
+    return capsys.readouterr().err.splitlines()
+
+
+def test_a_line_has_time_level_process_and_number(clock, capsys):
+    log.set_up("router-1")
+    log.emit(_EVENT, code="overloaded", reason="queue")
+    (line,) = _lines(capsys)
+    assert re.fullmatch(
+        r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3} INFO    router-1 401 "
+        r"refused, overloaded: queue",
+        line,
+    )
+
+
+def test_levels_below_the_set_one_are_left_out(clock, capsys):
+    log.set_up("router-1", "WARNING")
+    log.emit(_EVENT, code="overloaded", reason="queue")
+    assert _lines(capsys) == []
+
+
+def test_text_from_outside_stays_on_its_line_and_is_not_a_template(
+    clock, capsys
+):
+    log.set_up("router-1")
+    log.emit(_EVENT, code="a\nINFO forged", reason="{x} <red>\x1b[2J\u2028")
+    (line,) = _lines(capsys)
+    assert line.endswith(r"refused, a\nINFO forged: {x} <red>\x1b[2J\u2028")
+
+
+def test_wrong_fields_are_written_and_raise_nothing(clock, capsys):
+    log.set_up("router-1")
+    log.emit(_EVENT, code="overloaded")
+    log.emit(events.CLOCK_GAP, seconds="long")
+    first, second = _lines(capsys)
+    assert "refused" in first and "overloaded" in first
+    assert "paused" in second and "long" in second
+
+
+def test_a_flood_is_cut_and_the_next_line_counts_what_was_left_out(
+    clock, capsys
+):
+    log.set_up("router-1")
+    for _ in range(log.LINES_PER_SECOND + 7):
+        log.emit(_EVENT, code="overloaded", reason="queue")
+    log.emit(events.CLOCK_GAP, seconds=1.0)
+    lines = _lines(capsys)
+    assert len(lines) == log.LINES_PER_SECOND + 1
+    assert "106" not in lines[-1] and "105" in lines[-1]
+    clock[0] += 1
+    log.emit(_EVENT, code="overloaded", reason="queue")
+    log.emit(_EVENT, code="overloaded", reason="queue")
+    first, second = _lines(capsys)
+    assert first.endswith("queue (and 7 more of 401 not written)")
+    assert second.endswith("queue")
+
+
+def test_a_traceback_shows_no_values(clock, capsys):
+    log.set_up("router-1")
+    secret = "key-0123456789"
+    try:
+        raise ValueError(len(secret))
+    except ValueError:
+        loguru.logger.exception("failed")
+    text = capsys.readouterr().err
+    assert "ValueError" in text
+    assert secret not in text
--- /dev/null
+++ b/packages/router/tests/test_settings.py
@@ -0,0 +1,129 @@
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from nutmegpost_core import errors
+from nutmegpost_router import settings
+
+_GOOD = {
+    "name": "router-1",
+    "zone": "a",
+    "public_address": "127.0.1.1:8080",
+    "peer_address": "127.0.1.1:8081",
+    "admin_address": "127.0.1.1:8082",
+    "platform_address": "127.0.0.2:8000",
+    "peer_key": "peer-key-0123456789",
+    "admin_key": "admin-key-0123456789",
+}
+
+
+def _parse(**changes):
+    found = {**_GOOD, **changes}
+    kept = {key: value for key, value in found.items() if value is not None}
+    return settings.parse(json.dumps(kept).encode(), "r.json")
+
+
+def test_good_settings_pass_and_defaults_stay_out():
+    found = _parse()
+    assert found == _GOOD
+    assert _parse(log_level="DEBUG", stop_grace_s=5) == {
+        **_GOOD,
+        "log_level": "DEBUG",
+        "stop_grace_s": 5.0,
+    }
+
+
+@pytest.mark.parametrize("key", sorted(_GOOD))
+def test_a_missing_value_is_named(key):
+    with pytest.raises(errors.SettingsError, match=key) as caught:
+        _parse(**{key: None})
+    assert caught.value.source == "r.json"
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("name", ""),
+        ("name", "Router 1"),
+        ("name", "r" * 65),
+        ("zone", 3),
+        ("public_address", "localhost:8080"),
+        ("public_address", "127.0.1.1:0"),
+        ("public_address", "127.0.1.1:65536"),
+        ("public_address", "999.0.1.1:80"),
+        ("peer_address", "127.0.1.1"),
+        ("admin_address", "....... :80"),
+        ("admin_address", "127.0.1.1:8080"),
+        ("platform_address", "127.0.1:8000"),
+        ("peer_key", "short"),
+        ("peer_key", "k" * 257),
+        ("admin_key", "peer-key-0123456789"),
+        ("admin_key", "with a line\nend 0123456789"),
+        ("admin_key", "clé-d-administration"),
+        ("log_level", "TRACE"),
+        ("stop_grace_s", -1),
+        ("stop_grace_s", "5"),
+        ("stop_grace_s", 1e9),
+    ],
+)
+def test_a_wrong_value_is_named_and_secrets_are_not_shown(key, value):
+    with pytest.raises(errors.SettingsError) as caught:
+        _parse(**{key: value})
+    assert caught.value.key.startswith("$.")
+    assert caught.value.expected
+    assert "0123456789" not in str(caught.value)
+
+
+def test_too_large_settings_are_refused():
+    data = json.dumps(_GOOD).encode() + b" " * settings.SETTINGS_BYTES_MAX
+    with pytest.raises(errors.SettingsError, match="at most"):
+        settings.parse(data, "r.json")
+
+
+@pytest.mark.parametrize("name", ["none.json", ".", "nul\0.json"])
+def test_a_file_that_cannot_be_read_is_a_settings_error(tmp_path, name):
+    with pytest.raises(errors.SettingsError):
+        settings.load(str(tmp_path / name))
+
+
+def test_load_reads_a_file(tmp_path):
+    path = tmp_path / "r.json"
+    path.write_text(json.dumps(_GOOD))
+    assert settings.load(str(path)) == _GOOD
+
+
+_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(data=strategies.binary())
+def test_any_bytes_give_settings_or_the_error(data):
+    _parse_any(data)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(key=strategies.sampled_from(sorted(_GOOD)), value=_VALUES)
+def test_any_value_gives_settings_or_the_error(key, value):
+    _parse_any(json.dumps({**_GOOD, key: value}).encode())
+
+
+def _parse_any(data):
+    try:
+        found = settings.parse(data, "r.json")
+    except errors.SettingsError as caught:
+        assert caught.source == "r.json"
+    else:
+        assert set(_GOOD) <= set(found)
