--- a/packages/standins/nutmegpost_standins/engine.py
+++ b/packages/standins/nutmegpost_standins/engine.py
@@ -201,6 +201,8 @@
             return http.error(409, "superseded")
         if earlier is not None and self._was_withdrawn(earlier, job):
             return http.error(409, "cancelled")
+        if earlier is not None and earlier.attempt < job.attempt:
+            self._stop(earlier, "cancelled")
         self._accept(job)
         return self._stream_response(job, 0)
 
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -185,3 +185,16 @@
     assert [row[1] for row in found["rows"]] == ["arrive", "begin", "finished"]
     assert [row[4] for row in found["rows"]] == [1, 1, 0]
     assert found["executions"] == {"a/1#1": 1}
+
+
+def test_later_attempt_cancels_the_earlier_one():
+    async def main():
+        async with Fixture(step_ms=5.0) as fixture:
+            first = asyncio.create_task(fixture.chat("a/1", 1, tokens=1000))
+            await _until(fixture, running=1)
+            second = await fixture.chat("a/1", 2)
+            return (await first).body, second.body
+
+    first, second = asyncio.run(main())
+    assert _events(first)[-1].name == "error"
+    assert _events(second)[-1].data == "[DONE]"
