Test membership on a simulated network with faults

The simulated network loses, delays and doubles datagrams, pauses, kills, restarts and parts nodes; views must agree within 60 simulated seconds of the end of the faults and no node may exceed its byte budget.

--- a/packages/core/nutmegpost_core/budget.py
+++ b/packages/core/nutmegpost_core/budget.py
@@ -9,6 +9,9 @@
 import enum
 from typing import NamedTuple
 
+from nutmegpost_core import events
+from nutmegpost_core import invariants
+
 __all__ = ["Budget", "Counts", "Kind", "RATE_BYTES_S"]
 
 RATE_BYTES_S = 2_000.0
@@ -89,6 +92,9 @@
             self._counts[kind] = counts._replace(deferred=counts.deferred + 1)
             return False
         self._tokens -= size
+        invariants.check(
+            self._tokens >= 0, events.BUDGET_EXCEEDED, bytes=-self._tokens
+        )
         self._counts[kind] = counts._replace(
             messages=counts.messages + 1, bytes=counts.bytes + size
         )
--- a/packages/core/nutmegpost_core/member_table.py
+++ b/packages/core/nutmegpost_core/member_table.py
@@ -12,6 +12,9 @@
 
 import xxhash
 
+from nutmegpost_core import events
+from nutmegpost_core import invariants
+
 __all__ = [
     "BUCKETS",
     "Change",
@@ -136,6 +139,13 @@
     def put(self, member: Member, now: float) -> None:
         """Stores a statement that was found to hold."""
         old = self._members.get(member.name)
+        invariants.check(
+            old is None or order(member) > order(old),
+            events.STATE_REGRESSED,
+            name=member.name,
+            old=old and old.revision,
+            new=member.revision,
+        )
         self._members[member.name] = member
         if member.state is State.LEAVING:
             self._leaving[member.name] = member.incarnation
--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -405,6 +405,9 @@
         if not names and same:
             return []
         self._rng.shuffle(names)
+        # Tables that differ are compared again soon.
+        soon = now + self._timing.period_s
+        self._next_sync = min(self._next_sync, soon)
         # The third message of an exchange carries no digests and ends it.
         last = packet.kind == datagrams.Kind.ENTRIES
         count = len(packet.buckets) // 4
--- a/packages/core/nutmegpost_core/quarantine.py
+++ b/packages/core/nutmegpost_core/quarantine.py
@@ -186,16 +186,20 @@
             self._clear(request, now)
 
     def cancelled(self, request: bytes, engine: str, now: float) -> None:
-        """Notes that a request was given up; that clears nothing."""
+        """Notes that a request was given up; that clears nothing.
+
+        Call it once the engine has confirmed the cancellation. A crash soon
+        afterwards still counts against the request.
+        """
         if self._stop(request, engine):
             late = self._cancelled.setdefault(engine, {})
             late[request] = now + self._limits.cancelled_s
-        self._end_trial(request, now)
+        self._end_trial(request, engine, now)
 
     def withdrawn(self, request: bytes, engine: str, now: float) -> None:
         """Notes that no byte of a request can have reached the engine."""
         self._stop(request, engine)
-        self._end_trial(request, now)
+        self._end_trial(request, engine, now)
 
     def engine_crashed(self, engine: str, now: float) -> list[bytes]:
         """Notes that an engine crashed, not that it could not be reached.
@@ -363,9 +367,9 @@
         for key in self._live(request, now):
             self._set(request, key, _State.CLEARED, now)
 
-    def _end_trial(self, request: bytes, now: float) -> None:
+    def _end_trial(self, request: bytes, engine: str, now: float) -> None:
         key = self._trial(request)
-        if key is not None:
+        if key is not None and key[_ID_BYTES:] == engine.encode():
             self._set(request, key, _State.CLEARED, now)
 
     def _trial(self, request: bytes) -> bytes | None:
--- /dev/null
+++ b/packages/core/tests/test_membership.py
@@ -0,0 +1,367 @@
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from nutmegpost_core import budget
+from nutmegpost_core import datagrams
+from nutmegpost_core import errors
+from nutmegpost_core import membership
+from nutmegpost_core import rumours
+from nutmegpost_standins import network
+
+State = membership.State
+# Simulated seconds within which views agree once faults end, at ten members.
+AGREED_S = 60
+DEATH_S = 30
+
+
+def _member(number=1, address="10.0.0.1:7000", **fields):
+    return membership.Member(
+        f"router-{number:04d}", 1000 + number, address, address, "a", **fields
+    )
+
+
+def _fleet(count, seed=1):
+    net = network.Network(seed)
+    addresses = [net.start(number) for number in range(count)]
+    net.seed_all()
+    assert net.run(AGREED_S, net.agrees)
+    return net, addresses
+
+
+def _state(net, watcher, number):
+    return net.nodes[watcher].members.members[f"router-{number:04d}"].state
+
+
+def test_rumours_that_are_empty_at_the_start_are_used():
+    riders = rumours.Rumours(random.Random(1))
+    view = membership.Membership(_member(), random.Random(1), riders=riders)
+    other = membership.Membership(_member(2, "10.0.0.2:7000"), random.Random(2))
+    riders.publish(rumours.Kind.SUCCESSOR, b"key", b"value", 0.0, 60)
+    view.seed(["10.0.0.2:7000"])
+    for datagram in view.tick(0.0):
+        for reply in other.receive(datagram.data, "10.0.0.1:7000", 0.0):
+            view.receive(reply.data, "10.0.0.2:7000", 0.0)
+    sent = view.announce(1.0)
+    assert any(b"value" in datagram.data for datagram in sent)
+
+
+@pytest.mark.parametrize("count", [2, 4, 16])
+def test_members_find_one_another_from_the_vm_list(count):
+    net, _ = _fleet(count)
+    names = [f"router-{number:04d}" for number in range(count)]
+    for node in net.nodes.values():
+        assert node.members.alive == names
+
+
+def test_a_killed_member_is_dead_everywhere_and_a_restart_is_new():
+    net, addresses = _fleet(5)
+    old = net.nodes[addresses[2]].members.me.incarnation
+    net.kill(addresses[2])
+    assert net.run(DEATH_S, net.agrees)
+    assert _state(net, addresses[0], 2) is State.DEAD
+    net.start(2)
+    assert net.run(DEATH_S, net.agrees)
+    seen = net.nodes[addresses[0]].members.members["router-0002"]
+    assert seen.incarnation != old
+
+
+def test_a_restart_before_anyone_noticed_replaces_the_incarnation():
+    for seed in range(12):
+        net, addresses = _fleet(4, seed)
+        net.kill(addresses[1])
+        net.start(1)
+        me = net.nodes[addresses[1]].members.me
+        assert net.run(DEATH_S, net.agrees)
+        for node in net.nodes.values():
+            seen = node.members.members[me.name]
+            assert seen.incarnation == me.incarnation
+
+
+def test_a_leaving_member_takes_no_work_even_while_it_is_suspected():
+    net, addresses = _fleet(3)
+    leaving = net.nodes[addresses[1]].members
+    net.post(addresses[1], leaving.leave(net.now))
+    net.run(3)
+    watcher = net.nodes[addresses[0]].members
+    assert "router-0001" not in watcher.alive
+    assert "router-0001" not in leaving.alive
+    net.kill(addresses[1])
+
+    def suspected():
+        return _state(net, addresses[0], 1) is State.SUSPECT
+
+    assert net.run(DEATH_S, suspected, 0.1)
+    assert "router-0001" not in watcher.alive
+
+
+def test_a_member_that_left_is_not_called_dead():
+    net, addresses = _fleet(4)
+    leaving = net.nodes[addresses[1]].members
+    net.post(addresses[1], leaving.leave(net.now))
+    net.post(addresses[1], leaving.left(net.now))
+    net.kill(addresses[1])
+    net.run(DEATH_S)
+    assert _state(net, addresses[0], 1) is State.LEFT
+
+
+def test_a_paused_process_gives_no_verdict_before_it_hears_again():
+    net, addresses = _fleet(4)
+    net.pause(addresses[0], 40)
+    net.run(39)
+    survivors = {a: n for a, n in net.nodes.items() if a != addresses[0]}
+    for node in survivors.values():
+        assert "router-0000" not in node.members.alive
+    net.nodes[addresses[0]].members.changes()
+    net.run(15)
+    changes = net.nodes[addresses[0]].members.changes()
+    assert not [c for c in changes if c.member.state is State.DEAD]
+    assert net.run(AGREED_S, net.agrees)
+
+
+def test_a_paused_process_that_hears_nobody_gives_its_verdict_late():
+    net, addresses = _fleet(3)
+    net.pause(addresses[0], 5)
+    net.kill(addresses[1])
+    net.kill(addresses[2])
+    net.run(6)
+    view = net.nodes[addresses[0]].members
+    assert view.in_doubt
+    assert len(view.alive) == 3
+    net.run(60)
+    assert view.alive == ["router-0000"]
+
+
+def test_a_partition_heals():
+    net, addresses = _fleet(8)
+    net.cut([addresses[:3], addresses[3:]])
+    net.run(60)
+    assert len(net.nodes[addresses[0]].members.alive) == 3
+    assert len(net.nodes[addresses[7]].members.alive) == 5
+    net.cut([])
+    assert net.run(AGREED_S, net.agrees)
+
+
+def test_a_partition_that_outlasts_the_memory_of_the_dead_heals():
+    net, addresses = _fleet(4)
+    net.cut([addresses[:2], addresses[2:]])
+    net.run(700)
+    assert len(net.nodes[addresses[0]].members.members) == 4
+    net.cut([])
+    assert net.run(AGREED_S, net.agrees)
+
+
+def test_a_flapping_member_is_passed_over_for_a_while():
+    net, addresses = _fleet(4)
+    view = net.nodes[addresses[0]].members
+    for _ in range(3):
+        net.cut([[addresses[3]]])
+        assert net.run(DEATH_S, lambda: _state(net, addresses[0], 3) == "dead")
+        net.cut([])
+        assert net.run(DEATH_S, lambda: _state(net, addresses[0], 3) == "alive")
+    assert "router-0003" not in view.alive
+    net.run(40)
+    assert "router-0003" in view.alive
+
+
+def test_names_that_left_the_list_are_forgotten():
+    net, addresses = _fleet(3)
+    net.kill(addresses[2])
+    assert net.run(DEATH_S, net.agrees)
+    net.listed.remove(addresses[2])
+    net.seed_all()
+    net.run(700)
+    assert "router-0002" not in net.nodes[addresses[0]].members.members
+
+
+def test_configuration_rides_in_every_message():
+    net, addresses = _fleet(4)
+    net.nodes[addresses[0]].members.set_configuration(9, "cd" * 32)
+    net.run(10)
+    for address in addresses[1:]:
+        view = net.nodes[address].members
+        assert view.members["router-0000"].config_version == 9
+        news = [m for m in view.configurations() if m.name == "router-0000"]
+        assert news[-1].config_digest == "cd" * 32
+        assert not view.configurations()
+
+
+def test_urgent_rumours_arrive_within_a_second():
+    net, addresses = _fleet(16)
+    net.run(20)
+    node = net.nodes[addresses[0]]
+    node.riders.publish(
+        rumours.Kind.SUSPECT_REQUEST, b"k" * 20, b"1", net.now, 600
+    )
+    net.post(addresses[0], node.members.announce(net.now))
+    net.run(1)
+    for address in addresses[1:]:
+        assert len(net.nodes[address].riders) == 1
+
+
+def test_a_joiner_hears_lasting_rumours():
+    net, addresses = _fleet(4)
+    riders = net.nodes[addresses[0]].riders
+    for number in range(100):
+        riders.publish(
+            rumours.Kind.SUCCESSOR, b"%d" % number, b"v" * 20, net.now, 3_600
+        )
+    net.run(60)
+    joiner = net.start(9)
+    net.seed_all()
+    net.run(60)
+    assert len(net.nodes[joiner].riders) == 100
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        b"\x80",
+        b"\xa0",
+        b"x" * 1_201,
+        b"\x9f" * 300,
+        datagrams.encode(
+            datagrams.Packet(
+                1,
+                0,
+                0,
+                datagrams.Entry("r", 1, 0, 99, b"123456", b"123456", "a"),
+                0,
+                b"",
+            )
+        ),
+        datagrams.encode(
+            datagrams.Packet(
+                1, 0, 0, datagrams.Entry("r", 1, 0, 0, b"1", b"1", "a"), 0, b""
+            )
+        ),
+    ],
+)
+def test_malformed_datagrams_are_refused(data):
+    view = membership.Membership(_member(), random.Random(1))
+    with pytest.raises(errors.PeerError):
+        view.receive(data, "10.0.0.9:7000", 0.0)
+
+
+def test_later_fields_of_a_datagram_are_ignored():
+    packet = datagrams.Packet(
+        2,
+        0,
+        7,
+        datagrams.Entry("r", 1, 0, 0, b"123456", b"123456", "a"),
+        0,
+        b"",
+    )
+    data = datagrams.encode((*packet, "later"))
+    assert datagrams.decode(data) == packet
+
+
+def test_traffic_does_not_grow_with_the_fleet():
+    rates = []
+    for count in (4, 32):
+        net, _ = _fleet(count)
+        before = sum(node.sent_bytes for node in net.nodes.values())
+        net.run(60)
+        after = sum(node.sent_bytes for node in net.nodes.values())
+        rates.append((after - before) / count / 60)
+    assert rates[1] < 1.3 * rates[0]
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Random faults in a fleet; views agree once the faults end."""
+
+    count = 6
+
+    @stateful.initialize(seed=st.integers(0, 2**20))
+    def start(self, seed):
+        self.net = network.Network(seed)
+        self.numbers = {}
+        for number in range(self.count):
+            self.numbers[self.net.start(number)] = number
+        self.net.seed_all()
+
+    def _address(self, number):
+        found = [a for a, n in self.numbers.items() if n == number]
+        return found[0] if found[0] in self.net.nodes else None
+
+    @stateful.rule(seconds=st.sampled_from([0.5, 2, 7, 20]))
+    def run(self, seconds):
+        self.net.run(seconds)
+
+    @stateful.rule(
+        loss=st.sampled_from([0, 0.1, 0.3]),
+        doubling=st.sampled_from([0, 0.2]),
+        delay=st.sampled_from([0.005, 0.3, 1.5]),
+    )
+    def disturb(self, loss, doubling, delay):
+        self.net.faults = network.Faults(loss, doubling, delay)
+
+    @stateful.rule(number=st.integers(0, 5))
+    def kill(self, number):
+        address = self._address(number)
+        if address is not None and len(self.net.nodes) > 1:
+            self.net.kill(address)
+
+    @stateful.rule(number=st.integers(0, 5))
+    def restart(self, number):
+        if self._address(number) is not None:
+            self.net.kill(self._address(number))
+        self.net.start(number)
+
+    @stateful.rule(number=st.integers(0, 5), seconds=st.sampled_from([2, 30]))
+    def pause(self, number, seconds):
+        address = self._address(number)
+        if address is not None:
+            self.net.pause(address, seconds)
+
+    @stateful.rule(at=st.integers(1, 5))
+    def part(self, at):
+        addresses = list(self.numbers)
+        self.net.cut([addresses[:at], addresses[at:]])
+
+    @stateful.rule(number=st.integers(0, 5))
+    def publish(self, number):
+        address = self._address(number)
+        if address is not None:
+            self.net.nodes[address].riders.publish(
+                rumours.Kind.SUCCESSOR,
+                b"%d" % number,
+                b"%d" % self.net.now,
+                self.net.now,
+                3_600,
+            )
+
+    @stateful.rule()
+    def settle(self):
+        """No member that runs and is reachable stays dead for long."""
+        self.net.faults = network.Faults()
+        self.net.cut([])
+        for node in self.net.nodes.values():
+            if node.paused_until:
+                node.paused_until = self.net.now
+        assert self.net.run(AGREED_S, self._agrees)
+
+    def _agrees(self):
+        nodes = list(self.net.nodes.values())
+        digests = {node.riders.digest() for node in nodes}
+        return self.net.agrees() and len(digests) == 1
+
+    @stateful.invariant()
+    def budget_holds(self):
+        for node in getattr(self, "net", network.Network(0)).nodes.values():
+            assert node.peak_bytes <= budget.RATE_BYTES_S + 1
+
+
+FleetMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=25,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestFleet = FleetMachine.TestCase
