--- /dev/null
+++ b/tests/test_conventions.py
@@ -0,0 +1,401 @@
+"""Conventions of the source tree that the linter does not know."""
+
+import ast
+import importlib
+import importlib.util
+import pathlib
+import re
+import string
+import typing
+
+import pytest
+
+from nutmegpost_core import charts
+from nutmegpost_core import configuration
+from nutmegpost_core import events
+from nutmegpost_ctl import exits
+from nutmegpost_ctl import main as ctl_main
+from nutmegpost_router import metrics
+from nutmegpost_router import settings
+
+_ROOT = pathlib.Path(__file__).parents[1]
+_SHIPPED = ("core", "router", "ctl")
+_SOURCES = sorted(_ROOT.glob("packages/*/nutmegpost_*/**/*.py"))
+_NAME_IMPORTS = ("typing", "collections.abc")
+# A process starts no other process and shares no memory.
+_FORBIDDEN_MODULES = {
+    "concurrent.futures.process",
+    "ctypes",
+    "mmap",
+    "multiprocessing",
+    "posix",
+    "pty",
+    "subprocess",
+    "uvloop",
+}
+_FORBIDDEN_CALLS = re.compile(
+    r"^(os\.(fork|forkpty|system|popen|posix_spawnp?|spawn\w+|exec\w+)"
+    r"|asyncio\.(create_)?subprocess\w*"
+    r"|concurrent\.futures\.ProcessPoolExecutor"
+    r"|multiprocessing\.shared_memory\w*)$"
+)
+# Conversions of an address; they open no socket.
+_PURE_OF_SOCKET = {"socket.inet_aton", "socket.inet_ntoa"}
+# Decisions take time and randomness as arguments.
+_FORBIDDEN_IN_CORE = {
+    "asyncio",
+    "datetime",
+    "os",
+    "secrets",
+    "select",
+    "ssl",
+    "threading",
+    "time",
+}
+
+
+def _name(path):
+    return str(path.relative_to(_ROOT))
+
+
+def _package(path):
+    return path.relative_to(_ROOT).parts[1]
+
+
+def _tree(path):
+    return ast.parse(path.read_text(), _name(path))
+
+
+def _module(path):
+    parts = path.relative_to(_ROOT).with_suffix("").parts[2:]
+    return ".".join(parts).removesuffix(".__init__")
+
+
+def _exports(tree):
+    for node in tree.body:
+        if isinstance(node, ast.Assign) and [
+            target.id for target in node.targets if hasattr(target, "id")
+        ] == ["__all__"]:
+            return ast.literal_eval(node.value)
+    return None
+
+
+def _defined(tree):
+    names = set()
+    for node in tree.body:
+        if isinstance(
+            node, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef
+        ):
+            names.add(node.name)
+        elif isinstance(node, ast.Assign):
+            names.update(
+                target.id
+                for target in node.targets
+                if isinstance(target, ast.Name)
+            )
+        elif isinstance(node, ast.AnnAssign):
+            names.add(node.target.id)
+    return names
+
+
+def _imports(tree):
+    """Yields (module, name or None) for each import."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            for alias in node.names:
+                yield alias.name, None
+        elif isinstance(node, ast.ImportFrom):
+            for alias in node.names:
+                yield node.module, alias.name
+
+
+def _dotted(node):
+    parts = []
+    while isinstance(node, ast.Attribute):
+        parts.append(node.attr)
+        node = node.value
+    if isinstance(node, ast.Name):
+        return ".".join([node.id, *reversed(parts)])
+    return ""
+
+
+every_source = pytest.mark.parametrize("path", _SOURCES, ids=_name)
+every_shipped = pytest.mark.parametrize(
+    "path", [p for p in _SOURCES if _package(p) in _SHIPPED], ids=_name
+)
+
+
+def _is_setter(item):
+    """The doc comment of a property stands at its getter."""
+    return any(
+        isinstance(found, ast.Attribute) and found.attr == "setter"
+        for found in item.decorator_list
+    )
+
+
+def _public_items(tree):
+    """Yields each public class and function, and the public methods."""
+    for node in tree.body:
+        if not isinstance(
+            node, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef
+        ) or node.name.startswith("_"):
+            continue
+        yield node
+        if isinstance(node, ast.ClassDef):
+            for item in node.body:
+                if isinstance(
+                    item, ast.FunctionDef | ast.AsyncFunctionDef
+                ) and not (item.name.startswith("_") or _is_setter(item)):
+                    yield item
+
+
+@every_source
+def test_modules_and_public_items_have_doc_comments(path):
+    tree = _tree(path)
+    assert ast.get_docstring(tree)
+    missing = [
+        item.name for item in _public_items(tree) if not ast.get_docstring(item)
+    ]
+    assert missing == []
+
+
+@every_source
+def test_exports_are_present_and_true(path):
+    if path.name == "__init__.py":
+        return
+    tree = _tree(path)
+    exports = _exports(tree)
+    assert exports is not None, "no __all__"
+    assert len(set(exports)) == len(exports)
+    assert set(exports) <= _defined(tree)
+    public = {
+        node.name
+        for node in tree.body
+        if isinstance(
+            node, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef
+        )
+        and not node.name.startswith("_")
+    }
+    assert public <= set(exports)
+
+
+@every_source
+def test_modules_are_imported_and_not_names(path):
+    for module, name in _imports(_tree(path)):
+        if name is None or module in _NAME_IMPORTS:
+            continue
+        found = importlib.util.find_spec(f"{module}.{name}")
+        assert found, f"from {module} import {name}"
+
+
+@every_source
+def test_no_private_name_of_another_module_is_used(path):
+    tree = _tree(path)
+    imported = {
+        name for module, name in _imports(tree) if module.startswith("nutmeg")
+    }
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Attribute) and node.attr.startswith("_"):
+            first = _dotted(node).partition(".")[0]
+            dunder = node.attr.startswith("__")
+            assert dunder or first not in imported, _dotted(node)
+
+
+@every_source
+def test_names_used_across_modules_are_exported(path):
+    tree = _tree(path)
+    modules = {
+        name: f"{module}.{name}"
+        for module, name in _imports(tree)
+        if module.startswith("nutmegpost_")
+    }
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Attribute):
+            continue
+        first, _, name = _dotted(node).partition(".")
+        # The constants of the catalogue are exported by `catalogue`.
+        if first not in modules or "." in name or first == "events":
+            continue
+        exports = importlib.import_module(modules[first]).__all__
+        assert name in exports, f"{first}.{name}"
+
+
+@every_shipped
+def test_no_process_is_started_and_no_memory_shared(path):
+    tree = _tree(path)
+    for module, name in _imports(tree):
+        for found in (module, f"{module}.{name}"):
+            roots = {found, found.partition(".")[0]}
+            assert not roots & _FORBIDDEN_MODULES, found
+            assert not _FORBIDDEN_CALLS.match(found), found
+    for node in ast.walk(tree):
+        assert not _FORBIDDEN_CALLS.match(_dotted(node)), _dotted(node)
+
+
+@pytest.mark.parametrize(
+    "path", [p for p in _SOURCES if _package(p) == "core"], ids=_name
+)
+def test_core_has_no_clock_socket_or_randomness_of_its_own(path):
+    tree = _tree(path)
+    for module, name in _imports(tree):
+        assert module.partition(".")[0] not in _FORBIDDEN_IN_CORE, module
+        assert not (module in ("random", "socket") and name), name
+    for node in ast.walk(tree):
+        dotted = _dotted(node)
+        if dotted.startswith("socket."):
+            assert dotted in _PURE_OF_SOCKET, dotted
+        if dotted.startswith("random."):
+            assert dotted.startswith("random.Random"), dotted
+
+
+@every_source
+def test_triggers_stand_in_a_chart(path):
+    triggers = {
+        trigger
+        for name in charts.NAMES
+        for moves in charts.definition(name).moves.values()
+        for trigger in moves
+    }
+    for node in ast.walk(_tree(path)):
+        if (
+            isinstance(node, ast.Call)
+            and isinstance(node.func, ast.Attribute)
+            and node.func.attr in ("fire", "allows")
+            and node.args
+            and isinstance(node.args[0], ast.Constant)
+        ):
+            assert node.args[0].value in triggers
+
+
+def _fields(event):
+    return {
+        field
+        for _, field, _, _ in string.Formatter().parse(event.template)
+        if field
+    }
+
+
+@every_source
+def test_events_get_the_fields_of_their_template(path):
+    for node in ast.walk(_tree(path)):
+        if not isinstance(node, ast.Call):
+            continue
+        if _dotted(node.func) not in ("log.emit", "invariants.check"):
+            continue
+        named = [
+            _dotted(item).removeprefix("events.")
+            for item in node.args
+            if _dotted(item).startswith("events.")
+        ]
+        given = {item.arg for item in node.keywords}
+        if len(named) != 1 or None in given:
+            continue
+        assert given == _fields(getattr(events, named[0])), named[0]
+
+
+def _event_names():
+    return {
+        name: value
+        for name, value in vars(events).items()
+        if isinstance(value, events.Event)
+    }
+
+
+def test_every_event_is_used():
+    used = {
+        node.attr
+        for path in _SOURCES
+        for node in ast.walk(_tree(path))
+        if isinstance(node, ast.Attribute)
+        and _dotted(node).startswith("events.")
+    }
+    assert sorted(set(_event_names()) - used) == []
+
+
+def _doc(name):
+    return (_ROOT / "docs" / name).read_text()
+
+
+def _first_cells(text):
+    """Returns the code in the first cell of each row of the tables."""
+    return re.findall(r"^\| `([^`]+)`", text, re.M)
+
+
+def test_the_catalogue_lists_each_event_with_its_number_and_level():
+    rows = re.findall(
+        r"^\| (\d{3}) \| `(\w+)` \| (\w+) \|", _doc("EVENTS.md"), re.M
+    )
+    expected = [
+        (str(value.number), name, value.level)
+        for name, value in _event_names().items()
+    ]
+    assert sorted(rows) == sorted(expected)
+
+
+def _keys(kind, found=None):
+    """Returns `Type.key` for a TypedDict and all that it holds."""
+    found = set() if found is None else found
+    for key, inner in typing.get_type_hints(kind).items():
+        found.add(f"{kind.__name__}.{key}")
+        for part in [inner, *typing.get_args(inner)]:
+            if typing.is_typeddict(part):
+                _keys(part, found)
+    return found
+
+
+def _documented_keys(text):
+    """Returns `Type.key` from tables under headings `## Type`."""
+    found = set()
+    heading = ""
+    for line in text.splitlines():
+        if match := re.match(r"#+ .*`(\w+)`", line):
+            heading = match[1]
+        elif match := re.match(r"\| `(\w+)`", line):
+            found.add(f"{heading}.{match[1]}")
+    return found
+
+
+def test_every_setting_is_documented_and_nothing_else():
+    assert _documented_keys(_doc("SETTINGS.md")) == _keys(settings.Settings)
+
+
+def test_every_key_of_the_configuration_is_documented_and_nothing_else():
+    expected = _keys(configuration.Document)
+    assert _documented_keys(_doc("CONFIGURATION.md")) == expected
+
+
+def test_every_metric_is_documented_and_nothing_else():
+    names = {
+        family.name
+        for family in metrics.Metrics().registry.collect()
+        if family.name.startswith("nutmegpost_")
+    }
+    documented = {
+        name.removesuffix("_total")
+        for name in _first_cells(_doc("METRICS.md"))
+        if name.startswith("nutmegpost_")
+    }
+    assert documented == names
+
+
+def test_the_operators_page_knows_every_command_and_exit_code():
+    text = _doc("OPERATORS.md")
+    for name in ctl_main._COMMANDS:
+        assert f"`nutmegpostctl {name}" in text, name
+    codes = re.findall(r"^\| (\d) \| ", text, re.M)
+    assert codes == [str(int(code)) for code in exits.Exit]
+
+
+def _pages():
+    return sorted([*_ROOT.glob("*.md"), *_ROOT.glob("docs/**/*.md")])
+
+
+@pytest.mark.parametrize("page", _pages(), ids=_name)
+def test_links_and_paths_of_a_page_exist(page):
+    text = page.read_text()
+    for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", text):
+        assert (page.parent / target).exists(), target
+    for target in re.findall(
+        r"`((?:packages|docs|tests|examples|scripts)/[\w./-]+)`", text
+    ):
+        assert (_ROOT / target).exists(), target
