Test the quarantine with routers that hear of one another late

The machine found that a trial which ends before its own report reaches the router that runs it stayed open: after 120 s it counted as a crash and the innocent request was refused. The runner now settles such a trial when its report comes; the machine passes 400 examples.

--- a/packages/core/nutmegpost_core/quarantine.py
+++ b/packages/core/nutmegpost_core/quarantine.py
@@ -153,6 +153,8 @@
         self._cancelled: dict[str, dict[bytes, float]] = {}
         self._alone: dict[str, bytes] = {}
         self._reports: list[Report] = []
+        self._whole_since: float | None = None
+        self._ended: dict[bytes, bytes] = {}
 
     def __bool__(self) -> bool:
         return True
@@ -175,6 +177,7 @@
         else:
             self._alone[engine] = request
         running[request] = running.get(request, 0) + 1
+        self._ended.pop(request, None)
 
     def finished(self, request: bytes, engine: str, now: float) -> None:
         """Notes that a request ended with its whole answer.
@@ -183,6 +186,7 @@
         """
         alone = self._alone.get(engine) == request
         if self._stop(request, engine) and alone:
+            self._end_trial(request, engine, now)
             self._clear(request, now)
 
     def cancelled(self, request: bytes, engine: str, now: float) -> None:
@@ -210,9 +214,11 @@
         found = set(self._running.pop(engine, {}))
         late = self._cancelled.pop(engine, {})
         found |= {item for item, until in late.items() if until > now}
-        self._alone.pop(engine, None)
+        alone = self._alone.pop(engine, None)
         for request in found:
             self._crashed(request, engine, now)
+        if alone is not None:
+            self._end_trial(alone, engine, now)
         return sorted(found)
 
     def is_reserved(self, engine: str) -> bool:
@@ -258,6 +264,10 @@
             raise errors.PeerError(f"report with a key of {len(key)} bytes")
         request, incident = key[:DIGEST_BYTES], key[DIGEST_BYTES:]
         self._put(request, incident, state, now)
+        ended = self._ended.get(request)
+        if state is _State.TRIAL and ended == incident[_ID_BYTES:]:
+            # The trial ended here before its report arrived.
+            self._set(request, incident, _State.CLEARED, now)
         return self._exposed(request)
 
     # Decisions.
@@ -277,15 +287,27 @@
         """Returns seconds until a request that waits may get a verdict."""
         return max(0.0, self._wait_until(self._live(request, now)) - now)
 
-    def begin_trial(
-        self, request: bytes, engine: str, whole: bool, now: float
-    ) -> Verdict:
+    def note_fleet(self, whole: bool, now: float) -> None:
+        """Notes whether this router reaches every other.
+
+        Args:
+            whole: Whether `is_whole`, and the view is not in doubt.
+            now: Monotonic time in seconds.
+        """
+        if not whole:
+            self._whole_since = None
+        elif self._whole_since is None:
+            self._whole_since = now
+
+    def begin_trial(self, request: bytes, engine: str, now: float) -> Verdict:
         """Starts a trial; only the deciding router may call this.
 
+        A fleet that was parted must first be whole for as long as reports
+        take to arrive from the other side.
+
         Args:
             request: The digest.
             engine: Engine with nothing in flight.
-            whole: Whether `is_whole` and this router's view is not in doubt.
             now: Monotonic time in seconds.
 
         Returns:
@@ -294,7 +316,8 @@
         verdict = self.verdict(request, now)
         if verdict is not Verdict.ALONE:
             return verdict
-        if not whole:
+        since = self._whole_since
+        if since is None or now < since + self._limits.spread_s:
             return Verdict.WAIT
         key = self._incident_key(engine, now)
         self._set(request, key, _State.TRIAL, now)
@@ -309,6 +332,7 @@
                     del incidents[key]
             if not incidents:
                 del self._suspects[request]
+                self._ended.pop(request, None)
         for engine, late in list(self._cancelled.items()):
             kept = {item: until for item, until in late.items() if until > now}
             self._cancelled[engine] = kept
@@ -369,7 +393,9 @@
 
     def _end_trial(self, request: bytes, engine: str, now: float) -> None:
         key = self._trial(request)
-        if key is not None and key[_ID_BYTES:] == engine.encode():
+        if key is None and request in self._suspects:
+            self._ended[request] = engine.encode()
+        elif key is not None and key[_ID_BYTES:] == engine.encode():
             self._set(request, key, _State.CLEARED, now)
 
     def _trial(self, request: bytes) -> bytes | None:
@@ -398,7 +424,9 @@
     def _make_room(self) -> None:
         if len(self._suspects) >= self._limits.suspects_max:
             # Dictionaries keep the order of insertion, so this is the oldest.
-            del self._suspects[next(iter(self._suspects))]
+            oldest = next(iter(self._suspects))
+            del self._suspects[oldest]
+            self._ended.pop(oldest, None)
 
     def _lifetime(self, state: _State) -> float:
         if state is _State.CLEARED:
--- /dev/null
+++ b/packages/core/tests/test_quarantine.py
@@ -0,0 +1,392 @@
+import heapq
+import itertools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from nutmegpost_core import errors
+from nutmegpost_core import invariants
+from nutmegpost_core import quarantine
+
+Verdict = quarantine.Verdict
+LIMITS = quarantine.Limits()
+POISON = quarantine.digest("account", b"poison")
+INNOCENT = quarantine.digest("account", b"innocent")
+
+
+def _after_a_crash():
+    """Returns a quarantine in which both requests saw one crash."""
+    store = quarantine.Quarantine("router-1")
+    store.note_fleet(True, 0.0)
+    store.started(POISON, "engine-1", 0.0)
+    store.started(INNOCENT, "engine-1", 0.0)
+    assert store.engine_crashed("engine-1", 10.0) == sorted([POISON, INNOCENT])
+    return store
+
+
+def test_the_digest_names_account_and_body():
+    assert quarantine.digest("a", b"x") == quarantine.digest("a", b"x")
+    assert quarantine.digest("a", b"x") != quarantine.digest("b", b"x")
+    assert quarantine.digest("a", b"x") != quarantine.digest("a", b"y")
+
+
+def test_every_router_computes_the_same_decider():
+    routers = ["router-1", "router-2", "router-3"]
+    names = {
+        quarantine.decider(POISON, order)
+        for order in itertools.permutations(routers)
+    }
+    assert len(names) == 1
+    rest = [name for name in routers if name not in names]
+    assert quarantine.decider(POISON, rest) in rest
+
+
+def test_a_request_that_saw_no_crash_is_allowed():
+    store = quarantine.Quarantine("router-1")
+    store.started(INNOCENT, "engine-1", 0.0)
+    store.finished(INNOCENT, "engine-1", 1.0)
+    assert store.engine_crashed("engine-1", 2.0) == []
+    assert store.verdict(INNOCENT, 2.0) is Verdict.ALLOW
+
+
+def test_a_suspect_waits_until_the_fleet_has_heard():
+    store = _after_a_crash()
+    assert store.verdict(POISON, 10.0) is Verdict.WAIT
+    assert store.retry_after(POISON, 10.0) == LIMITS.spread_s
+    assert store.begin_trial(POISON, "engine-2", 10.0) is Verdict.WAIT
+    assert store.verdict(POISON, 15.0) is Verdict.ALONE
+
+
+def test_an_innocent_request_is_cleared_by_finishing_alone():
+    store = _after_a_crash()
+    assert store.begin_trial(INNOCENT, "engine-2", 20.0) is Verdict.ALONE
+    store.started(INNOCENT, "engine-2", 20.0)
+    assert store.is_reserved("engine-2")
+    assert store.verdict(INNOCENT, 20.0) is Verdict.WAIT
+    store.finished(INNOCENT, "engine-2", 21.0)
+    assert store.verdict(INNOCENT, 21.0) is Verdict.ALLOW
+    assert not store.is_reserved("engine-2")
+
+
+def test_a_second_crash_refuses_the_request():
+    store = _after_a_crash()
+    store.begin_trial(POISON, "engine-2", 20.0)
+    store.started(POISON, "engine-2", 20.0)
+    assert store.engine_crashed("engine-2", 21.0) == [POISON]
+    assert store.verdict(POISON, 21.0) is Verdict.REFUSE
+    assert store.verdict(POISON, 21.0 + 3_600) is Verdict.REFUSE
+    assert store.begin_trial(POISON, "engine-3", 3_600.0) is Verdict.REFUSE
+
+
+def test_finishing_beside_others_clears_nothing():
+    store = _after_a_crash()
+    store.started(INNOCENT, "engine-2", 20.0)
+    store.started(b"other", "engine-2", 20.0)
+    store.finished(INNOCENT, "engine-2", 21.0)
+    assert store.verdict(INNOCENT, 21.0) is not Verdict.ALLOW
+
+
+def test_a_trial_without_an_end_counts_as_a_crash():
+    store = _after_a_crash()
+    store.begin_trial(POISON, "engine-2", 20.0)
+    assert store.verdict(POISON, 139.0) is Verdict.WAIT
+    assert store.verdict(POISON, 140.0) is Verdict.REFUSE
+
+
+@pytest.mark.parametrize("end", ["cancelled", "withdrawn"])
+def test_a_trial_that_is_given_up_decides_nothing(end):
+    store = _after_a_crash()
+    store.begin_trial(INNOCENT, "engine-2", 20.0)
+    store.started(INNOCENT, "engine-2", 20.0)
+    getattr(store, end)(INNOCENT, "engine-2", 21.0)
+    assert store.verdict(INNOCENT, 30.0) is Verdict.ALONE
+
+
+def test_a_crash_right_after_a_cancellation_counts():
+    store = quarantine.Quarantine("router-1")
+    store.started(POISON, "engine-1", 0.0)
+    store.cancelled(POISON, "engine-1", 1.0)
+    assert store.engine_crashed("engine-1", 3.0) == [POISON]
+
+
+def test_no_trial_starts_while_the_fleet_is_parted_or_just_healed():
+    store = _after_a_crash()
+    store.note_fleet(False, 20.0)
+    assert store.begin_trial(POISON, "engine-2", 30.0) is Verdict.WAIT
+    store.note_fleet(True, 40.0)
+    assert store.begin_trial(POISON, "engine-2", 41.0) is Verdict.WAIT
+    assert store.begin_trial(POISON, "engine-2", 45.0) is Verdict.ALONE
+
+
+def test_whole_means_that_all_listed_routers_are_alive():
+    assert quarantine.is_whole(["a", "b"], ["a", "b", "c"])
+    assert not quarantine.is_whole(["a", "b"], ["a"])
+
+
+def test_reports_teach_another_router():
+    store = _after_a_crash()
+    other = quarantine.Quarantine("router-2")
+    other.started(POISON, "engine-5", 9.0)
+    exposed = []
+    for report in store.reports():
+        exposed += other.learn_report(report.key, report.payload, 11.0)
+    assert exposed == ["engine-5"]
+    assert other.verdict(INNOCENT, 11.0) is Verdict.WAIT
+    assert not store.reports()
+
+
+def test_a_trial_that_ended_before_its_report_came_is_settled():
+    deciding = _after_a_crash()
+    running = quarantine.Quarantine("router-2")
+    for report in deciding.reports():
+        running.learn_report(report.key, report.payload, 11.0)
+    deciding.begin_trial(INNOCENT, "engine-2", 20.0)
+    running.started(INNOCENT, "engine-2", 20.0)
+    running.finished(INNOCENT, "engine-2", 20.1)
+    for report in deciding.reports():
+        running.learn_report(report.key, report.payload, 20.2)
+    for report in running.reports():
+        deciding.learn_report(report.key, report.payload, 20.3)
+    assert running.verdict(INNOCENT, 21.0) is Verdict.ALLOW
+    assert deciding.verdict(INNOCENT, 21.0) is Verdict.ALLOW
+
+
+def test_reports_agree_in_any_order():
+    store = _after_a_crash()
+    store.begin_trial(INNOCENT, "engine-2", 20.0)
+    store.started(INNOCENT, "engine-2", 20.0)
+    store.finished(INNOCENT, "engine-2", 21.0)
+    reports = [
+        report for report in store.reports() if report.key.startswith(INNOCENT)
+    ]
+    for order in itertools.permutations(reports):
+        other = quarantine.Quarantine("router-2")
+        for report in order:
+            other.learn_report(report.key, report.payload, 22.0)
+        assert other.verdict(INNOCENT, 22.0) is Verdict.ALLOW
+
+
+@pytest.mark.parametrize(
+    ("key", "payload"),
+    [(b"", b"\x02"), (b"k" * 30, b""), (b"k" * 30, b"\x09")],
+)
+def test_malformed_reports_are_refused(key, payload):
+    store = quarantine.Quarantine("router-1")
+    with pytest.raises(errors.PeerError):
+        store.learn_report(key, payload, 0.0)
+
+
+def test_incidents_are_forgotten_in_the_end():
+    store = _after_a_crash()
+    store.tick(10.0 + LIMITS.suspect_s)
+    assert len(store) == 0
+
+
+def test_the_number_of_suspects_is_bounded():
+    limits = quarantine.Limits(suspects_max=10)
+    store = quarantine.Quarantine("router-1", limits)
+    for number in range(50):
+        store.learn(b"%016d" % number, 1, "engine-1", float(number))
+    assert len(store) == 10
+    assert store.verdict(b"%016d" % 49, 50.0) is Verdict.WAIT
+
+
+def test_a_third_crash_is_reported_as_a_violation():
+    store = quarantine.Quarantine("router-1")
+    store.learn(POISON, 2, "engine-1", 0.0)
+    store.started(POISON, "engine-2", 0.0)
+    with pytest.raises(invariants.InvariantError):
+        store.engine_crashed("engine-2", 1.0)
+
+
+ROUTERS = [f"router-{number}" for number in range(4)]
+ENGINES = [f"engine-{number}" for number in range(6)]
+INNOCENTS = [quarantine.digest("account", b"%d" % n) for n in range(4)]
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Routers that hear of one another late, and a caller who tries again.
+
+    The caller has copies under way on at most two engines before the fleet
+    knows; that many could die without any mechanism. The trial must not make
+    it three.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.stores = {name: quarantine.Quarantine(name) for name in ROUTERS}
+        self.flying = []
+        self.count = itertools.count()
+        self.parted = False
+        self.running = {engine: [] for engine in ENGINES}
+        self.crashes = {}
+        self.early = set()
+        for store in self.stores.values():
+            store.note_fleet(True, self.now)
+
+    def _owner(self, engine):
+        return ROUTERS[ENGINES.index(engine) % len(ROUTERS)]
+
+    def _side(self, name):
+        return ROUTERS.index(name) >= 2 if self.parted else False
+
+    def _publish(self, name, share=0.99):
+        for report in self.stores[name].reports():
+            for other in ROUTERS:
+                if other != name:
+                    due = self.now + share * LIMITS.spread_s
+                    item = (due, next(self.count), name, other, report)
+                    heapq.heappush(self.flying, item)
+
+    def _start(self, request, engine):
+        self.running[engine].append(request)
+        self.stores[self._owner(engine)].started(request, engine, self.now)
+
+    @stateful.rule(
+        request=st.sampled_from([POISON, *INNOCENTS]),
+        engine=st.sampled_from(ENGINES),
+    )
+    def send(self, request, engine):
+        owner = self._owner(engine)
+        store = self.stores[owner]
+        if store.is_reserved(engine):
+            return
+        verdict = store.verdict(request, self.now)
+        if verdict is Verdict.ALONE:
+            self._try_alone(request)
+        elif verdict is Verdict.ALLOW:
+            if request == POISON and len(self.early | {engine}) > 2:
+                return
+            if request == POISON:
+                self.early.add(engine)
+            self._start(request, engine)
+        elif verdict is Verdict.REFUSE and request != POISON:
+            assert self.crashes.get(request, 0) >= 2
+
+    def _try_alone(self, request):
+        name = quarantine.decider(request, ROUTERS)
+        idle = [engine for engine in ENGINES if not self.running[engine]]
+        if not idle:
+            return
+        verdict = self.stores[name].begin_trial(request, idle[0], self.now)
+        if verdict is Verdict.ALONE:
+            self._publish(name)
+            self._start(request, idle[0])
+
+    @stateful.rule(engine=st.sampled_from(ENGINES))
+    def crash(self, engine):
+        if POISON in self.running[engine]:
+            self._crash(engine)
+
+    @stateful.rule(engine=st.sampled_from(ENGINES), lucky=st.integers(0, 9))
+    def crash_by_itself(self, engine, lucky):
+        if lucky == 0 and POISON not in self.running[engine]:
+            self._crash(engine)
+
+    def _crash(self, engine):
+        for request in set(self.running[engine]):
+            self.crashes[request] = self.crashes.get(request, 0) + 1
+        self.running[engine] = []
+        owner = self._owner(engine)
+        self.stores[owner].engine_crashed(engine, self.now)
+        self._publish(owner)
+
+    @stateful.rule(engine=st.sampled_from(ENGINES))
+    def finish(self, engine):
+        owner = self._owner(engine)
+        for request in list(self.running[engine]):
+            if request != POISON:
+                self.running[engine].remove(request)
+                self.stores[owner].finished(request, engine, self.now)
+        self._publish(owner)
+
+    @stateful.rule(engine=st.sampled_from(ENGINES))
+    def give_up(self, engine):
+        owner = self._owner(engine)
+        for request in list(self.running[engine]):
+            self._cancel(owner, request, engine)
+
+    def _cancel(self, owner, request, engine):
+        while request in self.running[engine]:
+            self.running[engine].remove(request)
+            self.stores[owner].cancelled(request, engine, self.now)
+        self._publish(owner)
+
+    @stateful.rule(seconds=st.sampled_from([0.5, 2, 4, 6, 30]))
+    def advance(self, seconds):
+        end = self.now + seconds
+        held = []
+        while self.flying and self.flying[0][0] <= end:
+            item = heapq.heappop(self.flying)
+            due, number, source, target, report = item
+            self.now = max(self.now, due)
+            if self._side(source) != self._side(target):
+                held.append((end + 0.1, number, source, target, report))
+                continue
+            store = self.stores[target]
+            for engine in store.learn_report(
+                report.key, report.payload, self.now
+            ):
+                self._cancel(target, report.key[:16], engine)
+        self.now = end
+        for item in held:
+            heapq.heappush(self.flying, item)
+
+    @stateful.rule()
+    def part(self):
+        self.parted = True
+        self._note_fleet()
+
+    @stateful.rule()
+    def heal(self):
+        self.parted = False
+        self._note_fleet()
+        # What was lost is exchanged again within the time of spread.
+        self.flying = [
+            (min(item[0], self.now + 0.9 * LIMITS.spread_s), *item[1:])
+            for item in self.flying
+        ]
+        heapq.heapify(self.flying)
+
+    def _note_fleet(self):
+        for store in self.stores.values():
+            store.note_fleet(not self.parted, self.now)
+
+    @stateful.invariant()
+    def at_most_two_engines_die(self):
+        assert self.crashes.get(POISON, 0) <= 2
+
+    def teardown(self):
+        """Whoever saw at most one crash can run in the end."""
+        self.heal()
+        for engine in ENGINES:
+            self.finish(engine)
+            self.give_up(engine)
+        self.advance(200)
+        self.advance(200)
+        for request in INNOCENTS:
+            self._complete(request)
+
+    def _complete(self, request):
+        if self.crashes.get(request, 0) >= 2:
+            return
+        store = self.stores[self._owner("engine-0")]
+        if store.verdict(request, self.now) is Verdict.ALONE:
+            self._try_alone(request)
+            for engine in ENGINES:
+                self.finish(engine)
+            self.advance(6)
+        assert store.verdict(request, self.now) is Verdict.ALLOW
+
+
+FleetMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=400,
+    stateful_step_count=40,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestFleet = FleetMachine.TestCase
