--- a/packages/core/nutmegpost_core/chat.py
+++ b/packages/core/nutmegpost_core/chat.py
@@ -16,7 +16,6 @@
     "ParsedRequest",
     "assemble",
     "cost",
-    "digest",
     "parse",
     "read_name",
 ]
@@ -61,10 +60,13 @@
     Attributes:
         request: The parts the router looks at.
         body: The body for the engine: streamed and with a seed.
+        content: The body as received, in a form that does not depend on
+            white space or the order of the keys.
     """
 
     request: ChatRequest
     body: bytes
+    content: bytes
 
 
 class _BodyError(errors.DocumentError):
@@ -89,10 +91,11 @@
     except _BodyError as caught:
         raise errors.InvalidRequestError(str(caught)) from caught
     whole: dict[str, Any] = msgspec.json.decode(body)
+    content = msgspec.json.encode(whole, order="sorted")
     whole["stream"] = True
     if "seed" not in whole:
         whole["seed"] = xxhash.xxh32_intdigest(request_id.encode())
-    return ParsedRequest(request, msgspec.json.encode(whole))
+    return ParsedRequest(request, msgspec.json.encode(whole), content)
 
 
 def cost(request: ChatRequest, body_bytes: int) -> int:
@@ -101,19 +104,6 @@
     return max(1, body_bytes // BYTES_PER_TOKEN) + answer
 
 
-def digest(account: str, body: bytes) -> bytes:
-    """Returns the digest that names a request by its content.
-
-    Args:
-        account: Account of the caller.
-        body: The body as received.
-    """
-    state = xxhash.xxh3_128(account.encode())
-    state.update(b"\0")
-    state.update(body)
-    return state.digest()
-
-
 def read_name(value: str, header: str, length_max: int) -> str:
     """Checks a name that a caller gives in a header.
 
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -92,6 +92,10 @@
 HANDOVER_FAILED = Event(652, "WARNING", "no router took the permits over")
 POINTER_MALFORMED = Event(653, "WARNING", "malformed pointer to a successor")
 
+SUSPECT_MALFORMED = Event(
+    850, "WARNING", "malformed report of a suspected request: {reason}"
+)
+
 # 9xx violated invariants
 CHART_REFUSED = Event(
     901, "ERROR", "chart {chart} refuses {trigger} in state {state}"
--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -67,6 +67,7 @@
         last_event: Id of the last event the caller has; empty for a start.
         age: Seconds since the caller's request reached the fleet.
         hops: Routers that handled it before this one.
+        digest: Names the request by its content, whoever sends it again.
     """
 
     request_id: str
@@ -79,6 +80,7 @@
     last_event: str = ""
     age: float = 0.0
     hops: int = 0
+    digest: bytes = b""
 
 
 class Redirected(NamedTuple):
--- a/packages/router/nutmegpost_router/attempt.py
+++ b/packages/router/nutmegpost_router/attempt.py
@@ -34,6 +34,7 @@
     NOT_RUN = "not-run"
     REFUSED = "refused"
     LOST = "lost"
+    CANCELLED = "cancelled"
 
 
 class AttemptEnd(NamedTuple):
@@ -43,11 +44,13 @@
         ending: How it ended.
         reason: Text for people, or the code of the refusal.
         unreachable: Whether the engine took no connection at the end.
+        crashed: Whether nothing listens at its address any more.
     """
 
     ending: Ending
     reason: str = ""
     unreachable: bool = False
+    crashed: bool = False
 
 
 class Target(NamedTuple):
@@ -95,7 +98,7 @@
                 return await _start(client, target, run)
             return await _resume(client, target, run)
         except http_client.ConnectError as caught:
-            return AttemptEnd(Ending.NOT_RUN, str(caught), True)
+            return _unreachable(Ending.NOT_RUN, caught)
         except errors.PeerError as caught:
             reason = str(caught)
         fruitless = 0 if run.next_sequence > before else fruitless + 1
@@ -108,6 +111,10 @@
     return AttemptEnd(Ending.LOST, reason)
 
 
+def _unreachable(ending: Ending, error: http_client.ConnectError) -> AttemptEnd:
+    return AttemptEnd(ending, str(error), True, error.refused)
+
+
 async def _start(
     client: http_client.Client, target: Target, run: runs.Run
 ) -> AttemptEnd:
@@ -146,7 +153,7 @@
             fresh=True,
         )
     except http_client.ConnectError as caught:
-        return AttemptEnd(Ending.LOST, str(caught), True)
+        return _unreachable(Ending.LOST, caught)
     return await _read(stream, run, first)
 
 
--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -20,6 +20,7 @@
 from nutmegpost_core import events
 from nutmegpost_core import invariants
 from nutmegpost_core import placement
+from nutmegpost_core import quarantine
 from nutmegpost_core import queueing
 from nutmegpost_core import wire
 from nutmegpost_router import attempt
@@ -74,6 +75,13 @@
     resume: bool
 
 
+class Trial(NamedTuple):
+    """A request that is suspected of crashing engines; it runs alone."""
+
+    run: runs.Run
+    job: queueing.Job
+
+
 class AttemptDone(NamedTuple):
     """An attempt ended."""
 
@@ -87,6 +95,7 @@
 
     report: LoadReport | None
     reason: str
+    refused: bool = False
 
 
 class Wake(NamedTuple):
@@ -99,7 +108,7 @@
     draining: bool
 
 
-Message = Offer | AttemptDone | Reported | Wake | Drain
+Message = Offer | Trial | AttemptDone | Reported | Wake | Drain
 
 
 class Hooks(NamedTuple):
@@ -108,28 +117,28 @@
     Attributes:
         client: Connections to engines.
         view: What the router knows.
+        quarantine: Which requests may crash engines.
+        is_whole: Whether every listed router can be reached.
         again: Places a run anew after an attempt that failed.
         move: Places a waiting run on another engine if one is free; tells
             whether it did.
         refuse: Ends a run whose target cannot be met.
-        crashed: Told of an engine that died, with what it ran.
+        lost: Told of an engine that cannot be reached, and whether it died.
         state_changed: Told that an engine became ready, or left.
         load_changed: Told that the load of an engine changed.
-        started: Told of each dispatch.
-        finished: Told of each attempt that came to its end.
         reported: Told of each load report.
     """
 
     client: http_client.Client
     view: view.View
+    quarantine: quarantine.Quarantine
+    is_whole: Callable[[], bool]
     again: Callable[[runs.Run, str, str], None]
     move: Callable[[runs.Run], bool]
     refuse: Callable[[runs.Run, float], None]
-    crashed: Callable[[str], None]
+    lost: Callable[[str, bool], None]
     state_changed: Callable[[str, str], None]
     load_changed: Callable[[], None]
-    started: Callable[[bytes, str], None]
-    finished: Callable[[bytes, str], None]
     reported: Callable[[str, LoadReport], None]
 
 
@@ -142,6 +151,7 @@
         self._queue = queueing.EngineQueue(slots)
         self._inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._runs: dict[str, Offer] = {}
+        self._trials: dict[str, Trial] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
         self._chart = charts.Chart("endpoint")
         self._last_report: LoadReport = {}
@@ -217,6 +227,8 @@
         Returns:
             False when it was dispatched or is not here.
         """
+        if self._trials.pop(key, None) is not None:
+            return True
         if not self._queue.withdraw(key):
             return False
         self._runs.pop(key, None)
@@ -247,14 +259,11 @@
             task.cancel()
 
     def _empty_queue(self) -> list[runs.Run]:
-        waiting = [
-            offer.run
-            for key, offer in list(self._runs.items())
-            if self.withdraw(key)
-        ]
+        held: dict[str, Offer | Trial] = {**self._runs, **self._trials}
+        waiting = [held[key].run for key in held if self.withdraw(key)]
         while not self._inbox.empty():
             message = self._inbox.get_nowait()
-            if isinstance(message, Offer):
+            if isinstance(message, Offer | Trial):
                 waiting.append(message.run)
             else:
                 self._handle(message)
@@ -277,7 +286,7 @@
                 )
 
     async def _next_message(self) -> Message | None:
-        if not self._queue.waiting:
+        if not self._queue.waiting and not self._trials:
             return await self._inbox.get()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(PUMP_INTERVAL_S):
@@ -287,6 +296,8 @@
     def _handle(self, message: Message) -> None:
         if isinstance(message, Offer):
             self._take_offer(message)
+        elif isinstance(message, Trial):
+            self._take_trial(message)
         elif isinstance(message, AttemptDone):
             self._attempt_done(message)
         elif isinstance(message, Reported):
@@ -317,6 +328,15 @@
         for refused in self._queue.offer(offer.job, now):
             self._refuse(refused)
 
+    def _take_trial(self, trial: Trial) -> None:
+        if trial.run.ended:
+            return
+        if self._released or not self.takes_work:
+            self._hooks.again(trial.run, self._endpoint.name, "not ready")
+            return
+        trial.run.engine = self._endpoint.name
+        self._trials[trial.job.key] = trial
+
     def _refuse(self, job: queueing.Job) -> None:
         offer = self._runs.pop(job.key, None)
         if offer is not None:
@@ -329,6 +349,11 @@
             self._refuse(expired)
         if self._chart.state != "ready" or self._draining:
             return
+        if self._trials:
+            self._pump_trial(now)
+            return
+        if self._hooks.quarantine.is_reserved(self._endpoint.name):
+            return
         while self._queue.waiting:
             job = self._queue.take(now, self._limit_of_own())
             if job is None:
@@ -336,6 +361,25 @@
                 return
             self._dispatch(job)
 
+    def _pump_trial(self, now: float) -> None:
+        """Lets the engine run empty and then a suspect alone."""
+        name = self._endpoint.name
+        if self._running or self._hooks.view.loads.of(name):
+            return
+        trial = self._trials.pop(next(iter(self._trials)))
+        verdict = self._hooks.quarantine.begin_trial(
+            trial.run.digest, name, self._hooks.is_whole(), now
+        )
+        if verdict is not quarantine.Verdict.ALONE:
+            self._hooks.again(trial.run, name, f"trial: {verdict}")
+            return
+        # Nothing waits before it: it goes through the queue for its counts.
+        self._queue.offer(trial.job, now)
+        self._runs[trial.job.key] = Offer(trial.run, trial.job, False)
+        job = self._queue.take(now, self._queue.slots)
+        if job is not None:
+            self._dispatch(job)
+
     def _limit_of_own(self) -> int:
         # Requests of a former owner count against the limit as well.
         load = self._hooks.view.loads.of(self._endpoint.name)
@@ -369,7 +413,7 @@
             load=load,
             bound=limit,
         )
-        self._hooks.started(run.digest, name)
+        self._hooks.quarantine.started(run.digest, name, self._now())
         self._hooks.load_changed()
         self._running[job.key] = asyncio.create_task(
             self._attempt(run, job, offer.resume)
@@ -386,7 +430,7 @@
             job.rank,
             resume,
         )
-        end = attempt.AttemptEnd(attempt.Ending.LOST, "cancelled")
+        end = attempt.AttemptEnd(attempt.Ending.CANCELLED)
         try:
             end = await attempt.run_attempt(self._hooks.client, target, run)
         except errors.PeerError as caught:
@@ -407,21 +451,34 @@
     def _attempt_done(self, done: AttemptDone) -> None:
         name = self._endpoint.name
         key = done.job.key
-        task = self._running.pop(key, None)
+        self._running.pop(key, None)
         now = self._now()
         self._queue.finish(key, now)
         self._hooks.view.loads.remove(self._endpoint.pool, name)
         self._hooks.load_changed()
-        if task is not None and task.cancelled():
+        if done.end.ending is attempt.Ending.CANCELLED:
             self._cancel_later(done.run)
         if done.end.ending is not attempt.Ending.NOT_RUN:
             done.run.may_have_run = True
         if done.end.unreachable:
-            self._lost_engine(done.end.reason)
-        else:
-            self._hooks.finished(done.run.digest, name)
+            self._lost_engine(done.end.reason, done.end.crashed)
+        self._tell_quarantine(done, now)
         self._settle(done, now)
 
+    def _tell_quarantine(self, done: AttemptDone, now: float) -> None:
+        digest = done.run.digest
+        name = self._endpoint.name
+        suspects = self._hooks.quarantine
+        if done.end.ending is attempt.Ending.DONE:
+            suspects.finished(digest, name, now)
+        elif done.end.ending in (
+            attempt.Ending.NOT_RUN,
+            attempt.Ending.REFUSED,
+        ):
+            suspects.withdrawn(digest, name, now)
+        else:
+            suspects.cancelled(digest, name, now)
+
     def _cancel_later(self, run: runs.Run) -> None:
         asyncio.get_running_loop().create_task(self._cancel_at_engine(run))
 
@@ -457,7 +514,11 @@
             int(job.cost),
         )
 
-    def _lost_engine(self, reason: str) -> None:
+    def _lost_engine(self, reason: str, crashed: bool) -> None:
+        if crashed:
+            self._hooks.quarantine.engine_crashed(
+                self._endpoint.name, self._now()
+            )
         if self._chart.state in ("suspect", "gone"):
             return
         log.emit(
@@ -467,7 +528,7 @@
         )
         if self._chart.allows("suspect"):
             self._chart.fire("suspect")
-        self._hooks.crashed(self._endpoint.name)
+        self._hooks.lost(self._endpoint.name, crashed)
         self._hooks.state_changed(self._endpoint.name, "suspect")
         for run in self._empty_queue():
             self._hooks.again(run, self._endpoint.name, "engine is gone")
@@ -476,7 +537,7 @@
         if message.report is None:
             self._failures += 1
             if self._failures >= UNREACHABLE_AFTER:
-                self._lost_engine(message.reason)
+                self._lost_engine(message.reason, message.refused)
             return
         self._failures = 0
         report = message.report
@@ -540,6 +601,8 @@
                 response.body, LoadReport, self._endpoint.name
             )
             return Reported(report, "")
+        except http_client.ConnectError as caught:
+            return Reported(None, str(caught), caught.refused)
         except errors.NutmegpostError as caught:
             return Reported(None, str(caught))
 
--- a/packages/router/nutmegpost_router/entry.py
+++ b/packages/router/nutmegpost_router/entry.py
@@ -13,6 +13,7 @@
 from nutmegpost_core import configuration
 from nutmegpost_core import errors
 from nutmegpost_core import events
+from nutmegpost_core import quarantine
 from nutmegpost_core import sse
 from nutmegpost_core import wire
 from nutmegpost_router import http_server
@@ -252,6 +253,7 @@
             body=parsed.body,
             engine=engine,
             last_event=last_event,
+            digest=quarantine.digest(account["name"], parsed.content),
         )
         streamed = parsed.request.get("stream", False)
         began = asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -24,7 +24,15 @@
 
 
 class ConnectError(errors.PeerError):
-    """No connection could be made: no byte of the request was sent."""
+    """No connection could be made: no byte of the request was sent.
+
+    Attributes:
+        refused: Whether the other host answered that nothing listens there.
+    """
+
+    def __init__(self, message: str, refused: bool):
+        super().__init__(message)
+        self.refused = refused
 
 
 class ExchangeError(errors.PeerError):
@@ -370,5 +378,6 @@
                 )
         except (OSError, TimeoutError) as caught:
             reason = f"cannot connect to {address}: {caught}"
-            raise ConnectError(reason) from caught
+            refused = isinstance(caught, ConnectionRefusedError)
+            raise ConnectError(reason, refused) from caught
         return connection
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -41,6 +41,8 @@
 RUN_COUNT_MAX = 50_000
 PLACED_COUNT_MAX = 20_000
 RETRY_AFTER_S = 1.0
+WAIT_LEAST_S = 0.05
+TRIAL_RETRY_S = 0.5
 
 
 class Observer(NamedTuple):
@@ -49,14 +51,12 @@
     Attributes:
         load_changed: The load of an engine changed.
         leaving: An engine said that it takes no new work.
-        crashed: An engine died; with the digests that ran there.
         retried: A request is tried again.
         reported: An engine sent a load report.
     """
 
     load_changed: Callable[[], None]
     leaving: Callable[[str], None]
-    crashed: Callable[[str, list[bytes]], None]
     retried: Callable[[], None]
     reported: Callable[[str, engines.LoadReport], None]
 
@@ -100,14 +100,14 @@
         self._hooks = engines.Hooks(
             client=client,
             view=the_view,
+            quarantine=suspects,
+            is_whole=self._is_whole,
             again=self._again,
             move=self._move,
             refuse=self._refuse,
-            crashed=self._crashed,
+            lost=self._lost,
             state_changed=self._state_changed,
             load_changed=observer.load_changed,
-            started=self._started,
-            finished=self._finished,
             reported=observer.reported,
         )
 
@@ -224,7 +224,7 @@
         self, submit: wire.Submit
     ) -> "runs.Subscription | wire.Redirected":
         key = runs.Key(submit.account, submit.request_id)
-        digest = chat.digest(submit.account, submit.body)
+        digest = submit.digest or quarantine.digest(submit.account, submit.body)
         last = (
             sse.EventId.read(submit.last_event) if submit.last_event else None
         )
@@ -241,7 +241,6 @@
         if owner != self._view.name and submit.hops < HOPS_MAX:
             self._note_placed(key, engine)
             return wire.Redirected(submit.request_id, submit.account, engine)
-        self._check_quarantine(digest)
         return self._create(submit, digest, engine, last)
 
     def _create(
@@ -256,7 +255,6 @@
                 "too many requests", retry_after=RETRY_AFTER_S
             )
         position = last.sequence + 1 if last else 0
-        job = self._job(submit)
         run = runs.Run(submit, digest, position)
         self._runs[run.key] = run
         subscription = run.subscribe(position)
@@ -266,7 +264,11 @@
         resume = last is not None and last.engine == engine
         run.fire("place")
         self._retries.attempted(self._now())
-        self._task(engine).offer(run, job, resume)
+        if resume:
+            # It is running there already, so there is nothing to decide.
+            self._task(engine).offer(run, self._job(submit), True)
+        else:
+            self._guarded(run, lambda: self._launch(run, engine))
         return subscription
 
     def _task(self, engine: str) -> engines.EngineTask:
@@ -345,12 +347,69 @@
             cost=chat.cost(request, len(submit.body)),
         )
 
-    def _check_quarantine(self, digest: bytes) -> None:
-        verdict = self._quarantine.verdict(digest, self._now())
+    def _launch(self, run: runs.Run, engine: str) -> None:
+        """Sends a run to an engine as far as its content may run."""
+        now = self._now()
+        verdict = self._quarantine.verdict(run.digest, now)
         if verdict is quarantine.Verdict.REFUSE:
             raise errors.QuarantineError(
                 "the request was running at engines that crashed"
             )
+        if verdict is quarantine.Verdict.WAIT:
+            delay = self._quarantine.retry_after(run.digest, now)
+            self._later(delay, run)
+        elif verdict is quarantine.Verdict.ALONE:
+            self._launch_trial(run)
+        else:
+            self._send_to(run, engine)
+
+    def _later(self, delay_s: float, run: runs.Run) -> None:
+        asyncio.get_running_loop().call_later(
+            max(delay_s, WAIT_LEAST_S), self._again, run, "", "quarantine"
+        )
+
+    def _launch_trial(self, run: runs.Run) -> None:
+        """Runs a suspect alone, at the one router that decides on it."""
+        pool = run.submit.model
+        owned: dict[str, list[str]] = {}
+        for name in self._view.pool(pool):
+            owned.setdefault(self._view.owner(name), []).append(name)
+        decider = quarantine.decider(run.digest, sorted(owned))
+        if decider != self._view.name:
+            self._redirect(run, owned[decider][0])
+            return
+        tasks = [
+            self._tasks[name]
+            for name in owned[decider]
+            if name in self._tasks and self._tasks[name].takes_work
+        ]
+        if not tasks:
+            self._later(TRIAL_RETRY_S, run)
+            return
+        task = min(tasks, key=lambda item: item.in_flight)
+        task.post(engines.Trial(run, self._job(run.submit)))
+
+    def _redirect(self, run: runs.Run, engine: str) -> None:
+        key = run.key
+        run.finish(
+            wire.Redirected(key.request_id, key.account, engine), self._now()
+        )
+
+    def cancel_exposed(self, engine_names: list[str], digest: bytes) -> None:
+        """Cancels a request that another router found to crash engines.
+
+        Args:
+            engine_names: Engines that run it beside others.
+            digest: Its digest.
+        """
+        for run in list(self._runs.values()):
+            task = self._tasks.get(run.engine)
+            if run.digest == digest and run.engine in engine_names and task:
+                task.cancel(run)
+
+    def _is_whole(self) -> bool:
+        listed = [vm["name"] for vm in self._view.router_vms()]
+        return quarantine.is_whole(listed, self._view.routers)
 
     def _note_placed(self, key: runs.Key, engine: str) -> None:
         self._placed[key] = engine
@@ -387,8 +446,12 @@
             reason=reason,
         )
         self._observer.retried()
+        self._guarded(run, lambda: self._place_again(run))
+
+    def _guarded(self, run: runs.Run, place: Callable[[], None]) -> None:
+        """Places a run, or ends it with the error of the try."""
         try:
-            self._place_again(run)
+            place()
         except errors.RequestError as caught:
             if run.may_have_run:
                 caught.outcome = errors.Outcome.UNKNOWN
@@ -407,7 +470,6 @@
                 raise errors.AttemptLostError(
                     "the retry budget is used up", retry_after=RETRY_AFTER_S
                 )
-        self._check_quarantine(run.digest)
         submit = run.submit
         choice = self._choose(
             submit.model, f"{submit.account}/{submit.chat}", self._rank(submit)
@@ -416,17 +478,13 @@
             raise errors.UnavailableError(
                 f"no engine of {submit.model!r}", retry_after=RETRY_AFTER_S
             )
-        self._send_to(run, choice.engine)
+        self._launch(run, choice.engine)
 
     def _send_to(self, run: runs.Run, engine: str) -> None:
         log.emit(events.REQUEST_MOVED, request=str(run.key), engine=engine)
         task = self._tasks.get(engine)
         if task is None:
-            key = run.key
-            run.finish(
-                wire.Redirected(key.request_id, key.account, engine),
-                self._now(),
-            )
+            self._redirect(run, engine)
             return
         if run.state == "queued":
             run.fire("place")
@@ -464,10 +522,9 @@
         run.fire("withdraw")
         run.finish(failed(run, error), self._now())
 
-    def _crashed(self, engine: str) -> None:
-        digests = self._quarantine.engine_crashed(engine, self._now())
-        self._view.placement.forget_engine(engine)
-        self._observer.crashed(engine, digests)
+    def _lost(self, engine: str, crashed: bool) -> None:
+        if crashed:
+            self._view.placement.forget_engine(engine)
 
     def _state_changed(self, engine: str, state: str) -> None:
         if state == "leaving":
@@ -486,12 +543,6 @@
             out |= self._view.outliers(pool).ejected(now)
             self._view.set_available(pool, out)
 
-    def _started(self, digest: bytes, engine: str) -> None:
-        self._quarantine.started(digest, engine, self._now())
-
-    def _finished(self, digest: bytes, engine: str) -> None:
-        self._quarantine.finished(digest, engine, self._now())
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -6,6 +6,8 @@
 import time
 from typing import Any
 
+import xxhash
+
 from nutmegpost_core import acceptance
 from nutmegpost_core import burn
 from nutmegpost_core import charts
@@ -13,7 +15,6 @@
 from nutmegpost_core import events
 from nutmegpost_core import invariants
 from nutmegpost_core import membership
-from nutmegpost_core import ownership
 from nutmegpost_core import permits
 from nutmegpost_core import quarantine
 from nutmegpost_core import rumours
@@ -46,7 +47,7 @@
 DRAIN_INTERVAL_S = 0.05
 STOP_GRACE_S = 600.0
 LEAVING_LIFETIME_S = 30.0
-SUSPECT_LIFETIME_S = 600.0
+SUSPECTS_INTERVAL_S = 0.01
 GOODBYE_S = 0.3
 
 
@@ -69,7 +70,7 @@
         self._burn = burn.Burn([])
         self._client = http_client.Client()
         self._view = view.View(self._name, config["zone"])
-        self._quarantine = quarantine.Quarantine()
+        self._quarantine = quarantine.Quarantine(self._name)
         self._notices: asyncio.Queue[Any] = asyncio.Queue()
         self._sums_due = asyncio.Event()
         self._tasks: list[asyncio.Task[Any]] = []
@@ -147,7 +148,6 @@
         return owner.Observer(
             load_changed=self._sums_due_now,
             leaving=self._endpoint_leaving,
-            crashed=self._engine_crashed,
             retried=self._metrics.retried,
             reported=self._engine_reported,
         )
@@ -212,6 +212,7 @@
             ("watcher", self._watcher.run),
             ("sweep", self._owner.sweep),
             ("sums", self._send_sums),
+            ("suspects", self._publish_suspects),
             ("notices", self._handle_notices),
         ):
             self._tasks.append(asyncio.create_task(self._keep(name, work)))
@@ -283,7 +284,7 @@
             if self._view.leave(rumour.key.decode(errors="replace")):
                 self._reconcile()
         elif rumour.kind is rumours.Kind.SUSPECT_REQUEST:
-            self._quarantine.learn(rumour.key, rumour.payload, self._now())
+            self._take_suspect(rumour)
         elif rumour.kind is rumours.Kind.SUCCESSOR:
             self._handover.learn(rumour.payload, self._now())
 
@@ -392,16 +393,31 @@
             )
             self._spawn_soon(self._reconcile)
 
-    def _engine_crashed(self, engine: str, digests: list[bytes]) -> None:
-        for digest in digests:
-            self._gossip.send(
-                gossip.Publish(
-                    rumours.Kind.SUSPECT_REQUEST,
-                    digest,
-                    engine.encode(),
-                    SUSPECT_LIFETIME_S,
+    async def _publish_suspects(self) -> None:
+        """Tells the other routers of requests that crash engines."""
+        while True:
+            await asyncio.sleep(SUSPECTS_INTERVAL_S)
+            self._quarantine.tick(self._now())
+            for report in self._quarantine.reports():
+                self._gossip.send(
+                    gossip.Publish(
+                        rumours.Kind.SUSPECT_REQUEST,
+                        report.key,
+                        report.payload,
+                        report.lifetime_s,
+                    )
                 )
+
+    def _take_suspect(self, rumour: gossip.RumourArrived) -> None:
+        try:
+            exposed = self._quarantine.learn_report(
+                rumour.key, rumour.payload, self._now()
             )
+        except errors.PeerError as caught:
+            log.emit(events.SUSPECT_MALFORMED, reason=str(caught))
+            return
+        digest = rumour.key[: quarantine.DIGEST_BYTES]
+        self._owner.cancel_exposed(exposed, digest)
 
     def _engine_reported(self, engine: str, report: engines.LoadReport) -> None:
         fence = report.get("fence") or [0]
@@ -419,7 +435,7 @@
         names.sort(
             key=lambda name: (
                 name != first,
-                ownership.score(chat_name, name),
+                xxhash.xxh3_64_intdigest(f"{chat_name} {name}".encode()),
             )
         )
         return [members[name].public_address for name in names]
