--- a/packages/router/nutmegpost_router/settings.py
+++ b/packages/router/nutmegpost_router/settings.py
@@ -18,12 +18,12 @@
 
 SETTINGS_BYTES_MAX = 100_000
 
-HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
+HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}\Z")]
 Name = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=64)
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*\Z", max_length=64)
 ]
 Secret = Annotated[
-    str, msgspec.Meta(pattern="^[!-~]+$", min_length=16, max_length=256)
+    str, msgspec.Meta(pattern=r"^[!-~]+\Z", min_length=16, max_length=256)
 ]
 
 _ADDRESSES = (
@@ -59,7 +59,7 @@
     peer_key: Secret
     admin_key: Secret
     log_level: NotRequired[
-        Annotated[str, msgspec.Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")]
+        Annotated[str, msgspec.Meta(pattern=r"^(DEBUG|INFO|WARNING|ERROR)\Z")]
     ]
     stop_grace_s: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=86_400)]]
 
