Resume streams past the queue and wait for the fleet before serving

A resumed stream runs already: it is adopted, and a second attempt has no first-token target left. A router that started owned every engine until it had heard the others; it now joins first. Ruled out: longer targets, which would hide both.

--- a/packages/core/nutmegpost_core/queueing.py
+++ b/packages/core/nutmegpost_core/queueing.py
@@ -3,7 +3,12 @@
 Ranks are served in strict order, with a floor for each lower rank while more
 urgent work floods in. Inside a rank the accounts share by deficit round robin
 on estimated tokens, and of the accounts whose turn it is the earliest deadline
-goes first. Work with a finish-by time rises a rank as its slack runs out.
+goes first. An account that asked for less than its share has credit left and
+goes before those that have used theirs. Work with a finish-by time rises a
+rank as its slack runs out.
+
+The last slots are kept for urgent work and for accounts with credit, so that
+they need not wait until a long request of others ends.
 """
 
 import heapq
@@ -25,12 +30,20 @@
 FLOORS = {1: 0.0, 2: 0.12, 3: 0.06}
 # Tokens that an account may use in each round of its rank.
 QUANTUM_TOKENS = 256.0
+# Tokens that an account may use at once after it asked for little.
+BURST_TOKENS = 4096.0
 # Shares of the time to finish by at which such work rises one rank.
 RISE_SLACK = (0.25, 0.10)
 # Time that urgent arrivals are remembered for, seconds.
 URGENT_MEMORY_S = 30.0
-# Slots of an endpoint for each one that is kept free for rank 1.
-SLOTS_PER_RESERVE = 8
+# Slots of an endpoint for each one that is kept free for such arrivals.
+SLOTS_PER_RESERVE = 16
+# Fewest slots of an endpoint that keeps one free.
+RESERVE_SLOTS_MIN = 8
+# Share of the service above which rank 1 has no claim to the last slots.
+URGENT_SHARE_MAX = 0.5
+# Accounts whose credit is remembered, for each rank.
+CREDITS_MAX = 4096
 # Weight of the newest completion in the moving averages.
 _EWMA = 0.05
 
@@ -64,11 +77,11 @@
 class _Account:
     """Waiting jobs of one account in one rank."""
 
-    __slots__ = ("backlog", "deficit", "heap")
+    __slots__ = ("backlog", "heap", "name")
 
-    def __init__(self) -> None:
+    def __init__(self, name: str) -> None:
+        self.name = name
         self.heap: list[tuple[float, int, Job]] = []
-        self.deficit = 0.0
         self.backlog = 0.0
 
 
@@ -77,11 +90,27 @@
 
     def __init__(self) -> None:
         self.accounts: dict[str, _Account] = {}
+        self.waiting = 0
         self.backlog = 0.0
         self.owed = 0.0
+        self.latest = -math.inf
+        self.worth_min = math.inf
+        self._rounds = 0
+        # Credit of an account, and the round as of which it holds.
+        self._credits: dict[str, tuple[float, int]] = {}
+
+    @property
+    def has_debtors(self) -> bool:
+        """Whether an account that waits has used its share."""
+        return any(self.credit(name) <= 0.0 for name in self.accounts)
 
     def push(self, deadline: float, number: int, job: Job) -> None:
-        account = self.accounts.setdefault(job.account, _Account())
+        self.waiting += 1
+        self.latest = max(self.latest, deadline)
+        self.worth_min = min(self.worth_min, job.worth)
+        account = self.accounts.get(job.account)
+        if account is None:
+            account = self.accounts[job.account] = _Account(job.account)
         heapq.heappush(account.heap, (deadline, number, job))
         account.backlog += job.cost
         self.backlog += job.cost
@@ -98,13 +127,31 @@
 
     def pop(self) -> Job:
         account, rounds = self._next()
-        for other in self.accounts.values():
-            other.deficit += rounds * QUANTUM_TOKENS
+        self._rounds += rounds
         job = heapq.heappop(account.heap)[2]
-        account.deficit -= job.cost
+        left = self.credit(account.name) - job.cost
+        self._credits[account.name] = (left, self._rounds)
+        if len(self._credits) > CREDITS_MAX:
+            self._forget_full()
         self._shrink(account, job)
         return job
 
+    def credit(self, account: str) -> float:
+        """Returns the tokens that an account has left in this round."""
+        left, rounds = self._credits.get(account, (BURST_TOKENS, 0))
+        earned = (self._rounds - rounds) * QUANTUM_TOKENS
+        return min(BURST_TOKENS, left + earned)
+
+    def ahead(self, account: str) -> int:
+        """Returns the jobs that go before a new one of an account."""
+        if self.credit(account) <= 0.0:
+            return self.waiting
+        return sum(
+            len(item.heap)
+            for item in self.accounts.values()
+            if self.credit(item.name) > 0.0
+        )
+
     def jobs(self) -> list[tuple[float, int, Job]]:
         """Returns the entries, earliest deadline first."""
         return sorted(
@@ -112,23 +159,35 @@
         )
 
     def _next(self) -> tuple[_Account, int]:
+        """The account to serve, and the rounds that pass until its turn."""
+
         def rounds(account: _Account) -> int:
-            lacking = account.heap[0][2].cost - account.deficit
-            return max(0, math.ceil(lacking / QUANTUM_TOKENS))
+            credit = self.credit(account.name)
+            return 0 if credit > 0.0 else int(-credit // QUANTUM_TOKENS) + 1
 
         needed = [(rounds(item), item) for item in self.accounts.values()]
         soonest = min(count for count, _ in needed)
         ready = [item for count, item in needed if count == soonest]
         return min(ready, key=lambda item: item.heap[0][:2]), soonest
 
+    def _forget_full(self) -> None:
+        self._credits = {
+            name: entry
+            for name, entry in self._credits.items()
+            if self.credit(name) < BURST_TOKENS
+        }
+
     def _shrink(self, account: _Account, job: Job) -> None:
         account.backlog -= job.cost
         self.backlog -= job.cost
+        self.waiting -= 1
         if not account.heap:
             del self.accounts[job.account]
         if not self.accounts:
             self.backlog = 0.0
             self.owed = 0.0
+            self.latest = -math.inf
+            self.worth_min = math.inf
 
 
 class _Running(NamedTuple):
@@ -156,7 +215,8 @@
         self._mean_cost = 0.0
         self._mean_s = 0.0
         self._urgent_at = -math.inf
-        self._taken = dict.fromkeys(RANKS, 0.0)
+        # Tokens dispatched lately for each rank.
+        self._served = dict.fromkeys(RANKS, 0.0)
 
     @property
     def waiting(self) -> int:
@@ -185,13 +245,37 @@
             return None
         return self._width * self._mean_cost / self._mean_s
 
-    def expected_wait(self, rank: int, now: float) -> float:
-        """Returns the wait that a new job of a rank can expect, seconds."""
-        if self._free(rank, self._width, now) > 0 and not self.waiting:
+    def load_for(self, rank: int, account: str, now: float) -> int:
+        """Returns the load as a new job would find it.
+
+        It starts at once when this is below the slots and the limit.
+
+        Args:
+            rank: Rank of the job.
+            account: Its account.
+            now: Monotonic time, seconds.
+
+        Returns:
+            Jobs in flight, jobs that go before it, and slots that are kept
+            from it.
+        """
+        kept = 0 if self._may_fill(rank, account) else self._reserve(now)
+        ahead = sum(self._ranks[item].waiting for item in RANKS[: rank - 1])
+        return self.in_flight + kept + ahead + self._ranks[rank].ahead(account)
+
+    def expected_wait(self, rank: int, account: str, now: float) -> float:
+        """Returns the wait that a new job can expect, seconds."""
+        if self.load_for(rank, account, now) < self._width:
             return 0.0
-        ahead = sum(self._ranks[other].backlog for other in RANKS[:rank])
-        ahead += self._mean_cost
-        return admission.wait_s(ahead, self._rate_of(rank))
+        queue = self._ranks[rank]
+        above = [self._ranks[item] for item in RANKS[: rank - 1]]
+        ahead = queue.ahead(account)
+        backlog = queue.backlog * ahead / max(1, queue.waiting)
+        return admission.wait_s(
+            ahead + sum(item.waiting for item in above),
+            backlog + sum(item.backlog for item in above),
+            self._pace(rank),
+        )
 
     def offer(self, job: Job, now: float) -> list[Job]:
         """Adds a job and refuses what cannot meet its target.
@@ -208,16 +292,16 @@
         """
         if job.key in self._where or job.key in self._running:
             raise ValueError(f"job {job.key!r} is already here")
-        if job.rank == 1:
-            self._urgent_at = now
         self._numbers += 1
         rank = self._rank_of(job, now)
+        if self._may_fill(rank, job.account):
+            self._urgent_at = now
         self._put(rank, job)
         heapq.heappush(
             self._expiries, (_latest_start(job), self._numbers, job.key)
         )
         self._plan_rise(job, now)
-        return self._refuse(rank, now)
+        return self._refuse(rank, job, now)
 
     def take(self, now: float, limit: int) -> Job | None:
         """Takes the next job to dispatch.
@@ -253,8 +337,18 @@
         self._ranks[rank].drop(job)
         return True
 
+    def adopt(self, job: Job, now: float) -> None:
+        """Counts a job that runs at the endpoint already.
+
+        Raises:
+            ValueError: A job of that key waits or runs already.
+        """
+        if job.key in self._where or job.key in self._running:
+            raise ValueError(f"job {job.key!r} is already here")
+        self._running[job.key] = _Running(job, now)
+
     def finish(self, key: str, now: float) -> None:
-        """Ends a job that was taken.
+        """Ends a job that was taken or adopted.
 
         Raises:
             KeyError: No such job runs.
@@ -295,46 +389,97 @@
 
     def _next_rank(self, limit: int, now: float) -> int | None:
         """The rank to serve: one whose floor is due, or the most urgent."""
+        free = min(limit, self._slots) - self.in_flight
+        if free <= 0:
+            return None
         for rank in reversed(RANKS):
             queue = self._ranks[rank]
-            if not queue.accounts or queue.owed < queue.peek().cost:
-                continue
-            if self._free(rank, limit, now) > 0:
+            if queue.accounts and queue.owed >= queue.peek().cost:
                 return rank
+        kept = self._reserve(now)
         for rank in RANKS:
-            if self._ranks[rank].accounts:
-                return rank if self._free(rank, limit, now) > 0 else None
+            queue = self._ranks[rank]
+            if not queue.accounts:
+                continue
+            if free > kept or self._may_fill(rank, queue.peek().account):
+                return rank
         return None
 
     def _charge(self, rank: int) -> None:
+        """Counts the next job of a rank against the floors."""
         cost = self._ranks[rank].peek().cost
         for other in RANKS:
             queue = self._ranks[other]
             if queue.accounts:
                 queue.owed += FLOORS[other] * cost
+            self._served[other] *= 1.0 - _EWMA
+        self._served[rank] += cost
         queue = self._ranks[rank]
         queue.owed = max(0.0, queue.owed - cost)
 
-    def _free(self, rank: int, limit: int, now: float) -> int:
-        """Slots that a job of a rank may still take."""
-        reserve = 0
-        if rank > 1 and now - self._urgent_at < URGENT_MEMORY_S:
-            reserve = self._slots // SLOTS_PER_RESERVE
-        return min(limit, self._slots - reserve) - self.in_flight
+    def _reserve(self, now: float) -> int:
+        """Slots that only some work may take."""
+        if self._slots < RESERVE_SLOTS_MIN:
+            return 0
+        if now - self._urgent_at >= URGENT_MEMORY_S:
+            return 0
+        return max(1, self._slots // SLOTS_PER_RESERVE)
+
+    def _may_fill(self, rank: int, account: str) -> bool:
+        """Whether a job may take one of the last slots."""
+        if rank == 1 and self._share(RANKS[:1]) < URGENT_SHARE_MAX:
+            return True
+        queue = self._ranks[rank]
+        return queue.has_debtors and queue.credit(account) > 0.0
+
+    def _share(self, ranks: tuple[int, ...]) -> float:
+        """Share of the tokens dispatched lately that went to some ranks."""
+        total = max(1.0, sum(self._served.values()))
+        return sum(self._served[rank] for rank in ranks) / total
 
-    def _rate_of(self, rank: int) -> float | None:
-        """Tokens a second that a rank gets while all ranks wait."""
+    def _pace(self, rank: int) -> admission.Pace:
+        """How fast jobs of a rank and of more urgent ones start."""
         rate = self.rate
-        if rate is None:
-            return None
-        below = sum(
-            FLOORS[other]
-            for other in RANKS[rank:]
-            if self._ranks[other].accounts
+        if rate is not None:
+            below = sum(
+                FLOORS[other]
+                for other in RANKS[rank:]
+                if self._ranks[other].accounts
+            )
+            above = self._share(RANKS[: rank - 1])
+            rate *= max(FLOORS[rank], 1.0 - below - above)
+        return admission.Pace(self._width, self._mean_cost, rate)
+
+    def _refuse(self, rank: int, job: Job, now: float) -> list[Job]:
+        """Refuses jobs of a rank so that the others meet their targets."""
+        queue = self._ranks[rank]
+        if self.in_flight < self._width or self.rate is None:
+            return []
+        if _latest_start(job) >= queue.latest:
+            wait = self._wait_at_end(rank, job)
+            if now + wait <= _latest_start(job):
+                return []
+            if self._goes_first(queue, job):
+                self.withdraw(job.key)
+                return [job]
+        return self._refuse_overdue(rank, now)
+
+    def _wait_at_end(self, rank: int, job: Job) -> float:
+        queues = [self._ranks[other] for other in RANKS[:rank]]
+        return admission.wait_s(
+            sum(queue.waiting for queue in queues) - 1,
+            sum(queue.backlog for queue in queues) - job.cost,
+            self._pace(rank),
+        )
+
+    def _goes_first(self, queue: _RankQueue, job: Job) -> bool:
+        """Whether the newest job is the first to be refused in its rank."""
+        backlog = queue.accounts[job.account].backlog
+        return job.worth <= queue.worth_min and all(
+            other.backlog <= backlog for other in queue.accounts.values()
         )
-        return rate * (1.0 - below)
 
-    def _refuse(self, rank: int, now: float) -> list[Job]:
+    def _refuse_overdue(self, rank: int, now: float) -> list[Job]:
         queue = self._ranks[rank]
         claims = [
             admission.Claim(
@@ -346,10 +491,14 @@
             )
             for deadline, _, job in queue.jobs()
         ]
-        ahead = sum(self._ranks[other].backlog for other in RANKS[: rank - 1])
-        if self.in_flight < self._width:
-            return []
-        keys = admission.overdue(claims, self._rate_of(rank), now, ahead)
+        above = [self._ranks[other] for other in RANKS[: rank - 1]]
+        keys = admission.overdue(
+            claims,
+            self._pace(rank),
+            now,
+            sum(item.waiting for item in above),
+            sum(item.backlog for item in above),
+        )
         jobs = [self._where[key][1] for key in keys]
         for key in keys:
             self.withdraw(key)
--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -118,8 +118,8 @@
         client: Connections to engines.
         view: What the router knows.
         quarantine: Which requests may crash engines.
-        is_whole: Whether every listed router can be reached.
         again: Places a run anew after an attempt that failed.
+        hold: Places a run anew after a while.
         move: Places a waiting run on another engine if one is free; tells
             whether it did.
         refuse: Ends a run whose target cannot be met.
@@ -132,8 +132,8 @@
     client: http_client.Client
     view: view.View
     quarantine: quarantine.Quarantine
-    is_whole: Callable[[], bool]
     again: Callable[[runs.Run, str, str], None]
+    hold: Callable[[runs.Run], None]
     move: Callable[[runs.Run], bool]
     refuse: Callable[[runs.Run, float], None]
     lost: Callable[[str, bool], None]
@@ -312,22 +312,32 @@
                 self._hooks.again(run, self._endpoint.name, "draining")
 
     def _take_offer(self, offer: Offer) -> None:
-        if offer.run.ended:
+        key = offer.job.key
+        if offer.run.ended or key in self._running or key in self._runs:
+            return
+        if offer.resume:
+            self._adopt(offer)
             return
         if self._released or not self.takes_work:
             self._hooks.again(offer.run, self._endpoint.name, "not ready")
             return
-        key = offer.job.key
-        if key in self._running or key in self._runs:
-            return
         self._runs[key] = offer
         now = self._now()
-        offer.run.queued_at = now
         offer.run.engine = self._endpoint.name
         offer.run.fire("queue")
         for refused in self._queue.offer(offer.job, now):
             self._refuse(refused)
 
+    def _adopt(self, offer: Offer) -> None:
+        """Follows a stream that runs at the engine already."""
+        now = self._now()
+        name = self._endpoint.name
+        offer.run.engine = name
+        self._queue.adopt(offer.job, now)
+        offer.run.fire("dispatch")
+        self._hooks.view.loads.add(self._endpoint.pool, name)
+        self._start_attempt(offer, now)
+
     def _take_trial(self, trial: Trial) -> None:
         if trial.run.ended:
             return
@@ -368,10 +378,10 @@
             return
         trial = self._trials.pop(next(iter(self._trials)))
         verdict = self._hooks.quarantine.begin_trial(
-            trial.run.digest, name, self._hooks.is_whole(), now
+            trial.run.digest, name, now
         )
         if verdict is not quarantine.Verdict.ALONE:
-            self._hooks.again(trial.run, name, f"trial: {verdict}")
+            self._hooks.hold(trial.run)
             return
         # Nothing waits before it: it goes through the queue for its counts.
         self._queue.offer(trial.job, now)
@@ -398,10 +408,8 @@
         run = offer.run
         pool = self._endpoint.pool
         name = self._endpoint.name
-        if not offer.resume:
-            # Attempts count upwards across owners and their restarts.
-            run.attempt = max(run.attempt + 1, time.time_ns() // 1_000_000)
-        run.attempts += 1
+        # Attempts count upwards across owners and their restarts.
+        run.attempt = max(run.attempt + 1, time.time_ns() // 1_000_000)
         run.fire("dispatch")
         limit = self.limit
         self._hooks.view.loads.add(pool, name)
@@ -413,10 +421,16 @@
             load=load,
             bound=limit,
         )
-        self._hooks.quarantine.started(run.digest, name, self._now())
+        self._start_attempt(offer, self._now())
+
+    def _start_attempt(self, offer: Offer, now: float) -> None:
+        run = offer.run
+        run.attempts += 1
+        name = self._endpoint.name
+        self._hooks.quarantine.started(run.digest, name, now)
         self._hooks.load_changed()
-        self._running[job.key] = asyncio.create_task(
-            self._attempt(run, job, offer.resume)
+        self._running[offer.job.key] = asyncio.create_task(
+            self._attempt(run, offer.job, offer.resume)
         )
 
     async def _attempt(
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -33,6 +33,8 @@
 HOPS_MAX = 3
 # Attempts of a request that may have run at an engine.
 ATTEMPTS_MAX = 3
+# Dispatches that engines refused before the request is given up.
+REFUSALS_MAX = 8
 RETRY_SHARE = 0.2
 RETRY_BURST = 20.0
 SWEEP_INTERVAL_S = 1.0
@@ -43,6 +45,8 @@
 RETRY_AFTER_S = 1.0
 WAIT_LEAST_S = 0.05
 TRIAL_RETRY_S = 0.5
+# Longest time that a suspected request waits for its turn alone.
+HOLD_LIMIT_S = 60.0
 
 
 class Observer(NamedTuple):
@@ -101,8 +105,8 @@
             client=client,
             view=the_view,
             quarantine=suspects,
-            is_whole=self._is_whole,
             again=self._again,
+            hold=self._hold,
             move=self._move,
             refuse=self._refuse,
             lost=self._lost,
@@ -264,16 +268,17 @@
         resume = last is not None and last.engine == engine
         run.fire("place")
         self._retries.attempted(self._now())
+        # A request that passed too many routers runs where it is.
+        task = self._task(engine)
         if resume:
             # It is running there already, so there is nothing to decide.
-            self._task(engine).offer(run, self._job(submit), True)
+            task.offer(run, self._job(run), True)
         else:
             self._guarded(run, lambda: self._launch(run, engine))
         return subscription
 
     def _task(self, engine: str) -> engines.EngineTask:
         if engine not in self._tasks:
-            # A request that passed too many routers runs where it is.
             self._start(engine)
         return self._tasks[engine]
 
@@ -330,7 +335,10 @@
         item = self._view.directory.classes.get(submit.work_class)
         return item["rank"] if item else 3
 
-    def _job(self, submit: wire.Submit) -> queueing.Job:
+    def _job(self, run: runs.Run) -> queueing.Job:
+        submit = run.submit
+        # The target of a request that had begun was met or missed already.
+        age = 0.0 if run.may_have_run else submit.age
         directory = self._view.directory
         account = directory.account(submit.account)
         item = directory.work_class(account, submit.work_class)
@@ -340,7 +348,7 @@
             account=submit.account,
             work_class=submit.work_class,
             rank=item["rank"],
-            arrived=self._now() - submit.age,
+            arrived=self._now() - age,
             first_token_s=item["first_token_ms"] / 1000,
             finish_s=item.get("finish_s"),
             worth=item["worth"],
@@ -363,7 +371,19 @@
         else:
             self._send_to(run, engine)
 
+    def _hold(self, run: runs.Run) -> None:
+        self._guarded(run, lambda: self._later(TRIAL_RETRY_S, run))
+
     def _later(self, delay_s: float, run: runs.Run) -> None:
+        now = self._now()
+        if run.held_since is None:
+            run.held_since = now
+        if now - run.held_since > HOLD_LIMIT_S:
+            raise errors.QuarantineError(
+                "the request ran at an engine that crashed and cannot be "
+                "tried alone now",
+                retry_after=HOLD_LIMIT_S,
+            )
         asyncio.get_running_loop().call_later(
             max(delay_s, WAIT_LEAST_S), self._again, run, "", "quarantine"
         )
@@ -387,7 +407,7 @@
             self._later(TRIAL_RETRY_S, run)
             return
         task = min(tasks, key=lambda item: item.in_flight)
-        task.post(engines.Trial(run, self._job(run.submit)))
+        task.post(engines.Trial(run, self._job(run)))
 
     def _redirect(self, run: runs.Run, engine: str) -> None:
         key = run.key
@@ -407,10 +427,6 @@
             if run.digest == digest and run.engine in engine_names and task:
                 task.cancel(run)
 
-    def _is_whole(self) -> bool:
-        listed = [vm["name"] for vm in self._view.router_vms()]
-        return quarantine.is_whole(listed, self._view.routers)
-
     def _note_placed(self, key: runs.Key, engine: str) -> None:
         self._placed[key] = engine
         self._placed.move_to_end(key)
@@ -462,14 +478,7 @@
         now = self._now()
         if run.state == "dispatched":
             run.fire("retry")
-            if run.may_have_run and run.attempts >= ATTEMPTS_MAX:
-                raise errors.AttemptLostError(
-                    f"lost in {run.attempts} attempts"
-                )
-            if not self._retries.may_retry(now):
-                raise errors.AttemptLostError(
-                    "the retry budget is used up", retry_after=RETRY_AFTER_S
-                )
+            self._check_retry(run, now)
         submit = run.submit
         choice = self._choose(
             submit.model, f"{submit.account}/{submit.chat}", self._rank(submit)
@@ -480,6 +489,21 @@
             )
         self._launch(run, choice.engine)
 
+    def _check_retry(self, run: runs.Run, now: float) -> None:
+        if not run.may_have_run:
+            if run.attempts >= REFUSALS_MAX:
+                raise errors.UnavailableError(
+                    f"refused by engines {run.attempts} times",
+                    retry_after=RETRY_AFTER_S,
+                )
+            return
+        if run.attempts >= ATTEMPTS_MAX:
+            raise errors.AttemptLostError(f"lost in {run.attempts} attempts")
+        if not self._retries.may_retry(now):
+            raise errors.AttemptLostError(
+                "the retry budget is used up", retry_after=RETRY_AFTER_S
+            )
+
     def _send_to(self, run: runs.Run, engine: str) -> None:
         log.emit(events.REQUEST_MOVED, request=str(run.key), engine=engine)
         task = self._tasks.get(engine)
@@ -488,7 +512,7 @@
             return
         if run.state == "queued":
             run.fire("place")
-        task.offer(run, self._job(run.submit), False)
+        task.offer(run, self._job(run), False)
 
     def _move(self, run: runs.Run) -> bool:
         """Moves a waiting run to another engine that is free."""
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -44,6 +44,10 @@
 SUMS_IDLE_INTERVAL_S = 1.0
 # Above this many routers the loads of others come by gossip alone.
 SUMS_PEERS_MAX = 16
+CONNECT_INTERVAL_S = 1.0
+JOIN_INTERVAL_S = 0.1
+# Longest wait at the start for routers of the VM list that do not answer.
+JOIN_LIMIT_S = 3.0
 DRAIN_INTERVAL_S = 0.05
 STOP_GRACE_S = 600.0
 LEAVING_LIFETIME_S = 30.0
@@ -64,6 +68,7 @@
         self._name = config["name"]
         self._incarnation = secrets.randbits(48)
         self._began = time.monotonic()
+        self._joining_since = self._began
         self._chart = charts.Chart("router")
         self._stop_asked = asyncio.Event()
         self._metrics = metrics.Metrics()
@@ -73,6 +78,7 @@
         self._quarantine = quarantine.Quarantine(self._name)
         self._notices: asyncio.Queue[Any] = asyncio.Queue()
         self._sums_due = asyncio.Event()
+        self._connected_at: dict[str, float] = {}
         self._tasks: list[asyncio.Task[Any]] = []
         self._owner = owner.Owner(
             self._view, self._client, self._quarantine, self._observer()
@@ -214,6 +220,7 @@
             ("sums", self._send_sums),
             ("suspects", self._publish_suspects),
             ("notices", self._handle_notices),
+            ("join", self._join),
         ):
             self._tasks.append(asyncio.create_task(self._keep(name, work)))
 
@@ -294,9 +301,25 @@
         if self._chart.state == "stopping":
             self._owner.release_all()
             return
-        self._owner.reconcile()
-        if self._chart.state == "joining" and self._view.vm_version:
+        if self._chart.state == "joining" and self._has_joined():
             self._chart.fire("serve")
+        if self.serving:
+            self._owner.reconcile()
+
+    def _has_joined(self) -> bool:
+        """Whether the other routers were heard, or had time to answer."""
+        if not self._view.vm_version:
+            return False
+        listed = {vm["name"] for vm in self._view.router_vms()}
+        waited = time.monotonic() - self._joining_since
+        return listed <= set(self._view.routers) or waited > JOIN_LIMIT_S
+
+    async def _join(self) -> None:
+        """Looks until this router serves whether it has joined."""
+        self._joining_since = time.monotonic()
+        while self._chart.state == "joining":
+            await asyncio.sleep(JOIN_INTERVAL_S)
+            self._reconcile()
 
     # Loads
 
@@ -321,10 +344,17 @@
         message = self._view.loads.sums()
         size = len(wire.encode(message))
         for name in others:
-            if not self._links.notify(name, message):
-                self._spawn(self._connect(name))
-                continue
-            self._metrics.control_sent("sums", size)
+            if self._links.notify(name, message):
+                self._metrics.control_sent("sums", size)
+            else:
+                self._connect_soon(name)
+
+    def _connect_soon(self, name: str) -> None:
+        now = time.monotonic()
+        if now - self._connected_at.get(name, 0.0) < CONNECT_INTERVAL_S:
+            return
+        self._connected_at[name] = now
+        self._spawn(self._connect(name))
 
     async def _connect(self, name: str) -> None:
         try:
@@ -397,7 +427,9 @@
         """Tells the other routers of requests that crash engines."""
         while True:
             await asyncio.sleep(SUSPECTS_INTERVAL_S)
-            self._quarantine.tick(self._now())
+            now = self._now()
+            self._quarantine.note_fleet(self._is_whole(), now)
+            self._quarantine.tick(now)
             for report in self._quarantine.reports():
                 self._gossip.send(
                     gossip.Publish(
@@ -408,6 +440,11 @@
                     )
                 )
 
+    def _is_whole(self) -> bool:
+        listed = [vm["name"] for vm in self._view.router_vms()]
+        in_doubt = self._gossip.members.in_doubt
+        return not in_doubt and quarantine.is_whole(listed, self._view.routers)
+
     def _take_suspect(self, rumour: gossip.RumourArrived) -> None:
         try:
             exposed = self._quarantine.learn_report(
--- a/packages/router/nutmegpost_router/runs.py
+++ b/packages/router/nutmegpost_router/runs.py
@@ -68,7 +68,7 @@
         self.attempt = 0
         self.attempts = 0
         self.may_have_run = False
-        self.queued_at = 0.0
+        self.held_since: float | None = None
         self.ended_at = 0.0
         self.unread_since = 0.0
 
--- /dev/null
+++ b/packages/router/tests/test_owner.py
@@ -0,0 +1,317 @@
+"""The owner of two engines, against small engines in the same process."""
+
+import asyncio
+import json
+
+import pytest
+
+from nutmegpost_core import configuration
+from nutmegpost_core import quarantine
+from nutmegpost_core import vms
+from nutmegpost_core import wire
+from nutmegpost_router import http_client
+from nutmegpost_router import http_server
+from nutmegpost_router import owner
+from nutmegpost_router import view
+
+BODY = json.dumps(
+    {"model": "m", "messages": [{"role": "user", "content": "x"}]}
+).encode()
+TOKENS = [b'{"t": %d}' % number for number in range(4)]
+DOCUMENT = {
+    "version": 1,
+    "load_bound": 1.0,
+    "classes": [
+        {"name": "quick", "rank": 1, "first_token_ms": 60000, "worth": 1}
+    ],
+    "accounts": [
+        {
+            "name": "press",
+            "key_digests": [configuration.key_digest("k")],
+            "classes": ["quick"],
+        }
+    ],
+    "models": [
+        {
+            "name": "m",
+            "version": "v1",
+            "slots": 8,
+            "rollout": {"max_unavailable": 1},
+        }
+    ],
+    "services": [],
+}
+
+
+class _Engine:
+    """Streams its tokens once it is let go."""
+
+    def __init__(self):
+        self.go = asyncio.Event()
+        self.state = "ready"
+        self.sequence = 1
+        self.asked = []
+        self.cancelled = []
+        self.most = 0
+        self.running = 0
+        self.refusal = None
+
+    async def handle(self, exchange):
+        request = exchange.request
+        path = request.target.partition("?")[0]
+        if path == "/v1/load":
+            await asyncio.sleep(0.02)
+            self.sequence += 1
+            report = {
+                "sequence": self.sequence,
+                "running": self.running,
+                "waiting": 0,
+                "state": self.state,
+            }
+            _send(exchange, 200, json.dumps(report).encode())
+        elif path == "/v1/cache-events":
+            await exchange.gone.wait()
+        elif request.method == "DELETE":
+            self.cancelled.append(path)
+            _send(exchange, 200, b"{}")
+        else:
+            await self._chat(exchange)
+
+    async def _chat(self, exchange):
+        self.asked.append(exchange.request.headers["x-request-id"])
+        if self.refusal:
+            _send(exchange, 503, self.refusal)
+            return
+        self.running += 1
+        self.most = max(self.most, self.running)
+        exchange.start(200, [])
+        await self.go.wait()
+        self.running -= 1
+        for number, data in enumerate(TOKENS):
+            exchange.write(b"id: %d\ndata: %s\n\n" % (number, data))
+        exchange.write(b"data: [DONE]\n\n")
+        exchange.finish()
+
+
+def _send(exchange, status, body):
+    exchange.send(http_server.Response(status, [], body))
+
+
+class _Fixture:
+    """Two engines and their owner."""
+
+    async def start(self, routers=("me",)):
+        self.engines = {"e1": _Engine(), "e2": _Engine()}
+        self.servers = []
+        listed = []
+        for name, engine in self.engines.items():
+            server = await http_server.serve(
+                vms.Address("127.0.0.1", 0), engine.handle
+            )
+            self.servers.append(server)
+            port = server._server.sockets[0].getsockname()[1]
+            listed.append(_vm(name, port))
+        self.view = view.View("me", "a")
+        data = json.dumps(DOCUMENT).encode()
+        self.view.configure(configuration.parse(data, "test"))
+        self.view.set_vms({"version": 1, "vms": listed})
+        self.view.set_routers(routers)
+        self.client = http_client.Client()
+        self.suspects = quarantine.Quarantine("me")
+        self.left = []
+        self.owner = owner.Owner(
+            self.view, self.client, self.suspects, self._observer()
+        )
+        self.owner.reconcile()
+        await self.until(
+            lambda: all(
+                task.state == "ready" for task in self.owner.tasks.values()
+            )
+        )
+
+    def _observer(self):
+        return owner.Observer(
+            load_changed=lambda: None,
+            leaving=self.left.append,
+            retried=lambda: None,
+            reported=lambda name, report: None,
+        )
+
+    async def stop(self):
+        self.owner.stop()
+        self.client.close()
+        for server in self.servers:
+            await server.close()
+
+    async def until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+    def ask(self, request_id, **changes):
+        submit = wire.Submit(
+            request_id, "press", "quick", "m", "c1", BODY
+        )._replace(**changes)
+        inbox = asyncio.Queue()
+        task = asyncio.create_task(self.owner.serve(submit, inbox.put_nowait))
+        return inbox, task
+
+    def asked(self):
+        return [name for e in self.engines.values() for name in e.asked]
+
+    def let_go(self):
+        for engine in self.engines.values():
+            engine.go.set()
+
+
+def _vm(name, port):
+    address = f"127.0.0.1:{port}"
+    return {
+        "name": name,
+        "address": address,
+        "peer_address": address,
+        "zone": "a",
+        "kind": "engine",
+        "pool": "m",
+        "state": "live",
+        "fenced": False,
+    }
+
+
+async def _events(inbox):
+    found = []
+    while True:
+        message = await inbox.get()
+        if not isinstance(message, wire.Frames):
+            return message
+        found += message.events
+        if message.last:
+            return found
+
+
+def _run(use, **options):
+    async def main():
+        fixture = _Fixture()
+        await fixture.start(**options)
+        try:
+            return await asyncio.wait_for(use(fixture), 20)
+        finally:
+            await fixture.stop()
+
+    return asyncio.run(main())
+
+
+def test_a_repeat_joins_the_running_attempt():
+    async def use(fixture):
+        first, _ = fixture.ask("r1")
+        await fixture.until(fixture.asked)
+        second, _ = fixture.ask("r1")
+        fixture.let_go()
+        assert await _events(first) == TOKENS
+        assert await _events(second) == TOKENS
+        third, _ = fixture.ask("r1")
+        assert await _events(third) == TOKENS
+        assert fixture.asked() == ["press/r1"]
+
+    _run(use)
+
+
+def test_a_name_cannot_be_used_for_another_request():
+    async def use(fixture):
+        fixture.ask("r1")
+        other, _ = fixture.ask("r1", body=BODY + b" ")
+        answer = await other.get()
+        assert answer.code == "idempotency-mismatch"
+        assert answer.outcome == "not-run"
+
+    _run(use)
+
+
+def test_no_engine_gets_more_than_its_share():
+    async def use(fixture):
+        inboxes = [fixture.ask(f"r{n}", chat=f"c{n}")[0] for n in range(8)]
+        await fixture.until(lambda: len(fixture.asked()) == 8)
+        assert [e.most for e in fixture.engines.values()] == [4, 4]
+        fixture.let_go()
+        for inbox in inboxes:
+            assert await _events(inbox) == TOKENS
+
+    _run(use)
+
+
+def test_a_leaving_engine_gets_nothing_and_its_requests_move():
+    async def use(fixture):
+        home = fixture.view.placement.home("m", "press/c1")
+        other = next(name for name in fixture.engines if name != home)
+        refusal = b'{"error": {"code": "leaving"}}'
+        fixture.engines[home].refusal = refusal
+        fixture.engines[home].state = "leaving"
+        fixture.let_go()
+        inbox, _ = fixture.ask("r1")
+        assert await _events(inbox) == TOKENS
+        assert fixture.engines[other].asked == ["press/r1"]
+        await fixture.until(lambda: set(fixture.left) == {home})
+
+    _run(use)
+
+
+def test_what_nobody_reads_is_cancelled_at_the_engine(monkeypatch):
+    monkeypatch.setattr(owner, "UNREAD_LIMIT_S", 0.0)
+    monkeypatch.setattr(owner, "SWEEP_INTERVAL_S", 0.02)
+
+    async def use(fixture):
+        sweep = asyncio.create_task(fixture.owner.sweep())
+        _, reader = fixture.ask("r1")
+        await fixture.until(fixture.asked)
+        reader.cancel()
+        await fixture.until(
+            lambda: any(e.cancelled for e in fixture.engines.values())
+        )
+        sweep.cancel()
+        assert not fixture.owner.in_flight
+
+    _run(use)
+
+
+def test_an_engine_of_another_router_is_named():
+    async def use(fixture):
+        fixture.view.set_routers(["other"])
+        inbox, _ = fixture.ask("r1")
+        answer = await inbox.get()
+        assert isinstance(answer, wire.Redirected)
+        passed, _ = fixture.ask("r2", hops=owner.HOPS_MAX)
+        fixture.let_go()
+        assert await _events(passed) == TOKENS
+
+    _run(use)
+
+
+def test_a_request_that_crashed_two_engines_is_refused():
+    async def use(fixture):
+        now = asyncio.get_running_loop().time()
+        digest = quarantine.digest("press", BODY)
+        fixture.suspects.learn(digest, 2, "e1", now)
+        inbox, _ = fixture.ask("r1", digest=digest)
+        answer = await inbox.get()
+        assert (answer.code, answer.outcome) == ("quarantined", "not-run")
+        assert not fixture.asked()
+
+    _run(use)
+
+
+@pytest.mark.parametrize("dispatched", [False, True])
+def test_a_withdrawal_says_whether_it_may_have_run(dispatched):
+    async def use(fixture):
+        if not dispatched:
+            for task in fixture.owner.tasks.values():
+                task.queue.slots = 0
+        inbox, _ = fixture.ask("r1")
+        if dispatched:
+            await fixture.until(fixture.asked)
+        else:
+            await asyncio.sleep(0.05)
+        answer = fixture.owner.withdraw(wire.Withdraw("r1", "press"))
+        assert answer.ran == dispatched
+        ended = await _events(inbox)
+        assert (ended.outcome == "not-run") == (not dispatched)
+
+    _run(use)
