--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -39,6 +39,27 @@
 )
 TASK_FAILED = Event(106, "ERROR", "task {task} failed and restarts: {reason}")
 
+# 2xx platform and configuration
+CONFIGURATION_ACCEPTED = Event(
+    201, "INFO", "configuration {version} {digest} of {source} is in force"
+)
+CONFIGURATION_REFUSED = Event(
+    202, "ERROR", "configuration of {source} refused: {reason}"
+)
+CONFIGURATION_OLD = Event(
+    203, "WARNING", "{source} has old configuration {version}"
+)
+CONFIGURATION_CONFLICT = Event(
+    204, "ERROR", "{source} has other content {digest} for version {version}"
+)
+VMS_CHANGED = Event(205, "INFO", "VM list {version} has {count} VMs")
+VMS_REFUSED = Event(206, "ERROR", "VM list refused: {reason}")
+PLATFORM_FAILED = Event(207, "WARNING", "platform: {reason}")
+PLATFORM_RECOVERED = Event(208, "INFO", "platform answers again")
+PEER_READ_FAILED = Event(
+    209, "WARNING", "no configuration from peer {peer}: {reason}"
+)
+
 # 3xx members and peers
 MEMBER_CHANGED = Event(301, "INFO", "member {name} is {state}, was {previous}")
 DATAGRAM_FORGED = Event(
@@ -116,6 +137,9 @@
     981, "ERROR", "request {digest} crashed {crashes} engines"
 )
 
+CONFIGURATION_REVERTED = Event(
+    921, "ERROR", "configuration {version} comes after {previous}"
+)
 PERMIT_SENT_TWICE = Event(
     961, "ERROR", "permit {incarnation}/{sequence} was sent twice"
 )
--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -18,6 +18,8 @@
     "WIRE_VERSION",
     "Call",
     "CallResult",
+    "ConfigurationReply",
+    "ConfigurationRequest",
     "Failed",
     "Frames",
     "Handover",
@@ -240,6 +242,22 @@
     least_load: list[int]
 
 
+class ConfigurationRequest(NamedTuple):
+    """Asks for the configuration in force at the receiver."""
+
+
+class ConfigurationReply(NamedTuple):
+    """The configuration in force at the sender.
+
+    Attributes:
+        version: Its version; 0 for none.
+        data: The document as published.
+    """
+
+    version: int
+    data: bytes
+
+
 Message = (
     Hello
     | Submit
@@ -253,6 +271,8 @@
     | Handover
     | HandoverDone
     | Sums
+    | ConfigurationRequest
+    | ConfigurationReply
 )
 
 # The position is the number on the wire: append only.
@@ -269,6 +289,8 @@
     Handover,
     HandoverDone,
     Sums,
+    ConfigurationRequest,
+    ConfigurationReply,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _FIELD_COUNTS = [len(kind._fields) for kind in _KINDS]  # type: ignore[attr-defined]
