--- a/packages/core/nutmegpost_core/acceptance.py
+++ b/packages/core/nutmegpost_core/acceptance.py
@@ -2,9 +2,9 @@
 
 A process takes a document only when its version is higher than the one in
 force and the document passes its checks. It never goes back, and it never
-takes other content under a version that it has. A new process takes nothing
-below the highest version that it heard of; docs/design/configuration.md says
-what follows and what cannot hold.
+takes other content under a version that it has. A new process is not ready
+before it has the highest version that it heard of. docs/design/configuration.md
+says what follows and what cannot hold.
 """
 
 from typing import NamedTuple
@@ -99,8 +99,12 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a configuration is in force."""
-        return self._in_force is not None
+        """Whether a new process may begin to serve.
+
+        A process that already serves goes on with what it has while it
+        fetches a higher version.
+        """
+        return self._in_force is not None and not self.is_behind
 
     @property
     def is_behind(self) -> bool:
@@ -130,7 +134,8 @@
             published = configuration.parse(data, source)
         except errors.ConfigurationError as caught:
             return Refused(caught)
-        if published.version < self.least_version:
+        least = current.version if current else self._floor
+        if published.version < least:
             return Old(published.version)
         if current and published.version == current.version:
             self._is_contested = True
