--- a/packages/ctl/nutmegpost_ctl/main.py
+++ b/packages/ctl/nutmegpost_ctl/main.py
@@ -16,6 +16,7 @@
 from nutmegpost_core import vms
 from nutmegpost_ctl import advice
 from nutmegpost_ctl import burn_report
+from nutmegpost_ctl import changes
 from nutmegpost_ctl import exits
 from nutmegpost_ctl import fleet
 from nutmegpost_ctl import views
@@ -29,7 +30,8 @@
 _USAGE = """\
 usage: nutmegpostctl COMMAND [FLAGS] [FILE...]
 
-  check FILE...             check configuration files before they are published
+  check FILE...             check configuration files before they are published;
+                            with --routers, also against what is in force
   check --settings FILE...  check settings files
   digest                    read a key from standard input, print its digest
   status                    state of each router
@@ -39,8 +41,8 @@
   explain                   how a request would be placed, step by step
   burn                      service-level burn by class and window
 
-All but check and digest need --routers and the administration key, from
---key_file or the environment variable NUTMEGPOST_ADMIN_KEY.
+All but check and digest need --routers, and with it the administration key,
+from --key_file or the environment variable NUTMEGPOST_ADMIN_KEY.
 
 exit codes: 0 done; 1 refused; 2 wrong command line or file; 3 some routers
 did not answer; 4 none did
@@ -124,11 +126,14 @@
 
 
 def _check(invocation: _Invocation) -> int:
-    if not invocation.arguments:
+    paths = invocation.arguments
+    if not paths:
         raise exits.UsageError("check needs a file")
-    is_settings = invocation.values.settings
-    check = _check_settings if is_settings else _check_configuration
-    verdicts = [check(path) for path in invocation.arguments]
+    if invocation.values.settings:
+        verdicts = [_check_settings(path) for path in paths]
+    else:
+        in_force = _in_force(invocation)
+        verdicts = [_check_configuration(path, in_force) for path in paths]
     return exits.Exit.OK if all(verdicts) else exits.Exit.REFUSED
 
 
@@ -142,18 +147,51 @@
     return True
 
 
-def _check_configuration(path: str) -> bool:
+def _in_force(invocation: _Invocation) -> admin.ConfigurationStatus | None:
+    """Returns the highest configuration in force, if routers are given."""
+    if not invocation.values.routers:
+        return None
+    asked = invocation._replace(arguments=[])
+    answers = _ask(asked, "/admin/configuration", admin.ConfigurationStatus)
+    return max(answers.values, key=lambda view: view["version"])
+
+
+def _check_configuration(
+    path: str, in_force: admin.ConfigurationStatus | None
+) -> bool:
     try:
         published = configuration.parse(_read(path), path)
     except errors.ConfigurationError as caught:
         _print(f"refused: {caught}")
         return False
+    if in_force is not None:
+        reason = changes.verdict(
+            published.version,
+            published.digest,
+            in_force["version"],
+            in_force["digest"],
+        )
+        if reason:
+            _print(f"refused: {path}: $.version: {reason}")
+            return False
     _print(f"{path}: ok, version {published.version}, {published.digest}")
     for item in advice.advise(published):
         _print(f"{path}: odd: {item.key} {item.text}")
+    if in_force is not None and in_force["document"] is not None:
+        _print_changes(path, in_force["document"], published.document)
     return True
 
 
+def _print_changes(
+    path: str,
+    before: configuration.Document,
+    after: configuration.Document,
+) -> None:
+    for item in changes.compare(before, after):
+        effect = f" ({item.effect})" if item.effect else ""
+        _print(f"{path}: change: {item.key}: {item.text}{effect}")
+
+
 def _digest(invocation: _Invocation) -> int:
     if invocation.arguments:
         # A key on the command line would stand in the list of processes.
--- /dev/null
+++ b/packages/ctl/tests/test_changes.py
@@ -0,0 +1,153 @@
+import copy
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from nutmegpost_ctl import changes
+
+_DOCUMENT = {
+    "version": 1,
+    "load_bound": 1.5,
+    "classes": [
+        {"name": "press", "rank": 1, "first_token_ms": 490, "worth": 100.0}
+    ],
+    "accounts": [
+        {
+            "name": "desk",
+            "key_digests": ["a" * 64, "b" * 64],
+            "classes": ["press"],
+        }
+    ],
+    "models": [
+        {
+            "name": "panel",
+            "version": "v1",
+            "slots": 8,
+            "rollout": {"max_unavailable": 2},
+        }
+    ],
+    "services": [
+        {
+            "name": "line",
+            "operations": [{"name": "release", "repeatable": False}],
+            "slots": 4,
+        }
+    ],
+}
+_LISTS = ["classes", "accounts", "models", "services"]
+
+
+def _changed(path, value):
+    document = copy.deepcopy(_DOCUMENT)
+    place = document
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    return document
+
+
+def test_the_same_content_changes_nothing_whatever_its_version():
+    assert changes.compare(_DOCUMENT, {**_DOCUMENT, "version": 9}) == []
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "key", "text", "effect"),
+    [
+        (["load_bound"], 2.0, "load_bound", "1.5 -> 2.0", ""),
+        (["classes", 0, "rank"], 2, "classes.press.rank", "1 -> 2", ""),
+        (
+            ["classes", 0, "finish_s"],
+            9.0,
+            "classes.press.finish_s",
+            "none -> 9.0",
+            "",
+        ),
+        (
+            ["models", 0, "version"],
+            "v2",
+            "models.panel.version",
+            "v1 -> v2",
+            "rollout, at most 2 engines out of service at once",
+        ),
+        (
+            ["models", 0, "adapter"],
+            "x",
+            "models.panel.adapter",
+            "none -> x",
+            "rollout, at most 2 engines out of service at once",
+        ),
+        (
+            ["accounts", 0, "key_digests"],
+            ["b" * 64],
+            "accounts.desk.key_digests",
+            "[aaaaaaaa..., bbbbbbbb...] -> [bbbbbbbb...]",
+            "keys refused from now on: 1",
+        ),
+        (
+            ["accounts", 0, "classes"],
+            ["other"],
+            "accounts.desk.classes",
+            "[press] -> [other]",
+            "refused: press",
+        ),
+        (
+            ["services", 0, "operations", 0, "repeatable"],
+            True,
+            "services.line.operations",
+            "[name release, repeatable False] -> "
+            "[name release, repeatable True]",
+            "",
+        ),
+    ],
+)
+def test_a_change_is_named_with_its_effect(path, value, key, text, effect):
+    (found,) = changes.compare(_DOCUMENT, _changed(path, value))
+    assert found == (key, text, effect)
+
+
+@pytest.mark.parametrize("kind", _LISTS)
+def test_what_is_removed_says_what_is_refused_and_what_is_added_does_not(kind):
+    (item,) = _DOCUMENT[kind]
+    without = _changed([kind], [])
+    (found,) = changes.compare(_DOCUMENT, without)
+    assert (found.key, found.text) == (f"{kind}.{item['name']}", "removed")
+    assert "are refused" in found.effect
+    (found,) = changes.compare(without, _DOCUMENT)
+    assert (found.text, found.effect) == ("added", "")
+
+
+@pytest.mark.parametrize(
+    ("version", "digest", "reason"),
+    [
+        (4, "x", ""),
+        (3, "d", ""),
+        (3, "x", "version 3 is in force with another content"),
+        (2, "x", "version 2 is below 3, which is in force"),
+        (2, "d", ""),
+    ],
+)
+def test_a_version_must_grow(version, digest, reason):
+    assert changes.verdict(version, digest, 3, "d") == reason
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+@hypothesis.given(
+    names=strategies.lists(
+        strategies.sampled_from("abcd"), unique=True, max_size=4
+    ),
+    others=strategies.lists(
+        strategies.sampled_from("abcd"), unique=True, max_size=4
+    ),
+    kind=strategies.sampled_from(_LISTS),
+)
+def test_order_makes_no_change(names, others, kind):
+    (item,) = _DOCUMENT[kind]
+
+    def document(found):
+        return {**_DOCUMENT, kind: [{**item, "name": name} for name in found]}
+
+    found = changes.compare(document(names), document(others))
+    assert {change.key for change in found} == {
+        f"{kind}.{name}" for name in set(names) ^ set(others)
+    }
--- a/packages/ctl/tests/test_main.py
+++ b/packages/ctl/tests/test_main.py
@@ -262,6 +262,26 @@
     assert ok.startswith(f"{good}: ok")
 
 
+@pytest.mark.parametrize(
+    ("changed", "code", "text"),
+    [
+        (
+            {"version": 8, "load_bound": 2},
+            exits.Exit.OK,
+            "change: load_bound: 1.5 -> 2",
+        ),
+        ({"version": 6}, exits.Exit.REFUSED, "6 is below 7"),
+        ({"version": 7}, exits.Exit.REFUSED, "7 is in force with another"),
+    ],
+)
+def test_check_against_the_routers_tells_what_would_happen(
+    router, tmp_path, capsys, changed, code, text
+):
+    path = _write(tmp_path, {**_CONFIGURATION, **changed})
+    assert _ask(router, "check", path) == code
+    assert text in capsys.readouterr().out
+
+
 def test_check_reads_settings(tmp_path, capsys):
     path = _write(tmp_path, _SETTINGS)
     assert _run("check", "--settings", path) == exits.Exit.OK
