--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -108,6 +108,10 @@
 )
 REQUEST_CLEARED = Event(803, "INFO", "request {digest} is no suspect any more")
 
+# 6xx services and permits
+CALL_FAULTED = Event(
+    601, "ERROR", "call of a service ended by a fault: {reason}"
+)
 HANDOVER_DONE = Event(650, "INFO", "permits are handed to {successor}")
 HANDOVER_REFUSED = Event(651, "WARNING", "hand-over refused: {reason}")
 HANDOVER_FAILED = Event(652, "WARNING", "no router took the permits over")
--- a/packages/core/nutmegpost_core/permits.py
+++ b/packages/core/nutmegpost_core/permits.py
@@ -297,6 +297,11 @@
         """Incarnation of this process."""
         return self._incarnation
 
+    @property
+    def key(self) -> bytes:
+        """The peer key."""
+        return self._key
+
     @property
     def successor(self) -> Elsewhere | None:
         """Who holds the permits since the export; None before it."""
--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -174,6 +174,7 @@
         operation: Operation of the service.
         body: Body of the call.
         age: Seconds since the caller's request reached the fleet.
+        hops: Routers that handled it before this one.
     """
 
     permit: str
@@ -182,6 +183,7 @@
     operation: str
     body: bytes
     age: float = 0.0
+    hops: int = 0
 
 
 class CallResult(NamedTuple):
--- /dev/null
+++ b/packages/router/nutmegpost_router/services.py
@@ -0,0 +1,422 @@
+"""Calls of plain services.
+
+A repeatable call goes to the least loaded runner and may be tried once more.
+A call that may not be repeated needs a permit: its holder claims it, sends the
+call once on a fresh connection, and alone may say that it did not run. When
+the holder gives no answer the outcome is unknown, because another copy of the
+call may have reached it.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable, Sequence
+import contextlib
+import json
+import secrets
+from typing import Any, NamedTuple
+
+from nutmegpost_core import configuration
+from nutmegpost_core import errors
+from nutmegpost_core import events
+from nutmegpost_core import permits
+from nutmegpost_core import retry
+from nutmegpost_core import vms
+from nutmegpost_core import wire
+from nutmegpost_router import http_client
+from nutmegpost_router import log
+
+__all__ = ["Ports", "Runner", "ServiceAnswer", "ServiceCaller"]
+
+CALL_TIMEOUT_S = 10.0
+REPEATABLE_TIMEOUT_S = 5.0
+RUNNERS_TRIED_MAX = 3
+FORWARDS_MAX = 3
+RETRY_SHARE = 0.1
+RETRY_BURST = 10.0
+RETRY_AFTER_S = 1.0
+_NOT_RUN_CODES = frozenset(["leaving", "full", "loading"])
+_NOT_RUN_STATUSES = frozenset([429, 503])
+
+
+class Runner(NamedTuple):
+    """A runner that may take a call.
+
+    Attributes:
+        name: Name, as in the VM list.
+        address: Where it listens.
+        load: Calls in flight that it reported.
+    """
+
+    name: str
+    address: vms.Address
+    load: int
+
+
+class ServiceAnswer(NamedTuple):
+    """The answer to a call of a plain service.
+
+    Attributes:
+        status: HTTP status.
+        body: The body, or the text of the error.
+        outcome: Whether the call ran.
+        fresh_permit: A permit for the next try; empty for none.
+        code: Code of the error; empty when answered.
+        retry_after: Seconds after which a repeat may succeed; 0 for none.
+    """
+
+    status: int
+    body: bytes
+    outcome: errors.Outcome
+    fresh_permit: str = ""
+    code: str = ""
+    retry_after: float = 0.0
+
+
+class Ports(NamedTuple):
+    """What the calls need of the rest of the router.
+
+    Attributes:
+        client: The HTTP client.
+        operation: Finds an operation of a service, or raises
+            `errors.UnknownNameError`.
+        runners: Returns the live runners of a service.
+        forward: Sends a call to a router and returns its result, or raises
+            `errors.PeerError`.
+        now: Monotonic time, seconds.
+        observe: Counts what became of a permit.
+    """
+
+    client: http_client.Client
+    operation: Callable[[str, str], configuration.Operation]
+    runners: Callable[[str], Sequence[Runner]]
+    forward: Callable[[wire.Call, str], Awaitable[wire.CallResult]]
+    now: Callable[[], float]
+    observe: Callable[[str], None]
+
+
+class _Attempt(NamedTuple):
+    """What one runner did with a call; no result when it did not run."""
+
+    result: permits.Result | None
+    reason: str
+
+
+_LOST = permits.Result(
+    errors.Outcome.UNKNOWN.value,
+    errors.AttemptLostError.status,
+    errors.AttemptLostError.code,
+    b"the call may have run, but its answer is lost",
+)
+
+
+class ServiceCaller:
+    """Runs calls of plain services."""
+
+    def __init__(self, table: permits.Table, ports: Ports):
+        """Prepares for calls.
+
+        Args:
+            table: The permits that are decided here.
+            ports: The rest of the router.
+        """
+        self._table = table
+        self._ports = ports
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._turn = 0
+        self._turns: dict[str, int] = {}
+        self._budget = retry.RetryBudget(RETRY_SHARE, RETRY_BURST)
+        self._runs: dict[tuple[int, int], asyncio.Task[permits.Result]] = {}
+
+    async def call(
+        self,
+        account: str,
+        service: str,
+        operation: str,
+        body: bytes,
+        key: str | None,
+        age_s: float,
+    ) -> ServiceAnswer:
+        """Handles a call of a caller.
+
+        Args:
+            account: Account of the caller.
+            service: Name of the service.
+            operation: Name of the operation.
+            body: Body of the call.
+            key: The permit, or None.
+            age_s: Seconds since the call reached the fleet.
+
+        Returns:
+            The answer, also when the call failed.
+        """
+        call = wire.Call(key or "", account, service, operation, body, age_s)
+        try:
+            if self._may_repeat(call):
+                return await self._call_repeatable(call)
+            return self._finish(await self._serve(call), account)
+        except errors.RequestError as caught:
+            return self._finish(_refusal(caught), account)
+
+    async def serve(self, call: wire.Call) -> wire.CallResult:
+        """Handles a call that another router forwarded.
+
+        Args:
+            call: The call.
+
+        Returns:
+            Its result, also when it failed.
+        """
+        try:
+            result = await self._serve(call)
+        except errors.RequestError as caught:
+            result = _refusal(caught)
+        return wire.CallResult(
+            call.permit,
+            result.outcome,
+            result.status,
+            result.code,
+            result.body,
+        )
+
+    # Calls that may not be repeated
+
+    async def _serve(self, call: wire.Call) -> permits.Result:
+        if not call.permit:
+            raise errors.PermitError("the operation needs a permit")
+        permit = permits.read(call.permit, self._table.key)
+        if permit.account != call.account:
+            raise errors.PermitError("the permit is of another account")
+        where = self._table.route(permit, self._ports.now())
+        if isinstance(where, permits.Elsewhere):
+            return await self._forward(call, where)
+        digest = permits.call_digest(call.service, call.operation, call.body)
+        claim = self._table.claim(
+            permit, call.account, digest, self._ports.now()
+        )
+        return await self._take(claim, call)
+
+    async def _take(
+        self, claim: permits.Claim, call: wire.Call
+    ) -> permits.Result:
+        if isinstance(claim, permits.Recorded):
+            self._ports.observe("repeated")
+            return claim.result
+        key = (claim.permit.incarnation, claim.permit.sequence)
+        if isinstance(claim, permits.Run):
+            self._ports.observe("used")
+            run = asyncio.create_task(self._run_once(claim.permit, call))
+            self._runs[key] = run
+            run.add_done_callback(lambda _: self._runs.pop(key, None))
+        else:
+            self._ports.observe("joined")
+        # A caller that goes away must not end the run for the others.
+        return await asyncio.shield(self._runs[key])
+
+    async def _forward(
+        self, call: wire.Call, where: permits.Elsewhere
+    ) -> permits.Result:
+        if call.hops >= FORWARDS_MAX:
+            raise errors.AttemptLostError("no router holds the permit")
+        try:
+            found = await self._ports.forward(
+                call._replace(hops=call.hops + 1), where.name
+            )
+            outcome = errors.Outcome(found.outcome)
+        except (errors.PeerError, ValueError) as caught:
+            self._ports.observe("unreachable")
+            raise errors.AttemptLostError(
+                f"the holder of the permit gave no answer: {caught}"
+            ) from caught
+        return permits.Result(
+            outcome.value, found.status, found.code, found.body
+        )
+
+    async def _run_once(
+        self, permit: permits.Permit, call: wire.Call
+    ) -> permits.Result:
+        """Runs a claimed call; every way out ends the claim."""
+        result = _LOST
+        try:
+            result = await self._try_runners(permit, call)
+        except errors.RequestError as caught:
+            result = _refusal(caught)
+        except Exception as caught:  # A fault must not leave the claim open.
+            log.emit(events.CALL_FAULTED, reason=repr(caught))
+        finally:
+            if result.outcome == errors.Outcome.NOT_RUN:
+                self._table.refuse(permit, result)
+                self._ports.observe("refused")
+            else:
+                self._table.record(permit, result)
+        return result
+
+    async def _try_runners(
+        self, permit: permits.Permit, call: wire.Call
+    ) -> permits.Result:
+        self._ports.operation(call.service, call.operation)
+        tried: list[str] = []
+        reason = "there is none"
+        while runner := self._choose(call.service, tried):
+            tried.append(runner.name)
+            self._table.sending(permit)
+            attempt = await self._attempt(
+                runner,
+                call.operation,
+                call.body,
+                {"Idempotency-Key": call.permit},
+                CALL_TIMEOUT_S,
+                fresh=True,
+            )
+            if attempt.result is not None:
+                return attempt.result
+            self._table.unsent(permit)
+            reason = attempt.reason
+        raise _no_runner(call.service, reason)
+
+    # Repeatable calls
+
+    def _may_repeat(self, call: wire.Call) -> bool:
+        """Whether the call needs no permit and brings none."""
+        with contextlib.suppress(errors.PermitError):
+            permits.read(call.permit, self._table.key)
+            return False
+        return self._ports.operation(call.service, call.operation)["repeatable"]
+
+    async def _call_repeatable(self, call: wire.Call) -> ServiceAnswer:
+        attempt = await self._try_repeatable(call)
+        if attempt.result is None:
+            refusal = _refusal(_no_runner(call.service, attempt.reason))
+            return _answer(refusal)
+        return _answer(attempt.result)
+
+    async def _try_repeatable(self, call: wire.Call) -> _Attempt:
+        headers = {"X-Request-Id": secrets.token_hex(8)}
+        now = self._ports.now()
+        self._budget.attempted(now)
+        tried: list[str] = []
+        attempt = _Attempt(None, "there is none")
+        while runner := self._choose(call.service, tried):
+            if tried and not self._budget.may_retry(now):
+                break
+            attempt = await self._attempt(
+                runner,
+                call.operation,
+                call.body,
+                headers,
+                REPEATABLE_TIMEOUT_S,
+                fresh=bool(tried),
+            )
+            tried.append(runner.name)
+            if len(tried) > 1 or not _may_try_again(attempt):
+                break
+        return attempt
+
+    # Runners
+
+    def _choose(self, service: str, tried: Sequence[str]) -> Runner | None:
+        """Returns the least loaded runner, the longest unused of equals."""
+        if len(tried) >= RUNNERS_TRIED_MAX:
+            return None
+        left = [
+            runner
+            for runner in self._ports.runners(service)
+            if runner.name not in tried
+        ]
+        return min(left, key=self._order, default=None)
+
+    def _order(self, runner: Runner) -> tuple[int, int]:
+        load = max(runner.load, self._in_flight[runner.name])
+        return load, self._turns.get(runner.name, 0)
+
+    async def _attempt(
+        self,
+        runner: Runner,
+        operation: str,
+        body: bytes,
+        headers: dict[str, str],
+        timeout_s: float,
+        fresh: bool,
+    ) -> _Attempt:
+        self._turn += 1
+        self._turns[runner.name] = self._turn
+        self._in_flight[runner.name] += 1
+        try:
+            response = await self._ports.client.request(
+                runner.address,
+                "POST",
+                f"/{operation}",
+                {"Content-Type": "application/json", **headers},
+                body,
+                timeout_s=timeout_s,
+                fresh=fresh,
+            )
+        except http_client.ConnectError as caught:
+            return _Attempt(None, str(caught))
+        except errors.PeerError as caught:
+            return _Attempt(_LOST, str(caught))
+        finally:
+            self._in_flight[runner.name] -= 1
+        return _judge(response)
+
+    def _finish(self, result: permits.Result, account: str) -> ServiceAnswer:
+        """Gives a fresh permit with a refusal."""
+        answer = _answer(result)
+        if answer.outcome is not errors.Outcome.NOT_RUN:
+            return answer
+        with contextlib.suppress(errors.StoppingError):
+            permit = self._table.issue(account, self._ports.now())
+            return answer._replace(fresh_permit=permit)
+        return answer
+
+
+def _judge(response: http_client.Response) -> _Attempt:
+    """Reads the outcome from the response of a runner."""
+    if response.status in _NOT_RUN_STATUSES:
+        code = _error_code(response.body)
+        if code in _NOT_RUN_CODES:
+            return _Attempt(None, f"the runner is {code}")
+    if response.status >= 500:
+        reason = f"the runner answered {response.status}"
+        result = permits.Result(
+            errors.Outcome.UNKNOWN.value, 502, "runner-failed", reason.encode()
+        )
+        return _Attempt(result, reason)
+    result = permits.Result(
+        errors.Outcome.ANSWERED.value, response.status, "", response.body
+    )
+    return _Attempt(result, "")
+
+
+def _error_code(body: bytes) -> str:
+    try:
+        document: Any = json.loads(body)
+        return str(document["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
+def _may_try_again(attempt: _Attempt) -> bool:
+    result = attempt.result
+    return result is None or result.outcome == errors.Outcome.UNKNOWN
+
+
+def _no_runner(service: str, reason: str) -> errors.UnavailableError:
+    return errors.UnavailableError(
+        f"no runner of {service} takes the call: {reason}"
+    )
+
+
+def _refusal(error: errors.RequestError) -> permits.Result:
+    return permits.Result(
+        error.outcome.value, error.status, error.code, str(error).encode()
+    )
+
+
+def _answer(result: permits.Result) -> ServiceAnswer:
+    outcome = errors.Outcome(result.outcome)
+    retry_after = 0.0
+    if outcome is errors.Outcome.NOT_RUN and result.status in _NOT_RUN_STATUSES:
+        retry_after = RETRY_AFTER_S
+    return ServiceAnswer(
+        result.status, result.body, outcome, "", result.code, retry_after
+    )
