Wire the router: configuration, VM list, permits, services

Ruled out for this step: load polls of plain services by every router, which would grow with the fleet.

--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -350,7 +350,8 @@
     def _refuse(self, job: queueing.Job) -> None:
         offer = self._runs.pop(job.key, None)
         if offer is not None:
-            wait = self._queue.expected_wait(job.rank, self._now())
+            now = self._now()
+            wait = self._queue.expected_wait(job.rank, job.account, now)
             self._hooks.refuse(offer.run, wait)
 
     def _pump(self) -> None:
--- a/packages/router/nutmegpost_router/entry.py
+++ b/packages/router/nutmegpost_router/entry.py
@@ -20,9 +20,10 @@
 from nutmegpost_router import log
 from nutmegpost_router import metrics
 from nutmegpost_router import relay
+from nutmegpost_router import services
 from nutmegpost_router import view
 
-__all__ = ["Answer", "Entry", "EntryPorts"]
+__all__ = ["Entry", "EntryPorts"]
 
 ADDRESS_KEEP_S = 30
 PERMITS_MAX = 16
@@ -34,24 +35,6 @@
 _ANSWERED = ("X-Outcome", errors.Outcome.ANSWERED.value)
 
 
-class Answer(NamedTuple):
-    """The answer to a call of a plain service.
-
-    Attributes:
-        status: HTTP status.
-        body: The body.
-        outcome: Whether the call ran.
-        fresh_permit: A permit for the next try; empty for none.
-        code: Code of the error; empty when answered.
-    """
-
-    status: int
-    body: bytes
-    outcome: errors.Outcome
-    fresh_permit: str = ""
-    code: str = ""
-
-
 class EntryPorts(NamedTuple):
     """What the entry needs of the rest of the router.
 
@@ -71,7 +54,10 @@
     relay: relay.Ports
     addresses: Callable[[str, str], list[str]]
     issue: Callable[[str], str]
-    call: Callable[[str, str, str, bytes, str | None, float], Awaitable[Answer]]
+    call: Callable[
+        [str, str, str, bytes, str | None, float],
+        Awaitable[services.ServiceAnswer],
+    ]
     taking: Callable[[], bool]
     metrics: metrics.Metrics
     burn: burn.Burn
@@ -362,7 +348,7 @@
         exchange.send(_service_response(answer))
 
 
-def _service_response(answer: Answer) -> http_server.Response:
+def _service_response(answer: services.ServiceAnswer) -> http_server.Response:
     if answer.outcome is errors.Outcome.ANSWERED:
         return _json(answer.status, answer.body)
     error = errors.PermitError(
@@ -371,6 +357,7 @@
     error.status = answer.status
     error.code = answer.code
     error.outcome = answer.outcome
+    error.retry_after = answer.retry_after or None
     return http_server.error_response(error)
 
 
--- a/packages/router/nutmegpost_router/main.py
+++ b/packages/router/nutmegpost_router/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import logging
 import signal
 import sys
 
@@ -40,6 +41,8 @@
         log.emit(events.SETTINGS_REFUSED, reason=str(caught))
         sys.exit(EXIT_SETTINGS)
     log.set_up(config["name"], config.get("log_level", "INFO"))
+    # Links have numbered events of their own.
+    logging.getLogger("websockets").setLevel(logging.CRITICAL)
     asyncio.run(_serve(config))
 
 
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -215,7 +215,7 @@
         self, model: str, account: str, chat_name: str
     ) -> placement.Choice:
         """Returns how a request would be placed now."""
-        return self._choose(model, f"{account}/{chat_name}", 1)
+        return self._choose(model, account, chat_name, 1)
 
     def _is_unread(self, run: runs.Run, now: float) -> bool:
         return (
@@ -290,16 +290,16 @@
             task = self._tasks.get(engine)
             if task is None or task.takes_work:
                 return engine
-        choice = self._choose(
-            submit.model, f"{submit.account}/{submit.chat}", self._rank(submit)
-        )
+        choice = self._choose_for(submit)
         if not choice.engine:
             raise errors.UnavailableError(
                 f"no engine of {submit.model!r}", retry_after=RETRY_AFTER_S
             )
         return choice.engine
 
-    def _choose(self, pool: str, chat_name: str, rank: int) -> placement.Choice:
+    def _choose(
+        self, pool: str, account: str, chat_name: str, rank: int
+    ) -> placement.Choice:
         loads = self._view.loads
         now = self._now()
         bound = self._view.directory.published.document["load_bound"]
@@ -319,11 +319,15 @@
 
         def wait_of(name: str) -> float:
             task = self._tasks.get(name)
-            return task.queue.expected_wait(rank, now) if task else math.inf
+            return (
+                task.queue.expected_wait(rank, account, now)
+                if task
+                else math.inf
+            )
 
         return self._view.placement.choose(
             pool,
-            chat_name,
+            f"{account}/{chat_name}",
             load_of,
             limit,
             [(name, load_of(name)) for name, _ in least],
@@ -331,6 +335,11 @@
             zone=self._view.zone,
         )
 
+    def _choose_for(self, submit: wire.Submit) -> placement.Choice:
+        return self._choose(
+            submit.model, submit.account, submit.chat, self._rank(submit)
+        )
+
     def _rank(self, submit: wire.Submit) -> int:
         item = self._view.directory.classes.get(submit.work_class)
         return item["rank"] if item else 3
@@ -480,9 +489,7 @@
             run.fire("retry")
             self._check_retry(run, now)
         submit = run.submit
-        choice = self._choose(
-            submit.model, f"{submit.account}/{submit.chat}", self._rank(submit)
-        )
+        choice = self._choose_for(submit)
         if not choice.engine:
             raise errors.UnavailableError(
                 f"no engine of {submit.model!r}", retry_after=RETRY_AFTER_S
@@ -517,9 +524,7 @@
     def _move(self, run: runs.Run) -> bool:
         """Moves a waiting run to another engine that is free."""
         submit = run.submit
-        choice = self._choose(
-            submit.model, f"{submit.account}/{submit.chat}", self._rank(submit)
-        )
+        choice = self._choose_for(submit)
         waits = choice.reason == placement.REASON_QUEUE
         if waits or not choice.engine or choice.engine == run.engine:
             return False
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -11,6 +11,7 @@
 from nutmegpost_core import acceptance
 from nutmegpost_core import burn
 from nutmegpost_core import charts
+from nutmegpost_core import configuration
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import invariants
@@ -44,6 +45,8 @@
 SUMS_IDLE_INTERVAL_S = 1.0
 # Above this many routers the loads of others come by gossip alone.
 SUMS_PEERS_MAX = 16
+# A call may wait at its holder for its endpoint, and a hop lies between.
+FORWARD_TIMEOUT_S = 15.0
 CONNECT_INTERVAL_S = 1.0
 JOIN_INTERVAL_S = 0.1
 # Longest wait at the start for routers of the VM list that do not answer.
@@ -174,6 +177,19 @@
         )
         return gossip.Gossip(config, members, riders, self._notices)
 
+    def _make_services(self) -> services.ServiceCaller:
+        return services.ServiceCaller(
+            self._permits,
+            services.Ports(
+                client=self._client,
+                operation=self._operation,
+                runners=self._runners,
+                forward=self._forward_call,
+                now=self._now,
+                observe=self._metrics.permit,
+            ),
+        )
+
     def _entry_ports(self) -> entry.EntryPorts:
         return entry.EntryPorts(
             view=self._view,
@@ -186,7 +202,7 @@
             ),
             addresses=self._addresses,
             issue=self._issue,
-            call=self._call,
+            call=self._services.call,
             taking=lambda: self.serving and self._view.configured,
             metrics=self._metrics,
             burn=self._burn,
@@ -252,7 +268,9 @@
             case gossip.RumourArrived():
                 self._take_rumour(notice)
             case gossip.PeerConfiguration():
-                self._watcher.peer_has(notice.name, notice.version)
+                self._watcher.peer_has(
+                    notice.name, notice.version, notice.digest
+                )
             case gossip.Paused():
                 self._watcher.refresh()
 
@@ -308,7 +326,7 @@
 
     def _has_joined(self) -> bool:
         """Whether the other routers were heard, or had time to answer."""
-        if not self._view.vm_version:
+        if not self._view.vm_version or not self._acceptance.ready:
             return False
         listed = {vm["name"] for vm in self._view.router_vms()}
         waited = time.monotonic() - self._joining_since
@@ -394,21 +412,48 @@
             return wire.ConfigurationReply(0, b"")
         return wire.ConfigurationReply(published.version, published.data)
 
-    async def _fetch_from_peer(self, name: str) -> bytes:
-        conversation = await self._links.converse(
-            name, wire.ConfigurationRequest()
-        )
+    async def _ask(
+        self, name: str, message: wire.Message, timeout_s: float
+    ) -> wire.Message:
+        """Sends a message to a peer and returns its one answer."""
+        conversation = await self._links.converse(name, message)
         try:
-            async with asyncio.timeout(watcher.PEER_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 reply = await conversation.inbox.get()
         except TimeoutError:
             raise errors.PeerError(f"no answer of {name}") from None
         finally:
             conversation.close()
-        if not isinstance(reply, wire.ConfigurationReply):
+        if isinstance(reply, peers.LinkLost):
             raise errors.PeerError(f"link to {name} is lost")
+        return reply
+
+    async def _fetch_from_peer(self, name: str) -> bytes:
+        reply = await self._ask(
+            name, wire.ConfigurationRequest(), watcher.PEER_TIMEOUT_S
+        )
+        if not isinstance(reply, wire.ConfigurationReply):
+            raise errors.PeerError(f"no configuration from {name}")
         return reply.data
 
+    async def _forward_call(
+        self, call: wire.Call, name: str
+    ) -> wire.CallResult:
+        reply = await self._ask(name, call, FORWARD_TIMEOUT_S)
+        if not isinstance(reply, wire.CallResult):
+            raise errors.PeerError(f"no result from {name}")
+        return reply
+
+    def _operation(self, service: str, name: str) -> configuration.Operation:
+        return self._view.directory.operation(service, name)
+
+    def _runners(self, service: str) -> list[services.Runner]:
+        endpoints = self._view.endpoints
+        return [
+            services.Runner(name, endpoints[name].address, 0)
+            for name in self._view.pool(service)
+        ]
+
     # Endpoints
 
     def _endpoint_leaving(self, name: str) -> None:
--- a/packages/router/tests/test_gossip.py
+++ b/packages/router/tests/test_gossip.py
@@ -62,7 +62,7 @@
 
 async def _until(condition) -> None:
     async with asyncio.timeout(WAIT_S):
-        while not condition():  # noqa: ASYNC110
+        while not condition():
             await asyncio.sleep(0.02)
 
 
