--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -81,20 +81,35 @@
   PIDS=()
 }
 
-# wait_for URL...: until each answers 200.
+# wait_for URL...: until each answers 200, or one of our processes has ended.
 wait_for() {
-  "$BIN/python" - "$START_S" "$@" <<'PYTHON' || show_logs
+  "$BIN/python" - "$START_S" "$OUT/pids" "$@" <<'PYTHON' || show_logs
+import os
 import sys
 import time
 import urllib.request
 
 deadline = time.monotonic() + float(sys.argv[1])
-for url in sys.argv[2:]:
+with open(sys.argv[2], encoding="utf-8") as file:
+    pids = [int(line) for line in file]
+
+
+def is_alive(pid):
+    try:
+        with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
+            return file.read().rpartition(")")[2].split()[0] != "Z"
+    except OSError:
+        return not os.path.isdir("/proc/self")
+
+
+for url in sys.argv[3:]:
     while True:
         try:
             urllib.request.urlopen(url, timeout=2).close()
             break
         except OSError as caught:
+            if not all(is_alive(pid) for pid in pids):
+                sys.exit("a process has ended")
             if time.monotonic() > deadline:
                 sys.exit(f"no answer from {url}: {caught}")
             time.sleep(0.1)
