--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -290,10 +290,13 @@
         if name is None:
             return []
         self._sequence += 1
-        self._probe = _Probe(name, self._sequence, now, False)
-        return self._send(
+        sent = self._send(
             datagrams.Kind.PING, name, now, sequence=self._sequence
         )
+        # A probe that did not fit into the budget says nothing of its target.
+        if sent:
+            self._probe = _Probe(name, self._sequence, now, False)
+        return sent
 
     def _next_target(self) -> str | None:
         while self._round:
@@ -548,7 +551,9 @@
             self._budget.spend(purpose, size, now)
             return []
         room = self._timing.packet_bytes - size
-        room = min(room, self._budget.room(purpose, now) - size)
+        # What rides along must not take the bytes of the next probes.
+        rides = max(purpose, budget.Kind.UPDATE)
+        room = min(room, self._budget.room(rides, now) - size)
         packet = self._fill(packet, names, sample, room, now)
         data = datagrams.encode(packet)
         self._budget.spend(purpose, len(data) + datagrams.HEADER_BYTES, now)
