Take an engine's refusal before its report, and forget it in time

A refusal now keeps the engine out for 2 s, and a leaving engine that stays listed comes back after 30 s; before, it never did. Ruled out: more tries, which only hammer the engine.

--- a/packages/core/nutmegpost_core/chat.py
+++ b/packages/core/nutmegpost_core/chat.py
@@ -11,6 +11,7 @@
 from nutmegpost_core import errors
 
 __all__ = [
+    "BYTES_PER_TOKEN",
     "ChatRequest",
     "Message",
     "ParsedRequest",
--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -39,6 +39,9 @@
 # Failed reads of the load in a row before the engine counts as gone.
 UNREACHABLE_AFTER = 3
 PUMP_INTERVAL_S = 0.05
+# Time without new requests after an engine refused one.
+REFUSAL_PAUSE_S = 2.0
+FULL_PAUSE_S = 0.1
 # Waiting requests that are offered to other engines in one turn.
 MOVES_MAX = 4
 
@@ -157,6 +160,7 @@
         self._last_report: LoadReport = {}
         self._failures = 0
         self._draining = False
+        self._refusing_until = 0.0
         self._released = False
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -178,7 +182,11 @@
     @property
     def takes_work(self) -> bool:
         """Whether new requests may be placed here."""
-        return self._chart.state in ("joining", "ready") and not self._draining
+        return (
+            self._chart.state in ("joining", "ready")
+            and not self._draining
+            and self._now() >= self._refusing_until
+        )
 
     @property
     def pending(self) -> int:
@@ -350,15 +358,14 @@
     def _refuse(self, job: queueing.Job) -> None:
         offer = self._runs.pop(job.key, None)
         if offer is not None:
-            now = self._now()
-            wait = self._queue.expected_wait(job.rank, job.account, now)
+            wait = self._queue.expected_wait(job.rank, job.account)
             self._hooks.refuse(offer.run, wait)
 
     def _pump(self) -> None:
         now = self._now()
         for expired in self._queue.expire(now):
             self._refuse(expired)
-        if self._chart.state != "ready" or self._draining:
+        if self._chart.state != "ready" or not self.takes_work:
             return
         if self._trials:
             self._pump_trial(now)
@@ -516,10 +523,18 @@
             if outliers.result(name, False, now):
                 log.emit(events.ENGINE_EJECTED, engine=name)
                 self._hooks.state_changed(name, "ejected")
-            if done.end.unreachable or '"leaving"' in done.end.reason:
-                self._hooks.state_changed(name, "leaving")
+            if ending is attempt.Ending.NOT_RUN:
+                self._refused(done.end.reason, now)
             self._hooks.again(run, name, done.end.reason)
 
+    def _refused(self, reason: str, now: float) -> None:
+        """Takes the engine's own word before its report says the same."""
+        is_full = '"full"' in reason
+        pause = FULL_PAUSE_S if is_full else REFUSAL_PAUSE_S
+        self._refusing_until = now + pause
+        state = "leaving" if '"leaving"' in reason else "refusing"
+        self._hooks.state_changed(self._endpoint.name, state)
+
     def _remember(self, run: runs.Run, job: queueing.Job) -> None:
         submit = run.submit
         self._hooks.view.placement.served(
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -244,6 +244,7 @@
         owner = self._view.owner(engine)
         if owner != self._view.name and submit.hops < HOPS_MAX:
             self._note_placed(key, engine)
+            self._note_elsewhere(submit, engine)
             return wire.Redirected(submit.request_id, submit.account, engine)
         return self._create(submit, digest, engine, last)
 
@@ -319,11 +320,7 @@
 
         def wait_of(name: str) -> float:
             task = self._tasks.get(name)
-            return (
-                task.queue.expected_wait(rank, account, now)
-                if task
-                else math.inf
-            )
+            return task.queue.expected_wait(rank, account) if task else math.inf
 
         return self._view.placement.choose(
             pool,
@@ -436,6 +433,12 @@
             if run.digest == digest and run.engine in engine_names and task:
                 task.cancel(run)
 
+    def _note_elsewhere(self, submit: wire.Submit, engine: str) -> None:
+        """Remembers that the cache of a chat will be on a foreign engine."""
+        tokens = len(submit.body) // chat.BYTES_PER_TOKEN
+        chat_name = f"{submit.account}/{submit.chat}"
+        self._view.placement.served(submit.model, chat_name, engine, tokens)
+
     def _note_placed(self, key: runs.Key, engine: str) -> None:
         self._placed[key] = engine
         self._placed.move_to_end(key)
@@ -556,7 +559,7 @@
             self._view.placement.forget_engine(engine)
 
     def _state_changed(self, engine: str, state: str) -> None:
-        if state == "leaving":
+        if state == "leaving" and engine in self._view.endpoints:
             log.emit(events.ENGINE_LEAVING, engine=engine)
             self._observer.leaving(engine)
         self._set_available()
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -54,7 +54,7 @@
 DRAIN_INTERVAL_S = 0.05
 STOP_GRACE_S = 600.0
 LEAVING_LIFETIME_S = 30.0
-SUSPECTS_INTERVAL_S = 0.01
+UPKEEP_INTERVAL_S = 0.01
 GOODBYE_S = 0.3
 
 
@@ -234,7 +234,7 @@
             ("watcher", self._watcher.run),
             ("sweep", self._owner.sweep),
             ("sums", self._send_sums),
-            ("suspects", self._publish_suspects),
+            ("upkeep", self._keep_up),
             ("notices", self._handle_notices),
             ("join", self._join),
         ):
@@ -306,7 +306,8 @@
 
     def _take_rumour(self, rumour: gossip.RumourArrived) -> None:
         if rumour.kind is rumours.Kind.ENDPOINT_LEAVING:
-            if self._view.leave(rumour.key.decode(errors="replace")):
+            name = rumour.key.decode(errors="replace")
+            if self._view.leave(name, self._now() + LEAVING_LIFETIME_S):
                 self._reconcile()
         elif rumour.kind is rumours.Kind.SUSPECT_REQUEST:
             self._take_suspect(rumour)
@@ -457,7 +458,7 @@
     # Endpoints
 
     def _endpoint_leaving(self, name: str) -> None:
-        if self._view.leave(name):
+        if self._view.leave(name, self._now() + LEAVING_LIFETIME_S):
             self._gossip.send(
                 gossip.Publish(
                     rumours.Kind.ENDPOINT_LEAVING,
@@ -468,11 +469,13 @@
             )
             self._spawn_soon(self._reconcile)
 
-    async def _publish_suspects(self) -> None:
-        """Tells the other routers of requests that crash engines."""
+    async def _keep_up(self) -> None:
+        """Ages what is known and tells of requests that crash engines."""
         while True:
-            await asyncio.sleep(SUSPECTS_INTERVAL_S)
+            await asyncio.sleep(UPKEEP_INTERVAL_S)
             now = self._now()
+            if self._view.expire(now):
+                self._reconcile()
             self._quarantine.note_fleet(self._is_whole(), now)
             self._quarantine.tick(now)
             for report in self._quarantine.reports():
--- a/packages/router/nutmegpost_router/view.py
+++ b/packages/router/nutmegpost_router/view.py
@@ -58,7 +58,7 @@
         self._vms: dict[str, vms.Vm] = {}
         self._vm_version = 0
         self._endpoints: dict[str, Endpoint] = {}
-        self._leaving: set[str] = set()
+        self._leaving: dict[str, float] = {}
         self._routers: list[str] = [name]
         self._owners = ownership.Owners([name], [])
         self._loads = load.Loads(name)
@@ -174,7 +174,11 @@
         """Takes a VM list."""
         self._vm_version = listed["version"]
         self._vms = {vm["name"]: vm for vm in listed["vms"]}
-        self._leaving &= set(self._vms)
+        self._leaving = {
+            name: until
+            for name, until in self._leaving.items()
+            if name in self._vms
+        }
         self._rebuild()
 
     def set_routers(self, names: Iterable[str]) -> None:
@@ -182,29 +186,38 @@
         self._routers = sorted(names)
         self._rebuild()
 
-    def leave(self, endpoint: str) -> bool:
+    def leave(self, endpoint: str, until: float) -> bool:
         """Takes an endpoint out before the VM list says so.
 
+        Args:
+            endpoint: Name of the endpoint.
+            until: When it counts again unless the VM list has dropped it,
+                monotonic seconds.
+
         Returns:
             Whether this was news.
         """
         if endpoint in self._leaving or endpoint not in self._endpoints:
             return False
-        self._leaving.add(endpoint)
+        self._leaving[endpoint] = until
         self._rebuild()
         return True
 
-    def stay(self, endpoint: str) -> bool:
-        """Takes back an endpoint that reports that it is ready again.
+    def expire(self, now: float) -> bool:
+        """Takes back endpoints that left long ago and are still listed.
+
+        Args:
+            now: Monotonic time, seconds.
 
         Returns:
-            Whether this was news.
+            Whether there were any.
         """
-        if endpoint not in self._leaving:
-            return False
-        self._leaving.discard(endpoint)
-        self._rebuild()
-        return True
+        over = [name for name, until in self._leaving.items() if until <= now]
+        for name in over:
+            del self._leaving[name]
+        if over:
+            self._rebuild()
+        return bool(over)
 
     def set_available(self, pool: str, out: Collection[str]) -> None:
         """Tells placement and loads which endpoints of a pool take work.
--- a/packages/router/tests/test_owner.py
+++ b/packages/router/tests/test_owner.py
@@ -74,6 +74,8 @@
         elif request.method == "DELETE":
             self.cancelled.append(path)
             _send(exchange, 200, b"{}")
+        elif request.method == "GET":
+            await self._stream(exchange)
         else:
             await self._chat(exchange)
 
@@ -84,9 +86,12 @@
             return
         self.running += 1
         self.most = max(self.most, self.running)
+        await self._stream(exchange)
+        self.running -= 1
+
+    async def _stream(self, exchange):
         exchange.start(200, [])
         await self.go.wait()
-        self.running -= 1
         for number, data in enumerate(TOKENS):
             exchange.write(b"id: %d\ndata: %s\n\n" % (number, data))
         exchange.write(b"data: [DONE]\n\n")
@@ -246,9 +251,11 @@
         fixture.engines[home].refusal = refusal
         fixture.engines[home].state = "leaving"
         fixture.let_go()
-        inbox, _ = fixture.ask("r1")
-        assert await _events(inbox) == TOKENS
-        assert fixture.engines[other].asked == ["press/r1"]
+        inboxes = [fixture.ask(f"r{n}")[0] for n in range(1, 4)]
+        for inbox in inboxes:
+            assert await _events(inbox) == TOKENS
+        served = sorted(fixture.engines[other].asked)
+        assert served == ["press/r1", "press/r2", "press/r3"]
         await fixture.until(lambda: set(fixture.left) == {home})
 
     _run(use)
