--- a/packages/ctl/nutmegpost_ctl/main.py
+++ b/packages/ctl/nutmegpost_ctl/main.py
@@ -27,6 +27,8 @@
 
 KEY_VARIABLE = "NUTMEGPOST_ADMIN_KEY"
 
+_TITLE_NAMES_MAX = 4
+
 _USAGE = """\
 usage: nutmegpostctl COMMAND [FLAGS] [FILE...]
 
@@ -256,8 +258,11 @@
         for view in answers.values
     )
     _print(burn_report.text(rows))
-    names = ", ".join(sorted(view["name"] for view in answers.values))
-    _write_pictures(invocation.values, rows, f"Service-level burn of {names}")
+    names = sorted(view["name"] for view in answers.values)
+    if len(names) > _TITLE_NAMES_MAX:
+        names = [f"{len(names)} routers"]
+    title = f"Service-level burn of {', '.join(names)}"
+    _write_pictures(invocation.values, rows, title)
     return answers.code
 
 
