--- a/packages/standins/nutmegpost_standins/caller.py
+++ b/packages/standins/nutmegpost_standins/caller.py
@@ -156,6 +156,7 @@
         budget_s: float = 20.0,
         silence_s: float = 5.0,
         rng: random.Random | None = None,
+        routes: dict[str, str] | None = None,
     ):
         """Creates a caller.
 
@@ -165,12 +166,14 @@
             budget_s: Longest time for one request with its repeats, seconds.
             silence_s: Longest silence of a stream before it is resumed.
             rng: Source of randomness.
+            routes: Addresses to connect to in place of others, by address.
         """
         self._seeds = list(seeds)
         self._key = key
         self._budget_s = budget_s
         self._silence_s = silence_s
         self._random = rng or random.Random()
+        self._routes = routes or {}
         self._kept: dict[tuple[str, str], _Addresses] = {}
         self._permits: list[str] = []
         self._failed: dict[str, float] = {}
@@ -210,7 +213,11 @@
         for address in order:
             try:
                 reply = await http.request(
-                    address, "GET", target, self._headers(), timeout=2.0
+                    self._route(address),
+                    "GET",
+                    target,
+                    self._headers(),
+                    timeout=2.0,
                 )
             except OSError as caught:
                 self._note_failed(address)
@@ -221,6 +228,9 @@
             last = f"status {reply.status} {reply.body[:200]!r}"
         raise ConnectionError(last)
 
+    def _route(self, address: str) -> str:
+        return self._routes.get(address, address)
+
     def _note_failed(self, address: str) -> None:
         self._failed[address] = asyncio.get_running_loop().time()
 
@@ -308,7 +318,11 @@
             headers["last-event-id"] = stream.last_event
             attempt.resumed += 1
         async with http.exchange(
-            attempt.entry, "POST", "/v1/chat/completions", headers, attempt.body
+            self._route(attempt.entry),
+            "POST",
+            "/v1/chat/completions",
+            headers,
+            attempt.body,
         ) as found:
             attempt.served_by = found.headers.get(
                 "x-served-by", attempt.served_by
@@ -406,7 +420,12 @@
         try:
             address = (await self.addresses())[0]
             reply = await http.request(
-                address, "POST", target, headers, data, max(left, 0.1)
+                self._route(address),
+                "POST",
+                target,
+                headers,
+                data,
+                max(left, 0.1),
             )
         except OSError as caught:
             self._forget("", "", address)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -163,6 +163,7 @@
         assert await _call(found, "router-1", permit) == "not-run"
         for name in found.names("service"):
             found.processes[name].start()
+            await found.until_answers(found.address(name), "/v1/load")
         repeats = [
             await _call(found, router, permit)
             for router in found.names("router")
