--- a/packages/core/nutmegpost_core/admission.py
+++ b/packages/core/nutmegpost_core/admission.py
@@ -14,6 +14,7 @@
     "RETRY_AFTER_MAX_S",
     "RETRY_AFTER_MIN_S",
     "Claim",
+    "Pace",
     "overdue",
     "retry_after_s",
     "wait_s",
@@ -42,57 +43,98 @@
     backlog: float
 
 
-def wait_s(cost_ahead: float, rate: float | None) -> float:
-    """Returns the expected wait behind some work.
+class Pace(NamedTuple):
+    """How fast waiting requests start.
+
+    Attributes:
+        width: Requests that are served at once.
+        mean_cost: Mean estimated tokens of the requests served.
+        rate: Tokens a second; None when nothing is known yet.
+    """
+
+    width: int
+    mean_cost: float
+    rate: float | None
+
+
+def wait_s(waiting: int, backlog: float, pace: Pace) -> float:
+    """Returns the expected wait of a request behind others.
+
+    The first starts are paced by the requests that run, the later ones by
+    those that wait.
 
     Args:
-        cost_ahead: Estimated tokens that are served first.
-        rate: Tokens served a second; None when nothing is known yet.
+        waiting: Requests that start first.
+        backlog: Their estimated tokens.
+        pace: How fast requests start.
     """
-    if rate is None:
+    if pace.rate is None:
         return 0.0
-    if rate <= 0.0:
+    if pace.rate <= 0.0:
         return math.inf
-    return cost_ahead / rate
+    paced = min(waiting, pace.width) + 1
+    rest = max(0, waiting - pace.width) / max(1, waiting)
+    return (paced * pace.mean_cost + rest * backlog) / pace.rate
 
 
 def overdue(
     claims: Sequence[Claim],
-    rate: float | None,
+    newest: str,
+    pace: Pace,
     now: float,
-    ahead: float = 0.0,
+    waiting: int = 0,
+    backlog: float = 0.0,
 ) -> list[str]:
-    """Returns the requests to refuse so that the others meet their targets.
+    """Returns the requests to refuse when a new one joins the others.
 
     Args:
         claims: The waiting requests of one rank, earliest deadline first.
-        rate: Tokens a second that the rank is served.
+        newest: Key of the new one. Those before it are not delayed by it, so
+            they stay even when they are expected to be late.
+        pace: How fast requests of the rank start.
         now: Monotonic time, seconds.
-        ahead: Estimated tokens of work that is served before all of them.
+        waiting: More urgent requests, which start before all of them.
+        backlog: Estimated tokens of those.
 
     Returns:
         Keys to refuse. At each claim that would start too late, the least
         worth among it and those before it goes; of equal worth, one of the
         account with the largest backlog.
     """
-    if rate is None:
-        return []
     refused: list[str] = []
     kept: list[Claim] = []
+    delayed = False
     for claim in claims:
         kept.append(claim)
-        while kept and now + wait_s(ahead, rate) > claim.deadline:
+        backlog += claim.cost
+        delayed = delayed or claim.key == newest
+        if not delayed:
+            continue
+        late = _lateness(kept, pace, now, waiting, backlog)
+        while kept and late > 0.0:
             victim = min(kept, key=_refusal_order)
             kept.remove(victim)
+            backlog -= victim.cost
             refused.append(victim.key)
             if victim is claim:
                 break
-            ahead -= victim.cost
-        else:
-            ahead += claim.cost
+            late = _lateness(kept, pace, now, waiting, backlog)
     return refused
 
 
+def _lateness(
+    kept: Sequence[Claim],
+    pace: Pace,
+    now: float,
+    waiting: int,
+    backlog: float,
+) -> float:
+    """Seconds by which the last claim starts too late."""
+    last = kept[-1]
+    ahead = waiting + len(kept) - 1
+    return now + wait_s(ahead, backlog - last.cost, pace) - last.deadline
+
+
 def _refusal_order(claim: Claim) -> tuple[float, float, float]:
     return claim.worth, -claim.backlog, -claim.deadline
 
--- a/packages/core/nutmegpost_core/queueing.py
+++ b/packages/core/nutmegpost_core/queueing.py
@@ -32,20 +32,22 @@
 QUANTUM_TOKENS = 256.0
 # Tokens that an account may use at once after it asked for little.
 BURST_TOKENS = 4096.0
+# Credit of an account that asked for much less than its share.
+CREDIT_LARGE = BURST_TOKENS / 2
+# Tokens of its floor that a rank may save up.
+FLOOR_BURST_TOKENS = 2048.0
 # Shares of the time to finish by at which such work rises one rank.
 RISE_SLACK = (0.25, 0.10)
-# Time that urgent arrivals are remembered for, seconds.
-URGENT_MEMORY_S = 30.0
-# Slots of an endpoint for each one that is kept free for such arrivals.
-SLOTS_PER_RESERVE = 16
-# Fewest slots of an endpoint that keeps one free.
-RESERVE_SLOTS_MIN = 8
-# Share of the service above which rank 1 has no claim to the last slots.
-URGENT_SHARE_MAX = 0.5
+# Slots of an endpoint for each one that may be kept for such arrivals.
+SLOTS_PER_RESERVE = 4
+# Share of those arrivals that may find no slot kept for them.
+RESERVE_MISS_MAX = 0.01
 # Accounts whose credit is remembered, for each rank.
 CREDITS_MAX = 4096
 # Weight of the newest completion in the moving averages.
 _EWMA = 0.05
+# The same for the ratio of urgent arrivals, which is counted in small numbers.
+_RATIO_EWMA = 0.02
 
 
 class Job(NamedTuple):
@@ -93,6 +95,7 @@
         self.waiting = 0
         self.backlog = 0.0
         self.owed = 0.0
+        self.peak = 0.0
         self.latest = -math.inf
         self.worth_min = math.inf
         self._rounds = 0
@@ -108,6 +111,7 @@
         self.waiting += 1
         self.latest = max(self.latest, deadline)
         self.worth_min = min(self.worth_min, job.worth)
+        self.peak = max(self.peak, job.cost)
         account = self.accounts.get(job.account)
         if account is None:
             account = self.accounts[job.account] = _Account(job.account)
@@ -185,7 +189,7 @@
             del self.accounts[job.account]
         if not self.accounts:
             self.backlog = 0.0
-            self.owed = 0.0
+            self.peak = 0.0
             self.latest = -math.inf
             self.worth_min = math.inf
 
@@ -205,7 +209,7 @@
             slots: Requests that the endpoint serves at once.
         """
         self._slots = slots
-        self._width = slots
+        self._limit = slots
         self._ranks = {rank: _RankQueue() for rank in RANKS}
         self._where: dict[str, tuple[int, Job]] = {}
         self._running: dict[str, _Running] = {}
@@ -214,7 +218,8 @@
         self._numbers = 0
         self._mean_cost = 0.0
         self._mean_s = 0.0
-        self._urgent_at = -math.inf
+        # Share of the dispatches that had a claim to the last slots.
+        self._urgent_ratio = 0.0
         # Tokens dispatched lately for each rank.
         self._served = dict.fromkeys(RANKS, 0.0)
 
@@ -236,7 +241,6 @@
     @slots.setter
     def slots(self, slots: int) -> None:
         self._slots = slots
-        self._width = slots
 
     @property
     def rate(self) -> float | None:
@@ -245,7 +249,12 @@
             return None
         return self._width * self._mean_cost / self._mean_s
 
-    def load_for(self, rank: int, account: str, now: float) -> int:
+    @property
+    def _width(self) -> int:
+        """Requests whose ends pace the starts of others."""
+        return max(1, self.in_flight)
+
+    def load_for(self, rank: int, account: str) -> int:
         """Returns the load as a new job would find it.
 
         It starts at once when this is below the slots and the limit.
@@ -253,19 +262,19 @@
         Args:
             rank: Rank of the job.
             account: Its account.
-            now: Monotonic time, seconds.
 
         Returns:
-            Jobs in flight, jobs that go before it, and slots that are kept
-            from it.
+            Jobs in flight and jobs that go before it; at least the slots
+            when the last ones are kept from it.
         """
-        kept = 0 if self._may_fill(rank, account) else self._reserve(now)
         ahead = sum(self._ranks[item].waiting for item in RANKS[: rank - 1])
-        return self.in_flight + kept + ahead + self._ranks[rank].ahead(account)
+        found = self.in_flight + ahead + self._ranks[rank].ahead(account)
+        kept = 0 if self._may_fill(rank, account) else self._reserve()
+        return max(found, self._slots) if found + kept >= self._slots else found
 
-    def expected_wait(self, rank: int, account: str, now: float) -> float:
+    def expected_wait(self, rank: int, account: str) -> float:
         """Returns the wait that a new job can expect, seconds."""
-        if self.load_for(rank, account, now) < self._width:
+        if self.load_for(rank, account) < min(self._slots, self._limit):
             return 0.0
         queue = self._ranks[rank]
         above = [self._ranks[item] for item in RANKS[: rank - 1]]
@@ -294,14 +303,13 @@
             raise ValueError(f"job {job.key!r} is already here")
         self._numbers += 1
         rank = self._rank_of(job, now)
-        if self._may_fill(rank, job.account):
-            self._urgent_at = now
+        starts = self.load_for(rank, job.account) < self._slots
         self._put(rank, job)
         heapq.heappush(
             self._expiries, (_latest_start(job), self._numbers, job.key)
         )
         self._plan_rise(job, now)
-        return self._refuse(rank, job, now)
+        return [] if starts else self._refuse(rank, job, now)
 
     def take(self, now: float, limit: int) -> Job | None:
         """Takes the next job to dispatch.
@@ -314,8 +322,8 @@
             The job; None when nothing waits or nothing may start.
         """
         self._rise(now)
-        self._width = max(1, min(self._slots, limit))
-        rank = self._next_rank(min(self._slots, limit), now)
+        self._limit = limit
+        rank = self._next_rank(min(self._slots, limit))
         if rank is None:
             return None
         self._charge(rank)
@@ -387,7 +395,7 @@
         self._where[job.key] = (rank, job)
         self._ranks[rank].push(_latest_start(job), self._numbers, job)
 
-    def _next_rank(self, limit: int, now: float) -> int | None:
+    def _next_rank(self, limit: int) -> int | None:
         """The rank to serve: one whose floor is due, or the most urgent."""
         free = min(limit, self._slots) - self.in_flight
         if free <= 0:
@@ -396,41 +404,63 @@
             queue = self._ranks[rank]
             if queue.accounts and queue.owed >= queue.peek().cost:
                 return rank
-        kept = self._reserve(now)
-        for rank in RANKS:
-            queue = self._ranks[rank]
-            if not queue.accounts:
-                continue
-            if free > kept or self._may_fill(rank, queue.peek().account):
-                return rank
-        return None
+        # The reserve is taken from the slots and not from the limit: a limit
+        # below the reserve would let nothing in, and so never rise.
+        unkept = self._slots - self._reserve() - self.in_flight
+        urgent = next((r for r in RANKS if self._ranks[r].accounts), None)
+        if urgent is None or unkept > 0:
+            return urgent
+        account = self._ranks[urgent].peek().account
+        return urgent if self._may_fill(urgent, account) else None
 
     def _charge(self, rank: int) -> None:
         """Counts the next job of a rank against the floors."""
-        cost = self._ranks[rank].peek().cost
+        job = self._ranks[rank].peek()
+        cost = job.cost
+        claim = float(self._may_fill(rank, job.account))
+        self._urgent_ratio += _RATIO_EWMA * (claim - self._urgent_ratio)
         for other in RANKS:
             queue = self._ranks[other]
-            if queue.accounts:
-                queue.owed += FLOORS[other] * cost
+            owed = queue.owed + FLOORS[other] * cost
+            queue.owed = min(FLOOR_BURST_TOKENS + queue.peak, owed)
             self._served[other] *= 1.0 - _EWMA
         self._served[rank] += cost
         queue = self._ranks[rank]
         queue.owed = max(0.0, queue.owed - cost)
 
-    def _reserve(self, now: float) -> int:
-        """Slots that only some work may take."""
-        if self._slots < RESERVE_SLOTS_MIN:
-            return 0
-        if now - self._urgent_at >= URGENT_MEMORY_S:
-            return 0
-        return max(1, self._slots // SLOTS_PER_RESERVE)
+    def _reserve(self) -> int:
+        """Slots that only some work may take.
+
+        One slot comes free for each dispatch, so the mean of such arrivals in
+        that time is their share of the dispatches. Enough slots are kept that
+        more arrive (Poisson) only rarely.
+        """
+        most = self._slots // SLOTS_PER_RESERVE
+        term = math.exp(-self._urgent_ratio)
+        tail = 1.0 - term
+        kept = 0
+        while kept < most and tail > RESERVE_MISS_MAX:
+            kept += 1
+            term *= self._urgent_ratio / kept
+            tail -= term
+        return kept
 
     def _may_fill(self, rank: int, account: str) -> bool:
-        """Whether a job may take one of the last slots."""
-        if rank == 1 and self._share(RANKS[:1]) < URGENT_SHARE_MAX:
+        """Whether a job may take one of the last slots.
+
+        They are kept from the rank that gets most of the service, for rank 1
+        and for accounts of that rank that asked for little. Work that is less
+        urgent than most has no claim.
+        """
+        flooding = max(RANKS, key=lambda item: self._served[item])
+        if rank == 1 and flooding > 1:
             return True
         queue = self._ranks[rank]
-        return queue.has_debtors and queue.credit(account) > 0.0
+        return (
+            rank == flooding
+            and queue.has_debtors
+            and queue.credit(account) >= CREDIT_LARGE
+        )
 
     def _share(self, ranks: tuple[int, ...]) -> float:
         """Share of the tokens dispatched lately that went to some ranks."""
@@ -447,14 +477,15 @@
                 if self._ranks[other].accounts
             )
             above = self._share(RANKS[: rank - 1])
+            queue = self._ranks[rank]
+            if queue.owed >= queue.backlog:
+                above = 0.0
             rate *= max(FLOORS[rank], 1.0 - below - above)
         return admission.Pace(self._width, self._mean_cost, rate)
 
     def _refuse(self, rank: int, job: Job, now: float) -> list[Job]:
         """Refuses jobs of a rank so that the others meet their targets."""
         queue = self._ranks[rank]
-        if self.in_flight < self._width or self.rate is None:
-            return []
         if _latest_start(job) >= queue.latest:
             wait = self._wait_at_end(rank, job)
             if now + wait <= _latest_start(job):
@@ -462,10 +493,17 @@
             if self._goes_first(queue, job):
                 self.withdraw(job.key)
                 return [job]
-        return self._refuse_overdue(rank, now)
+        return self._refuse_overdue(rank, job, now)
+
+    def _above(self, rank: int) -> list[_RankQueue]:
+        """Queues that are served before a rank."""
+        queue = self._ranks[rank]
+        if queue.owed >= queue.backlog > 0.0:
+            return []
+        return [self._ranks[other] for other in RANKS[: rank - 1]]
 
     def _wait_at_end(self, rank: int, job: Job) -> float:
-        queues = [self._ranks[other] for other in RANKS[:rank]]
+        queues = [*self._above(rank), self._ranks[rank]]
         return admission.wait_s(
             sum(queue.waiting for queue in queues) - 1,
             sum(queue.backlog for queue in queues) - job.cost,
@@ -479,7 +517,7 @@
             other.backlog <= backlog for other in queue.accounts.values()
         )
 
-    def _refuse_overdue(self, rank: int, now: float) -> list[Job]:
+    def _refuse_overdue(self, rank: int, newest: Job, now: float) -> list[Job]:
         queue = self._ranks[rank]
         claims = [
             admission.Claim(
@@ -491,9 +529,10 @@
             )
             for deadline, _, job in queue.jobs()
         ]
-        above = [self._ranks[other] for other in RANKS[: rank - 1]]
+        above = self._above(rank)
         keys = admission.overdue(
             claims,
+            newest.key,
             self._pace(rank),
             now,
             sum(item.waiting for item in above),
