Add rollouts: one order for all owners, and a bound on what is out

An owner takes an engine out only while fewer than max_unavailable others are out or come before it undone.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -144,6 +144,9 @@
 CONFIGURATION_REVERTED = Event(
     921, "ERROR", "configuration {version} comes after {previous}"
 )
+ROLLOUT_TOO_WIDE = Event(
+    971, "ERROR", "rollout of {model} takes {out} engines out, limit {limit}"
+)
 PERMIT_SENT_TWICE = Event(
     961, "ERROR", "permit {incarnation}/{sequence} was sent twice"
 )
--- a/packages/core/tests/test_charts.py
+++ b/packages/core/tests/test_charts.py
@@ -19,6 +19,7 @@
         "refused failed"
     ),
     "link": "connecting proving open silent closed",
+    "rollout": "settled draining ordered checking failed",
 }
 
 
