--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -99,6 +99,18 @@
 ENGINE_LEAVING = Event(505, "INFO", "endpoint {engine} is leaving")
 ENGINE_EJECTED = Event(506, "WARNING", "endpoint {engine} is ejected")
 
+# 7xx rollouts
+ROLLOUT_DRAINS = Event(
+    701, "INFO", "engine {engine} is drained for configuration {version}"
+)
+ROLLOUT_READMITS = Event(702, "INFO", "engine {engine} gets requests again")
+ROLLOUT_HELD = Event(703, "WARNING", "rollout of {model} waits: {reason}")
+ORDER_SENT = Event(710, "INFO", "order {fence} goes to engine {engine}")
+ORDER_FAILED = Event(711, "WARNING", "order to engine {engine}: {reason}")
+ORDER_SKIPPED = Event(
+    712, "WARNING", "order to engine {engine} is not sent: {reason}"
+)
+
 # 8xx quarantine
 REQUEST_SUSPECTED = Event(
     801, "WARNING", "request {digest} ran on {engine} as it crashed"
--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -27,6 +27,7 @@
     "Hello",
     "Message",
     "Redirected",
+    "Standings",
     "Submit",
     "Sums",
     "Withdraw",
@@ -260,6 +261,23 @@
     data: bytes
 
 
+class Standings(NamedTuple):
+    """How the engines of a model stand that the sender owns.
+
+    Attributes:
+        configuration: Version in force at the sender.
+        model: The model.
+        engines: The engines.
+        flags: For each engine 1 when it serves what that version asks for,
+            plus 2 when it is out of service.
+    """
+
+    configuration: int
+    model: str
+    engines: list[str]
+    flags: list[int]
+
+
 Message = (
     Hello
     | Submit
@@ -275,6 +293,7 @@
     | Sums
     | ConfigurationRequest
     | ConfigurationReply
+    | Standings
 )
 
 # The position is the number on the wire: append only.
@@ -293,6 +312,7 @@
     Sums,
     ConfigurationRequest,
     ConfigurationReply,
+    Standings,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _FIELD_COUNTS = [len(kind._fields) for kind in _KINDS]  # type: ignore[attr-defined]
