--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,6 +16,7 @@
 START_S=30
 STOP_S=40
 PIDS=()
+ROUTER_PIDS=()
 
 case "$DEPLOYMENT" in
   plant)
@@ -62,13 +63,14 @@
     "$EXAMPLE/callers.json" "$1"
 }
 
-stop() {
+# end PID...: asks each to end, waits for it, kills what does not end.
+end() {
   local pid left
-  for pid in "${PIDS[@]}"; do
+  for pid in "$@"; do
     kill -TERM "$pid" 2>/dev/null || true
   done
   left=$((STOP_S * 10))
-  for pid in "${PIDS[@]}"; do
+  for pid in "$@"; do
     while kill -0 "$pid" 2>/dev/null && [ "$left" -gt 0 ]; do
       sleep 0.1
       left=$((left - 1))
@@ -78,6 +80,13 @@
     fi
     wait "$pid" 2>/dev/null || true
   done
+}
+
+# The routers end first: their streams need the engines.
+stop() {
+  end "${ROUTER_PIDS[@]}"
+  end "${PIDS[@]}"
+  ROUTER_PIDS=()
   PIDS=()
 }
 
@@ -151,6 +160,8 @@
 HEALTH=()
 while read -r name address _; do
   start "$name" "$BIN/nutmegpost-router" --settings="$EXAMPLE/$name.json"
+  ROUTER_PIDS+=("${PIDS[-1]}")
+  unset "PIDS[-1]"
   ROUTERS+=("$address")
   HEALTH+=("http://$address/v1/health")
 done < <(vms_of_kind router)
