--- a/packages/core/nutmegpost_core/rollout.py
+++ b/packages/core/nutmegpost_core/rollout.py
@@ -18,6 +18,7 @@
 from nutmegpost_core import invariants
 
 __all__ = [
+    "STANDING_AGE_MAX_S",
     "Action",
     "Drain",
     "Fence",
