--- a/packages/core/nutmegpost_core/load.py
+++ b/packages/core/nutmegpost_core/load.py
@@ -41,6 +41,8 @@
 AGE_FULL_S = 4.0
 # Share of the headroom that is left however old the sums are.
 AGE_HEADROOM_MIN = 0.2
+# Requests that may have ended while the message that tells it is on its way.
+ON_THE_WAY = 1
 # Part of the root of a load that it may fall without being told.
 MARGIN_ROOT_SHARE = 0.4
 # Longest time that a report of an engine lags behind.
@@ -230,9 +232,8 @@
     def total_min(self, pool: str) -> int:
         """Returns the requests in flight that this router can count on."""
         told = self._told_by_others(pool)
-        return self._own.get(pool, 0) + sum(
-            load - margin(load) for load in told
-        )
+        others = sum(load - margin(load) for load in told)
+        return self._own.get(pool, 0) + max(0, others - ON_THE_WAY)
 
     def mean(self, pool: str) -> float:
         """Returns the mean load of the engines of a pool, as far as known."""
--- a/packages/standins/nutmegpost_standins/policies.py
+++ b/packages/standins/nutmegpost_standins/policies.py
@@ -276,6 +276,9 @@
 
     def _target(self, request: enginemodel.Request, engine: str) -> float:
         """Time in which a request must be dispatched, seconds."""
+        if self.loads.mean(POOL) < self._fleet.scenario["slots"] / 2:
+            # A long prefill is no reason to refuse work that can be done.
+            return request.first_token_s
         known = dict(
             self._fleet.home_router(request).placement.holders(
                 POOL, request.chat
