--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -8,7 +8,7 @@
 not depend on the size of the fleet.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 import math
 import random
 from typing import NamedTuple
@@ -196,6 +196,16 @@
         """
         self._listed = set(addresses) - {self.me.peer_address}
 
+    def learn(self, members: Iterable[Member], now: float) -> None:
+        """Takes in members that another router knows.
+
+        They are no news to the fleet, so they are not sent on.
+        """
+        for member in members:
+            self._take(member, now)
+            if member.name != self._name:
+                self._unsent.pop(member.name, None)
+
     def tick(self, now: float) -> list[Datagram]:
         """Does what is due.
 
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -272,6 +272,27 @@
     assert rates[1] < 1.3 * rates[0]
 
 
+def test_nobody_is_suspected_while_a_fleet_starts():
+    net = network.Network(1)
+    for number in range(120):
+        net.start(number)
+    net.seed_all()
+    net.run(20)
+    for node in net.nodes.values():
+        assert node.members.me.revision == 0
+        states = {member.state for member in node.members.members.values()}
+        assert states == {State.ALIVE}
+
+
+def test_members_learnt_from_a_snapshot_are_not_sent_on():
+    view = membership.Membership(_member(), random.Random(1))
+    others = [_member(n, f"10.0.0.{n}:7000") for n in range(1, 40)]
+    view.learn(others, 0.0)
+    assert len(view.alive) == 39
+    sent = view.announce(0.0)
+    assert all(b"router-0009" not in item.data for item in sent)
+
+
 class FleetMachine(stateful.RuleBasedStateMachine):
     """Random faults in a fleet; views agree once the faults end."""
 
--- a/packages/router/nutmegpost_router/gossip.py
+++ b/packages/router/nutmegpost_router/gossip.py
@@ -36,7 +36,7 @@
     "Stop",
 ]
 
-_TICK_S = 0.1
+_TICK_S = 0.2
 _PAUSE_S = 1.0
 _QUEUE_MAX = 2_000
 _MAC_PURPOSE = b"nutmegpost datagram"
--- /dev/null
+++ b/packages/standins/nutmegpost_standins/gossiper.py
@@ -0,0 +1,99 @@
+"""A process that does nothing but membership and gossip.
+
+It joins the fleet that its flags describe, measures itself for a while and
+prints one line of JSON.
+"""
+
+import asyncio
+from collections.abc import Sequence
+import json
+import random
+import time
+
+from absl import app
+from absl import flags
+
+from nutmegpost_core import budget
+from nutmegpost_core import membership
+from nutmegpost_core import rumours
+from nutmegpost_router import gossip
+from nutmegpost_router import log
+from nutmegpost_router import settings
+
+__all__ = ["address", "main"]
+
+NUMBER = flags.DEFINE_integer("number", 0, "Number of this process.")
+COUNT = flags.DEFINE_integer("count", 4, "Number of processes.")
+PORT = flags.DEFINE_integer("port", 17_946, "Port of all processes.")
+WARM_S = flags.DEFINE_float("warm", 10.0, "Seconds before the measurement.")
+MEASURE_S = flags.DEFINE_float("measure", 10.0, "Seconds of the measurement.")
+
+_PEER_KEY = "a key of stand-ins only"
+
+
+def address(number: int, port: int) -> str:
+    """Returns the loopback address of a process."""
+    return f"127.0.{64 + number // 250}.{number % 250 + 1}:{port}"
+
+
+def main(argv: Sequence[str]) -> None:
+    """Runs the command."""
+    del argv
+    log.set_up("gossiper", "ERROR")
+    print(json.dumps(asyncio.run(_measure())))  # noqa: T201
+
+
+async def _measure() -> dict[str, float]:
+    task = _task()
+    running = asyncio.create_task(task.run())
+    task.send(
+        gossip.Seed([address(item, PORT.value) for item in range(COUNT.value)])
+    )
+    await asyncio.sleep(WARM_S.value)
+    before = _totals(task)
+    await asyncio.sleep(MEASURE_S.value)
+    after = _totals(task)
+    running.cancel()
+    passed = after["at"] - before["at"]
+    return {
+        "alive": len(task.members.alive),
+        "sent": (after["sent"] - before["sent"]) / passed,
+        "received": (after["received"] - before["received"]) / passed,
+        "cpu": (after["cpu"] - before["cpu"]) / passed,
+    }
+
+
+def _task() -> gossip.Gossip:
+    mine = address(NUMBER.value, PORT.value)
+    name = f"router-{NUMBER.value:04d}"
+    rng = random.Random()
+    riders = rumours.Rumours(rng)
+    me = membership.Member(name, rng.getrandbits(48), mine, mine, "zone-a")
+    members = membership.Membership(
+        me, rng, membership.Timing(), riders, budget.Budget()
+    )
+    config: settings.Settings = {
+        "name": name,
+        "zone": "zone-a",
+        "public_address": mine,
+        "peer_address": mine,
+        "admin_address": mine,
+        "platform_address": mine,
+        "peer_key": _PEER_KEY,
+        "admin_key": _PEER_KEY,
+    }
+    return gossip.Gossip(config, members, riders, asyncio.Queue())
+
+
+def _totals(task: gossip.Gossip) -> dict[str, float]:
+    counts = task.members.spending.counts.values()
+    return {
+        "at": time.monotonic(),
+        "cpu": time.process_time(),
+        "sent": sum(item.bytes for item in counts),
+        "received": task.counts.received_bytes,
+    }
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/standins/nutmegpost_standins/network.py
+++ b/packages/standins/nutmegpost_standins/network.py
@@ -121,6 +121,14 @@
         for node in self.nodes.values():
             node.members.seed(self.listed)
 
+    def acquaint(self) -> None:
+        """Lets every node know all others, as after a long quiet time."""
+        members = [node.members.me for node in self.nodes.values()]
+        for node in self.nodes.values():
+            node.members.seed(self.listed)
+            node.members.learn(members, self.now)
+            node.members.changes()
+
     def kill(self, address: str) -> None:
         """Ends a process without a word."""
         del self.nodes[address]
