Bound the cost of a claim and the size of a hand-over

A hand-over of 16,000 uses took 258 bytes each, so at 54 calls a second over 20 minutes it passed the 4 MB of a message and would have been lost; the bodies of results now have 1 MB in it, the latest first, and digests have 16 bytes.

--- a/packages/core/nutmegpost_core/permits.py
+++ b/packages/core/nutmegpost_core/permits.py
@@ -47,6 +47,10 @@
 LIFETIME_S = 600.0
 RETENTION_S = 600.0
 RESULT_BYTES_MAX = 16_000_000
+# A hand-over must fit into one message between routers.
+EXPORT_RESULT_BYTES_MAX = 1_000_000
+_DROP_INTERVAL_S = 1.0
+_DIGEST_BYTES = 16
 _MAC_BYTES = 32
 _TEXT_LENGTH_MAX = 512
 _MAC_CONTEXT = b"nutmegpost permit\0"
@@ -189,7 +193,7 @@
     for part in (service.encode(), operation.encode(), body):
         found.update(len(part).to_bytes(8, "big"))
         found.update(part)
-    return found.digest()
+    return found.digest()[:_DIGEST_BYTES]
 
 
 def _mac(data: bytes, key: bytes) -> bytes:
@@ -291,6 +295,7 @@
         self._successor: Elsewhere | None = None
         self._generation = 0
         self._closed: set[int] = set()
+        self._drop_at = now
 
     @property
     def incarnation(self) -> int:
@@ -388,7 +393,8 @@
         """
         if permit.account != account:
             raise errors.PermitError("the permit is of another account")
-        self._drop_old(now)
+        if now >= self._drop_at:
+            self._drop_old(now)
         book = self._books.get(permit.incarnation)
         if book is None:
             raise errors.AttemptLostError("the permit is not held here")
@@ -464,8 +470,9 @@
         self._successor = successor
         self._drop_old(now)
         life_ms = self._lifetime_ms + self._retention_ms
+        keep = _results_to_keep(self._books)
         books = [
-            _encode_book(incarnation, book, now, life_ms)
+            _encode_book(incarnation, book, now, life_ms, keep)
             for incarnation, book in self._books.items()
         ]
         message = _Export(
@@ -644,6 +651,7 @@
 
     def _drop_old(self, now: float) -> None:
         """Forgets uses that no permit can ask for, and old pointers."""
+        self._drop_at = now + _DROP_INTERVAL_S
         for incarnation, book in self._books.items():
             limit_ms = book.elapsed_ms(now) - self._retention_ms
             old = [
@@ -707,7 +715,11 @@
 
 
 def _encode_book(
-    incarnation: int, book: _Book, now: float, life_ms: int
+    incarnation: int,
+    book: _Book,
+    now: float,
+    life_ms: int,
+    keep: set[tuple[int, int]],
 ) -> _BookData:
     records = [
         (
@@ -715,7 +727,7 @@
             record.digest,
             record.expires_ms,
             int(record.state),
-            record.result,
+            _encode_result(record.result, (incarnation, sequence) in keep),
         )
         for sequence, record in book.records.items()
     ]
@@ -725,6 +737,25 @@
     return _BookData(incarnation, book.elapsed_ms(now), remaining_ms, records)
 
 
+def _results_to_keep(books: dict[int, _Book]) -> set[tuple[int, int]]:
+    """Returns the latest results whose bodies fit into a hand-over."""
+    keep: set[tuple[int, int]] = set()
+    left = EXPORT_RESULT_BYTES_MAX
+    for incarnation, book in books.items():
+        for sequence, record in reversed(book.records.items()):
+            left -= len(record.result.body) if record.result else 0
+            if left < 0:
+                return keep
+            keep.add((incarnation, sequence))
+    return keep
+
+
+def _encode_result(result: Result | None, is_whole: bool) -> Result | None:
+    """Returns what of a result goes into a hand-over; None when it is lost."""
+    found = result if is_whole else _without_answer(result)
+    return None if found == _RESULT_LOST else found
+
+
 def _without_answer(result: Result | None) -> Result:
     """Returns what remains of a result whose body is not kept."""
     if result is None or result.outcome == errors.Outcome.ANSWERED:
--- a/packages/core/nutmegpost_core/rollout.py
+++ b/packages/core/nutmegpost_core/rollout.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+import functools
 from typing import NamedTuple
 
 import xxhash
@@ -39,6 +40,7 @@
 STANDING_AGE_MAX_S = 6.0
 RESUME_AFTER_S = 30.0
 RESUME_SHARE = 0.8
+_PLACES_MAX = 20_000
 
 Fence = tuple[int, int]
 
@@ -180,11 +182,12 @@
         model: The model.
         engines: Its engines.
     """
+    return sorted(engines, key=lambda engine: (_place(model, engine), engine))
 
-    def place(engine: str) -> tuple[int, str]:
-        return xxhash.xxh3_64_intdigest(f"{model}|{engine}".encode()), engine
 
-    return sorted(engines, key=place)
+@functools.lru_cache(maxsize=_PLACES_MAX)
+def _place(model: str, engine: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{model}|{engine}".encode())
 
 
 class Rollout:
--- a/packages/core/tests/test_permits.py
+++ b/packages/core/tests/test_permits.py
@@ -11,6 +11,7 @@
 
 from nutmegpost_core import errors
 from nutmegpost_core import permits
+from nutmegpost_core import wire
 
 KEY = b"0123456789abcdef"
 DIGEST = permits.call_digest("line", "release", b"{}")
@@ -190,6 +191,45 @@
     assert found == permits.Recorded(ANSWER)
 
 
+def test_hand_over_fits_into_one_message():
+    """Twenty minutes of calls at the whole rate of a node, with answers."""
+    first, second = _table("a", 1), _table("b", 2)
+    answer = ANSWER._replace(body=bytes(200))
+    for _ in range(64_000):
+        permit = _permit(first)
+        first.claim(permit, "plant", DIGEST, 1.0)
+        first.record(permit, answer)
+    refused = _permit(first)
+    first.claim(refused, "plant", DIGEST, 1.0)
+    first.refuse(refused, NOT_RUN)
+    data = first.export(_elsewhere(second, "b"), 2.0)
+    message = wire.Handover([1], [data])
+    assert wire.decode(wire.encode(message)) == message
+    second.adopt(data, 2.0)
+    oldest = permit._replace(sequence=1)
+    lost = second.claim(oldest, "plant", DIGEST, 2.0)
+    assert lost.result.outcome == "unknown"
+    kept = second.claim(permit, "plant", DIGEST, 2.0)
+    assert kept == permits.Recorded(answer)
+    found = second.claim(refused, "plant", DIGEST, 2.0)
+    assert found == permits.Recorded(NOT_RUN)
+
+
+def test_old_uses_are_looked_for_once_a_second(monkeypatch):
+    table = _table()
+    times = []
+    drop = permits.Table._drop_old
+    monkeypatch.setattr(
+        permits.Table,
+        "_drop_old",
+        lambda self, now: (times.append(now), drop(self, now)),
+    )
+    for step in range(100):
+        permit = _permit(table)
+        table.claim(permit, "plant", DIGEST, step / 20)
+    assert len(times) == 5
+
+
 def test_repeated_hand_over_keeps_what_ran_since():
     first, second = _table("a", 1), _table("b", 2)
     permit = _permit(first)
--- a/packages/router/nutmegpost_router/rollouts.py
+++ b/packages/router/nutmegpost_router/rollouts.py
@@ -21,6 +21,7 @@
 __all__ = ["Ports", "Rollouts", "target"]
 
 TICK_S = 0.5
+IDLE_TICK_S = 2.5
 TELL_INTERVAL_S = 2.0
 ACTIVE_S = 10.0
 ORDER_TIMEOUT_S = 2.0
@@ -83,6 +84,8 @@
         self.active_until = 0.0
         self.told: dict[str, rollout.Standing] = {}
         self.told_at = float("-inf")
+        self.version = 0
+        self.due_at = float("-inf")
 
 
 def target(model: configuration.Model) -> rollout.Target:
@@ -118,12 +121,24 @@
         for document in published.document["models"]:
             name = document["name"]
             model = self._models.setdefault(name, _Model(name))
-            view = self._view(model, document, published.version)
-            actions = model.rollout.step(self._ports.now(), view)
-            self._tell(model, name, view)
-            self._report_hold(model, name, view)
-            for action in actions:
-                await self._carry_out(action, published.version)
+            is_due = self._ports.now() >= model.due_at
+            if is_due or model.version != published.version:
+                await self._look_at(model, document, published.version)
+
+    async def _look_at(
+        self, model: _Model, document: configuration.Model, version: int
+    ) -> None:
+        name = document["name"]
+        now = self._ports.now()
+        view = self._view(model, document, version)
+        actions = model.rollout.step(now, view)
+        self._tell(model, name, view)
+        self._report_hold(model, name, view)
+        model.version = version
+        is_active = now <= model.active_until
+        model.due_at = now + (TICK_S if is_active else IDLE_TICK_S)
+        for action in actions:
+            await self._carry_out(action, version)
 
     def learn(self, peer: str, message: wire.Standings) -> None:
         """Takes what another owner says of its engines.
@@ -145,6 +160,7 @@
             model.heard.setdefault(engine, {})[peer] = _Heard(standing, now)
             if not standing.is_done:
                 model.active_until = now + ACTIVE_S
+                model.due_at = now
 
     def holds(self) -> dict[str, str]:
         """Returns, by model, why its rollout does not go on."""
