Doubt a refusal that was decided without the holder of the permit

A router that stops, joins or has an older configuration refused calls as "not run" while another router could run a copy under the same permit.

--- a/packages/router/nutmegpost_router/services.py
+++ b/packages/router/nutmegpost_router/services.py
@@ -178,6 +178,27 @@
             result.body,
         )
 
+    def doubt(
+        self, error: errors.RequestError, key: str | None
+    ) -> errors.RequestError:
+        """Makes a refusal honest that was decided without the permit.
+
+        A router that refuses a call for a reason of its own, as when it stops
+        or its configuration is old, does not know whether another router runs
+        a copy of the call under the same permit.
+
+        Args:
+            error: Why the call is refused.
+            key: The permit that came with it, or None.
+
+        Returns:
+            The error; its outcome is unknown when the permit is authentic.
+        """
+        with contextlib.suppress(errors.PermitError):
+            permits.read(key or "", self._table.key)
+            error.outcome = errors.Outcome.UNKNOWN
+        return error
+
     # Calls that may not be repeated
 
     async def _serve(self, call: wire.Call) -> permits.Result:
--- a/packages/router/tests/test_services.py
+++ b/packages/router/tests/test_services.py
@@ -365,6 +365,15 @@
     assert sorted(ports) == [2, 2, 3, 3]
 
 
+@on_loop
+async def test_refusal_without_the_word_of_the_holder_is_in_doubt():
+    caller = _routers(Service())[0].caller
+    key = caller._table.issue("plant", 0.0)
+    for given, outcome in ((key, UNKNOWN), ("x", NOT_RUN), (None, NOT_RUN)):
+        error = caller.doubt(errors.StoppingError("stopping"), given)
+        assert error.outcome is outcome
+
+
 @on_loop
 async def test_unknown_names_are_not_run():
     router = _routers(Service())[0]
