--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -174,6 +174,58 @@
     _run(tmp_path, check)
 
 
+def test_issuer_cut_off_from_the_service(tmp_path):
+    async def check(found: harness.Deployment):
+        names = found.names("service")
+        for name in names:
+            await found.set_faults(f"relay:{name}", cut=True)
+        permit = await _permit(found, "router-1")
+        outcomes = [
+            await _call(found, router, permit)
+            for router in found.names("router")
+        ]
+        assert "answered" not in outcomes
+        for name in names:
+            await found.set_faults(f"relay:{name}", cut=False)
+        outcomes.append(await _call(found, "router-1", permit))
+        executed = (await found.executions()).get(permit, 0)
+        assert executed == ("answered" in outcomes)
+
+    names = [f"line-{number}" for number in range(1, 4)]
+    _run(tmp_path, check, relayed=names)
+
+
+def test_service_that_hangs_before_it_runs_the_call(tmp_path):
+    async def check(found: harness.Deployment):
+        await _set_services(found, hang_before=True)
+        permit = await _permit(found, "router-1")
+        call = asyncio.create_task(_call(found, "router-2", permit))
+        await _until_arrived(found, permit)
+        repeat = asyncio.create_task(_call(found, "router-3", permit))
+        await found.processes["router-2"].kill()
+        assert await call == "unknown"
+        await _set_services(found, hang_before=False)
+        assert await repeat == "answered"
+        assert await _call(found, "router-4", permit) == "answered"
+        assert (await found.executions())[permit] == 1
+
+    _run(tmp_path, check)
+
+
+def test_forged_permits_are_refused(tmp_path):
+    async def check(found: harness.Deployment):
+        permit = await _permit(found, "router-1")
+        place = len(permit) // 2
+        other = "A" if permit[place] != "A" else "B"
+        forged = permit[:place] + other + permit[place + 1 :]
+        for router in found.names("router"):
+            assert await _call(found, router, forged) == "not-run"
+            assert await _call(found, router, "no-permit") == "not-run"
+        assert await found.executions() == {}
+
+    _run(tmp_path, check)
+
+
 # Streams
 
 
@@ -414,3 +466,52 @@
         return False
 
     await harness.until(is_in_force, f"version {version} on {name}")
+
+
+# A request that crashes its engine
+
+POISON = "poisonous"
+CRASHES_MAX = 2
+
+
+class _Restarts:
+    """Starts engines that have died again, and counts their deaths."""
+
+    def __init__(self, found: harness.Deployment):
+        self._found = found
+        self.count = 0
+
+    async def run(self):
+        while True:
+            for name in self._found.names("engine"):
+                process = self._found.processes[name]
+                if not process.is_alive:
+                    self.count += 1
+                    process.start()
+            await asyncio.sleep(0.1)
+
+
+async def _send_poison(found: harness.Deployment, number: int):
+    program = found.caller("press-line-3", number, budget_s=5.0)
+    messages = [{"role": "user", "content": f"a {POISON} question"}]
+    return await program.chat(found.model, messages, chat=f"p{number}")
+
+
+def test_request_that_crashes_engines(tmp_path):
+    async def check(found: harness.Deployment):
+        restarts = _Restarts(found)
+        task = asyncio.create_task(restarts.run())
+        runs = load.Load(
+            found, ACCOUNTS, chats=1, releases=False, budget_s=60.0
+        )
+        async with runs:
+            await runs.until_answered(6)
+            for number in range(6):
+                result = await _send_poison(found, number)
+                assert result.outcome != "answered"
+            await runs.until_answered(20)
+        task.cancel()
+        load.check_answers(runs.results)
+        assert 1 <= restarts.count <= CRASHES_MAX
+
+    _run(tmp_path, check, engines=5, engine={"poison": POISON})
