--- a/packages/core/tests/test_rollout.py
+++ b/packages/core/tests/test_rollout.py
@@ -274,6 +274,8 @@
     once, late or never. Every engine has one owner at a time.
     """
 
+    may_publish = True
+
     @stateful.initialize(
         limit=st.integers(1, 3),
         owners=st.lists(st.sampled_from("abc"), min_size=5, max_size=5),
@@ -295,6 +297,10 @@
         for name in "abc":
             for other in "abc":
                 self.tell(name, other)
+        self.begin()
+
+    def begin(self):
+        """Prepares a fleet of a certain kind."""
 
     def _view(self, router):
         standings = {
@@ -315,12 +321,10 @@
         standing, at = router.standings[engine]
         return standing._replace(age_s=self.now - at)
 
-    def _owner(self, engine):
-        for router in self.routers.values():
-            if engine in router.engines:
-                return router
-        raise LookupError(engine)
+    def _owners(self, engine):
+        return [r for r in self.routers.values() if engine in r.engines]
 
+    @stateful.precondition(lambda self: self.may_publish)
     @stateful.rule(label=st.sampled_from(["v1", "v2", "v3"]))
     def publish(self, label):
         target = rollout.Target(label, "", "both")
@@ -336,7 +340,8 @@
 
     @stateful.rule(engine=st.sampled_from(ENGINES))
     def report(self, engine):
-        self._owner(engine).reports[engine] = self.engines[engine].report()
+        for router in self._owners(engine):
+            router.reports[engine] = self.engines[engine].report()
 
     @stateful.rule(name=st.sampled_from("abc"), other=st.sampled_from("abc"))
     def tell(self, name, other):
@@ -391,7 +396,7 @@
             return
         out = {name for name, item in self.engines.items() if item.wanted}
         for router in self.routers.values():
-            out |= router.drained
+            out |= router.drained.intersection(router.engines)
         assert len(out) <= self.limit, out
 
     def teardown(self):
@@ -419,7 +424,58 @@
             self.step(name)
 
 
+class MovingFleet(Fleet):
+    """Owners that change, none and two of one engine among them.
+
+    All have one version in force from the start.
+    """
+
+    may_publish = False
+
+    def begin(self):
+        self.publish("v2")
+        for name in "abc":
+            self.accept(name)
+
+    @stateful.rule(
+        engine=st.sampled_from(ENGINES),
+        old=st.sampled_from("abc"),
+        new=st.sampled_from("abc"),
+        is_doubled=st.booleans(),
+    )
+    def move(self, engine, old, new, is_doubled):
+        """A router believes that it owns an engine, another may as well."""
+        router = self.routers[new]
+        if engine in router.engines:
+            return
+        router.engines.append(engine)
+        router.reports[engine] = self.engines[engine].report()
+        if not is_doubled:
+            self.lose(engine, old)
+
+    @stateful.rule(engine=st.sampled_from(ENGINES), name=st.sampled_from("abc"))
+    def lose(self, engine, name):
+        router = self.routers[name]
+        others = [r for r in self._owners(engine) if r is not router]
+        if engine in router.engines and others:
+            router.engines.remove(engine)
+            standing = rollout.Standing(router.version, False, False)
+            router.standings[engine] = (standing, self.now - 100)
+
+    def teardown(self):
+        if hasattr(self, "engines"):
+            for engine in ENGINES:
+                for router in self._owners(engine)[1:]:
+                    name = next(
+                        n for n, r in self.routers.items() if r is router
+                    )
+                    self.lose(engine, name)
+        super().teardown()
+
+
 TestFleet = Fleet.TestCase
+TestMovingFleet = MovingFleet.TestCase
 TestFleet.settings = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=300, stateful_step_count=50
 )
+TestMovingFleet.settings = TestFleet.settings
