Record the requests that a stand-in refused

The test of a leaving engine counted arrivals only, and a refused request was no arrival, so it could not fail.

--- a/packages/standins/nutmegpost_standins/engine.py
+++ b/packages/standins/nutmegpost_standins/engine.py
@@ -187,15 +187,11 @@
     # Requests
 
     def _submit(self, request: http.Request) -> http.Response:
-        if self._faults["leaving"]:
-            return http.error(503, "leaving")
-        if self._loading:
-            return http.error(503, "loading")
-        if self._faults["full"]:
-            return http.error(503, "full")
-        if self._batcher.waiting >= self._options.queue:
-            return http.error(503, "full")
         job = self._make_job(request)
+        reason = self._refusal()
+        if reason:
+            self._note("refused", job)
+            return http.error(503, reason)
         earlier = self._jobs.get(job.name)
         if earlier is not None and earlier.attempt > job.attempt:
             return http.error(409, "superseded")
@@ -206,6 +202,15 @@
         self._accept(job)
         return self._stream_response(job, 0)
 
+    def _refusal(self) -> str:
+        """Returns why no request is taken now; empty when one is."""
+        if self._faults["leaving"]:
+            return "leaving"
+        if self._loading:
+            return "loading"
+        is_full = self._batcher.waiting >= self._options.queue
+        return "full" if self._faults["full"] or is_full else ""
+
     def _was_withdrawn(self, earlier: batching.Job, job: batching.Job) -> bool:
         return (
             earlier.attempt == job.attempt
--- a/packages/standins/nutmegpost_standins/records.py
+++ b/packages/standins/nutmegpost_standins/records.py
@@ -32,7 +32,7 @@
         """Notes that something happened.
 
         Args:
-            kind: `arrive`, `begin` or the state that ended it.
+            kind: `arrive`, `refused`, `begin` or the state that ended it.
             name: Request or idempotency key.
             attempt: Number of the attempt.
             in_flight: Requests running and waiting afterwards.
--- a/packages/standins/nutmegpost_standins/service.py
+++ b/packages/standins/nutmegpost_standins/service.py
@@ -91,6 +91,7 @@
 
     async def _call(self, request: http.Request) -> http.Response:
         if self._faults["leaving"]:
+            self._note("refused", _key(request))
             return http.error(503, "leaving")
         if self._faults["refuse"]:
             return http.Response(503, drop=True)
@@ -109,9 +110,7 @@
             self._slots.release()
 
     async def _execute(self, request: http.Request) -> http.Response:
-        key = request.headers.get("idempotency-key") or request.headers.get(
-            "x-request-id", ""
-        )
+        key = _key(request)
         self._note("arrive", key)
         await self._faults.wait(hang="hang_before")
         await asyncio.sleep(self._options.work_ms / 1000)
@@ -155,6 +154,11 @@
                 return
 
 
+def _key(request: http.Request) -> str:
+    headers = request.headers
+    return headers.get("idempotency-key") or headers.get("x-request-id", "")
+
+
 async def serve(options: Options) -> None:
     """Runs a runner until it is cancelled."""
     runner = Runner(options)
--- a/packages/standins/nutmegpost_standins/slopes.py
+++ b/packages/standins/nutmegpost_standins/slopes.py
@@ -16,6 +16,7 @@
 from typing import Any, NamedTuple
 
 from nutmegpost_core import configuration
+from nutmegpost_core import member_table
 from nutmegpost_core import ownership
 from nutmegpost_core import permits
 from nutmegpost_core import placement
@@ -34,11 +35,13 @@
     "chats",
     "engines",
     "fit",
+    "member_memory",
     "members_apart",
     "members_together",
     "news",
     "owners",
     "permit_records",
+    "suspect_spread",
     "suspects",
     "tokens",
     "region_heal",
@@ -277,25 +280,69 @@
     )
 
 
-def news(sizes: Sequence[int] = (100, 300, 1_100)) -> Slope:
+def news(sizes: Sequence[int] = (100, 300, 1_100)) -> list[Slope]:
     """Measures how soon a configuration read by 16 watchers is everywhere.
 
     Each node that hears of a higher version reads it 50 ms later and then
     announces it in turn.
     """
-    points = []
+    times, costs = [], []
     for size in sizes:
         net = _quiet_fleet(size)
-        began = net.now
+        quiet_s = _quiet_rate(net)
+        began, before = net.now, _sent(net)
         due = dict.fromkeys(net.listed[:_WATCHERS], net.now)
         done: set[str] = set()
         while len(done) < size and net.now < began + 60:
             _read_configuration(net, due, done)
             net.run(_READ_S)
             _hear_of_configuration(net, due, done)
+        times.append(Point(size, net.now - began))
+        spent = (_sent(net) - before) / size - quiet_s * (net.now - began)
+        costs.append(Point(size, spent))
+    over = "members, simulated"
+    return [
+        Slope(
+            "a change read by 16 watchers is everywhere after",
+            "s",
+            over,
+            times,
+        ),
+        Slope("bytes that a node sends for a change", "bytes", over, costs),
+    ]
+
+
+def _quiet_rate(net: network.Network, seconds: float = 10.0) -> float:
+    before = _sent(net)
+    net.run(seconds)
+    return (_sent(net) - before) / len(net.nodes) / seconds
+
+
+def suspect_spread(
+    sizes: Sequence[int] = (8, 100, 300, 1_100), count: int = 64
+) -> Slope:
+    """Measures how soon the suspects of one crash are known to all."""
+    points = []
+    for size in sizes:
+        net = _quiet_fleet(size)
+        node = net.nodes[net.listed[0]]
+        for number in range(count):
+            request = quarantine.digest("account", b"%d" % number)
+            key = request + b"0000engine-00001"
+            kind = rumours.Kind.SUSPECT_REQUEST
+            node.riders.publish(kind, key, b"\x02", net.now, 86_400)
+        began = net.now
+        net.post(net.listed[0], node.members.announce(net.now))
+        nodes = list(net.nodes.values())
+
+        def known(nodes: list[network.Node] = nodes) -> bool:
+            return all(len(item.riders) == count for item in nodes)
+
+        if not net.run(300, known, 0.1):
+            raise RuntimeError("the suspects are not known after 300 s")
         points.append(Point(size, net.now - began))
     return Slope(
-        "a change read by 16 watchers is everywhere after",
+        f"{count} suspects of a crash known to all after",
         "s",
         "members, simulated",
         points,
@@ -540,8 +587,40 @@
     return Slope("suspect requests", "MB", "suspects", points)
 
 
-def tokens(sizes: Sequence[int] = (1, 4, 16)) -> Slope:
-    """Measures one token over a link, with several in a message."""
+def member_memory(sizes: Sequence[int] = (100, 300, 1_100)) -> Slope:
+    """Measures the memory of the view of a fleet."""
+
+    def know(size: int) -> member_table.MemberTable:
+        table = member_table.MemberTable(_member(0))
+        for number in range(1, size):
+            table.put(_member(number), 0.0)
+        table.changes()
+        return table
+
+    points = [
+        Point(size, _bytes(functools.partial(know, size)) / 1e6)
+        for size in sizes
+    ]
+    return Slope("members, memory", "MB", "members", points)
+
+
+def _member(number: int) -> member_table.Member:
+    address = f"10.0.{number // 250}.{number % 250}:7000"
+    return member_table.Member(
+        f"router-{number:04d}",
+        (1 << 47) + number,
+        address,
+        address,
+        f"zone-{number % 7}",
+    )
+
+
+def tokens(sizes: Sequence[int] = (1, 2, 4, 16)) -> Slope:
+    """Measures one token over a link, with several in a message.
+
+    The size is the share of a message that a token has, so the intercept is
+    the cost of a token and the slope that of a message.
+    """
     event = b'{"choices":[{"delta":{"content":"token"}}]}'
     points = []
     for size in sizes:
@@ -554,10 +633,10 @@
                 wire.decode(wire.encode(message))
 
         taken = _seconds(relay) / 2_000 / size
-        points.append(Point(size, 1e6 * taken))
+        points.append(Point(1 / size, 1e6 * taken))
     return Slope(
         "encoding and decoding of a token between routers",
         "us",
-        "tokens in a message",
+        "messages a token",
         points,
     )
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -152,9 +152,14 @@
             await fixture.ask("POST", "/standin/faults", {"leaving": True})
             reply = await fixture.chat("a/1")
             await _until(fixture, state="leaving")
-            return reply.status, json.loads(reply.body)["error"]["code"]
-
-    assert asyncio.run(main()) == (503, "leaving")
+            rows = json.loads(
+                (await fixture.ask("GET", "/standin/records")).body
+            )["rows"]
+            return reply.status, reply.body, [row[1] for row in rows]
+
+    status, body, kinds = asyncio.run(main())
+    assert (status, kinds) == (503, ["refused"])
+    assert json.loads(body)["error"]["code"] == "leaving"
 
 
 def test_silent_streams_are_resumed_on_a_new_connection():
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -344,7 +344,7 @@
 
 async def _arrivals(found: harness.Deployment, engine: str) -> int:
     rows = (await found.records(engine))["rows"]
-    return sum(row[1] == "arrive" for row in rows)
+    return sum(row[1] in ("arrive", "refused") for row in rows)
 
 
 def test_leaving_engine_gets_nothing_new(tmp_path):
