--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -220,9 +220,17 @@
 
 
 class HandoverDone(NamedTuple):
-    """The receiver holds the tables from now on."""
+    """Answers a hand-over.
+
+    Attributes:
+        incarnations: Incarnations that the sender holds from now on; none
+            when it refuses the hand-over for good.
+        incarnation: Incarnation of the sender; a refusal counts only when it
+            is the one that the hand-over is for.
+    """
 
     incarnations: list[int]
+    incarnation: int = 0
 
 
 class Sums(NamedTuple):
