Place by wait and target as measured; wire the rollouts

The router now decides as the measured model does: it waits at the holder of a cache within half of the target, moves a waiting request before it refuses it, leaves time for the prefill that it learnt from answers, and sends its sums only when a load fell or a pause is over. Rollouts run at the owners. A stream on a leaving engine is resumed there.

--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -125,6 +125,7 @@
         hold: Places a run anew after a while.
         move: Places a waiting run on another engine if one is free; tells
             whether it did.
+        answered: Told of each run that got its whole answer.
         refuse: Ends a run whose target cannot be met.
         lost: Told of an engine that cannot be reached, and whether it died.
         state_changed: Told that an engine became ready, or left.
@@ -138,6 +139,7 @@
     again: Callable[[runs.Run, str, str], None]
     hold: Callable[[runs.Run], None]
     move: Callable[[runs.Run], bool]
+    answered: Callable[[runs.Run], None]
     refuse: Callable[[runs.Run, float], None]
     lost: Callable[[str, bool], None]
     state_changed: Callable[[str, str], None]
@@ -212,6 +214,12 @@
         pool = self._endpoint.pool
         return the_view.loads.limit(pool, bound, now, the_view.reach)
 
+    def load_for(self, rank: int, account: str) -> int:
+        """Returns the load as a new request would find it."""
+        load = self._hooks.view.loads.of(self._endpoint.name)
+        foreign = max(0, load - self._queue.in_flight)
+        return self._queue.load_for(rank, account) + foreign + self.pending
+
     def start(self) -> None:
         """Starts the tasks of the engine."""
         log.emit(events.ENGINE_OWNED, engine=self._endpoint.name)
@@ -315,6 +323,10 @@
 
     def _drain(self, draining: bool) -> None:
         self._draining = draining
+        trigger = "drain" if draining else "undrain"
+        if self._chart.allows(trigger):
+            self._chart.fire(trigger)
+            self._hooks.state_changed(self._endpoint.name, self._chart.state)
         if draining:
             for run in self._empty_queue():
                 self._hooks.again(run, self._endpoint.name, "draining")
@@ -334,7 +346,7 @@
         offer.run.engine = self._endpoint.name
         offer.run.fire("queue")
         for refused in self._queue.offer(offer.job, now):
-            self._refuse(refused)
+            self._refuse_or_move(refused)
 
     def _adopt(self, offer: Offer) -> None:
         """Follows a stream that runs at the engine already."""
@@ -355,6 +367,13 @@
         trial.run.engine = self._endpoint.name
         self._trials[trial.job.key] = trial
 
+    def _refuse_or_move(self, job: queueing.Job) -> None:
+        offer = self._runs.get(job.key)
+        if offer is not None and self._hooks.move(offer.run):
+            del self._runs[job.key]
+        else:
+            self._refuse(job)
+
     def _refuse(self, job: queueing.Job) -> None:
         offer = self._runs.pop(job.key, None)
         if offer is not None:
@@ -405,11 +424,17 @@
         return self.limit - foreign
 
     def _move_some(self) -> None:
-        for key, offer in list(self._runs.items())[:MOVES_MAX]:
-            if not self._hooks.move(offer.run):
+        now = self._now()
+        movable = [
+            (key, offer.run)
+            for key, offer in self._runs.items()
+            if offer.run.wait_until <= now
+        ]
+        for key, run in movable[:MOVES_MAX]:
+            if not self._hooks.move(run):
                 return
             self._queue.withdraw(key)
-            self._runs.pop(key, None)
+            del self._runs[key]
 
     def _dispatch(self, job: queueing.Job) -> None:
         offer = self._runs.pop(job.key)
@@ -434,6 +459,8 @@
     def _start_attempt(self, offer: Offer, now: float) -> None:
         run = offer.run
         run.attempts += 1
+        run.held_since = None
+        run.dispatched_at = now
         name = self._endpoint.name
         self._hooks.quarantine.started(run.digest, name, now)
         self._hooks.load_changed()
@@ -514,6 +541,7 @@
             return
         if ending is attempt.Ending.DONE:
             outliers.result(name, True, now)
+            self._hooks.answered(run)
             self._remember(run, done.job)
             run.fire("answer")
             run.finish(None, now)
@@ -587,6 +615,8 @@
             ("leaving", "ready"): "join",
             ("joining", "loading"): "load",
             ("ready", "loading"): "load",
+            ("draining", "loading"): "load",
+            ("draining", "leaving"): "leave",
             ("suspect", "loading"): "load",
             ("joining", "leaving"): "leave",
             ("ready", "leaving"): "leave",
--- a/packages/router/nutmegpost_router/gossip.py
+++ b/packages/router/nutmegpost_router/gossip.py
@@ -15,6 +15,7 @@
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import membership
+from nutmegpost_core import quarantine
 from nutmegpost_core import rumours
 from nutmegpost_core import vms
 from nutmegpost_router import log
@@ -93,7 +94,11 @@
 
 
 class RumourArrived(NamedTuple):
-    """A rumour came from another router."""
+    """A rumour came from another router.
+
+    Reports of suspect requests come one by one, and also those that this
+    router published.
+    """
 
     kind: rumours.Kind
     key: bytes
@@ -257,6 +262,9 @@
                 return self._members.announce(now)
             case Publish(kind, key, payload, lifetime_s):
                 self._riders.publish(kind, key, payload, now, lifetime_s)
+                if kind == rumours.Kind.SUSPECT_REQUEST:
+                    # The publisher may run the suspect elsewhere as well.
+                    self._report_suspects(key, payload)
                 if kind in rumours.URGENT:
                     return self._members.announce(now)
             case Leave():
@@ -312,7 +320,10 @@
                 previous=change.previous_state or "unknown",
             )
         for rumour in self._riders.arrived():
-            self._outbox.put_nowait(RumourArrived(*rumour))
+            if rumour.kind is rumours.Kind.SUSPECT_REQUEST:
+                self._report_suspects(rumour.key, rumour.payload)
+            else:
+                self._outbox.put_nowait(RumourArrived(*rumour))
         for member in self._members.configurations():
             self._outbox.put_nowait(
                 PeerConfiguration(
@@ -320,6 +331,14 @@
                 )
             )
 
+    def _report_suspects(self, key: bytes, payload: bytes) -> None:
+        for one_key, one_payload in quarantine.expand(key, payload):
+            self._outbox.put_nowait(
+                RumourArrived(
+                    rumours.Kind.SUSPECT_REQUEST, one_key, one_payload
+                )
+            )
+
     def _mac(self, data: bytes) -> bytes:
         return hmac.digest(self._key, data, "sha256")[: datagrams.MAC_BYTES]
 
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -10,15 +10,20 @@
 from collections.abc import AsyncGenerator, Callable
 import contextlib
 import math
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
+
+import msgspec
 
 from nutmegpost_core import chat
+from nutmegpost_core import configuration
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import placement
+from nutmegpost_core import prefill
 from nutmegpost_core import quarantine
 from nutmegpost_core import queueing
 from nutmegpost_core import retry
+from nutmegpost_core import rollout
 from nutmegpost_core import sse
 from nutmegpost_core import wire
 from nutmegpost_router import engines
@@ -44,6 +49,12 @@
 RUN_COUNT_MAX = 50_000
 PLACED_COUNT_MAX = 20_000
 RETRY_AFTER_S = 1.0
+# Share of the target for the first token that may pass in waiting for a cache.
+PATIENCE = 0.5
+# Least part of that target that is left for the queue by a long prefill.
+TARGET_SHARE_LEAST = 0.5
+# Moves of a waiting request between engines.
+MOVES_MAX = 4
 # A request that no engine may take now, or that must run alone, is held.
 HOLD_RETRY_S = 0.1
 HOLD_LIMIT_S = 60.0
@@ -81,6 +92,43 @@
     )
 
 
+class _Work(NamedTuple):
+    """What placement looks at in a request.
+
+    Attributes:
+        account: Account of the caller.
+        rank: Rank of the work.
+        first_token_s: Target for the first token, seconds.
+    """
+
+    account: str
+    rank: int
+    first_token_s: float
+
+
+class _Place(NamedTuple):
+    """Where a request goes.
+
+    Attributes:
+        engine: Name of the engine.
+        wait_s: How long it waits there before it may be moved, seconds.
+        is_resumed: Whether its stream runs there already.
+    """
+
+    engine: str
+    wait_s: float
+    is_resumed: bool
+
+
+class _Usage(TypedDict):
+    prompt_tokens: int
+    cached_tokens: int
+
+
+class _Chunk(TypedDict):
+    usage: _Usage
+
+
 class Owner:
     """The engines that this router owns and the requests it runs there."""
 
@@ -101,6 +149,7 @@
             collections.OrderedDict()
         )
         self._retries = retry.RetryBudget(RETRY_SHARE, RETRY_BURST)
+        self._prefills: dict[str, prefill.Prefill] = {}
         self._hooks = engines.Hooks(
             client=client,
             view=the_view,
@@ -108,6 +157,7 @@
             again=self._again,
             hold=self._hold,
             move=self._move,
+            answered=self._answered,
             refuse=self._refuse,
             lost=self._lost,
             state_changed=self._state_changed,
@@ -206,6 +256,32 @@
                 task.queue.slots = model["slots"]
         self._set_available()
 
+    def report(self, engine: str) -> rollout.Report:
+        """Returns what an own engine reported last."""
+        task = self._tasks[engine]
+        found = task.last_report
+        fence = found.get("fence") or [0, 0]
+        is_silent = not found or task.state in ("joining", "suspect")
+        return rollout.Report(
+            state="silent" if is_silent else found.get("state", "ready"),
+            target=rollout.Target(
+                found.get("version", ""),
+                found.get("adapter") or "",
+                found.get("role", "both"),
+            ),
+            fence=(fence[0], fence[-1]),
+            order_error=found.get("order_error") or "",
+            is_idle=not task.in_flight
+            and not found.get("running", 0)
+            and not found.get("waiting", 0),
+        )
+
+    def drain(self, engine: str, draining: bool) -> None:
+        """Keeps new requests from an own engine, or lets them in again."""
+        task = self._tasks.get(engine)
+        if task is not None:
+            task.post(engines.Drain(draining))
+
     def wake(self) -> None:
         """Lets the engine tasks look at a limit that may have changed."""
         for task in self._tasks.values():
@@ -239,7 +315,7 @@
         self, model: str, account: str, chat_name: str
     ) -> placement.Choice:
         """Returns how a request would be placed now."""
-        return self._choose(model, account, chat_name, 1)
+        return self._choose(model, _Work(account, 1, 0.0), chat_name, False)
 
     def _is_unread(self, run: runs.Run, now: float) -> bool:
         return (
@@ -264,19 +340,21 @@
             )
         if run is not None and run.end is None and run.covers(position):
             return run.subscribe(position)
-        engine = self._engine_for(key, submit)
-        owner = self._view.owner(engine)
+        place = self._place(key, submit, last)
+        owner = self._view.owner(place.engine)
         if owner != self._view.name and submit.hops < HOPS_MAX:
-            self._note_placed(key, engine)
-            self._note_elsewhere(submit, engine)
-            return wire.Redirected(submit.request_id, submit.account, engine)
-        return self._create(submit, digest, engine, last)
+            self._note_placed(key, place.engine)
+            self._note_elsewhere(submit, place.engine)
+            return wire.Redirected(
+                submit.request_id, submit.account, place.engine
+            )
+        return self._create(submit, digest, place, last)
 
     def _create(
         self,
         submit: wire.Submit,
         digest: bytes,
-        engine: str,
+        place: _Place,
         last: sse.EventId | None,
     ) -> runs.Subscription:
         if len(self._runs) >= RUN_COUNT_MAX:
@@ -290,16 +368,16 @@
         if last is not None:
             run.attempt = last.attempt
             run.may_have_run = True
-        resume = last is not None and last.engine == engine
+        run.wait_until = self._now() + place.wait_s
         run.fire("place")
         self._retries.attempted(self._now())
         # A request that passed too many routers runs where it is.
-        task = self._task(engine)
-        if resume:
+        task = self._task(place.engine)
+        if place.is_resumed:
             # It is running there already, so there is nothing to decide.
             task.offer(run, self._job(run), True)
         else:
-            self._guarded(run, lambda: self._launch(run, engine))
+            self._guarded(run, lambda: self._launch(run, place.engine))
         return subscription
 
     def _task(self, engine: str) -> engines.EngineTask:
@@ -307,63 +385,111 @@
             self._start(engine)
         return self._tasks[engine]
 
-    def _engine_for(self, key: runs.Key, submit: wire.Submit) -> str:
+    def _place(
+        self,
+        key: runs.Key,
+        submit: wire.Submit,
+        last: sse.EventId | None,
+    ) -> _Place:
         model = self._view.directory.model(submit.model)
-        known = self._view.endpoints
         engine = submit.engine or self._placed.get(key, "")
-        if engine in known and known[engine].pool == model["name"]:
+        found = self._view.find(engine)
+        if found is not None and found.pool == model["name"]:
+            # A stream goes on where it runs, even while the engine leaves.
+            if last is not None and last.engine == engine:
+                return _Place(engine, 0.0, True)
             task = self._tasks.get(engine)
-            if task is None or task.takes_work:
-                return engine
-        choice = self._choose_for(submit)
+            is_taken = engine in self._view.endpoints
+            if is_taken and (task is None or task.takes_work):
+                return _Place(engine, 0.0, False)
+        is_patient = not submit.hops and not submit.engine
+        choice = self._choose_for(submit, is_patient)
         if not choice.engine:
             raise errors.UnavailableError(
                 f"no engine of {submit.model!r}", retry_after=RETRY_AFTER_S
             )
-        return choice.engine
+        return _Place(choice.engine, choice.wait_s, False)
 
     def _choose(
-        self, pool: str, account: str, chat_name: str, rank: int
+        self, pool: str, work: _Work, chat_name: str, is_patient: bool
     ) -> placement.Choice:
-        loads = self._view.loads
-        now = self._now()
-        bound = self._view.directory.published.document["load_bound"]
-        limit = loads.limit(pool, bound, now, self._view.reach)
-        least = loads.least(pool)
-        engines_count = max(1, len(self._view.pool(pool)))
-        mean = math.ceil(loads.total(pool) / engines_count)
-        told = dict(least)
-
-        def load_of(name: str) -> int:
-            task = self._tasks.get(name)
-            if task is None:
-                return told.get(name, mean)
-            if not task.takes_work:
-                return limit
-            return loads.of(name) + task.queue.waiting + task.pending
-
-        def wait_of(name: str) -> float:
-            task = self._tasks.get(name)
-            return task.queue.expected_wait(rank, account) if task else math.inf
-
+        limit = self._limit(pool)
+        patience_s = PATIENCE * work.first_token_s if is_patient else 0.0
         return self._view.placement.choose(
             pool,
-            f"{account}/{chat_name}",
-            load_of,
+            f"{work.account}/{chat_name}",
+            lambda name: self._load_for(pool, name, work, limit),
             limit,
-            [(name, load_of(name)) for name, _ in least],
-            wait_of=wait_of,
+            self._least(pool, work, limit),
+            wait_of=lambda name: self._wait_for(name, work),
+            token_s=self._prefill(pool).token_s,
+            patience_s=patience_s,
             zone=self._view.zone,
         )
 
-    def _choose_for(self, submit: wire.Submit) -> placement.Choice:
+    def _limit(self, pool: str) -> int:
+        document = self._view.directory.published.document
+        limit = self._view.loads.limit(
+            pool, document["load_bound"], self._now(), self._view.reach
+        )
+        return min(limit, self._view.directory.model(pool)["slots"])
+
+    def _load_for(self, pool: str, name: str, work: _Work, limit: int) -> int:
+        task = self._tasks.get(name)
+        if task is None:
+            return int(self._view.loads.mean(pool))
+        if not task.takes_work:
+            return limit
+        return task.load_for(work.rank, work.account)
+
+    def _least(
+        self, pool: str, work: _Work, limit: int
+    ) -> list[tuple[str, int]]:
+        """Least loaded engines of others, and all of this router."""
+        others = [
+            entry
+            for entry in self._view.loads.least(pool)
+            if entry[0] not in self._tasks
+        ]
+        mine = [
+            (name, self._load_for(pool, name, work, limit))
+            for name, task in self._tasks.items()
+            if task.endpoint.pool == pool
+        ]
+        return sorted(others + mine, key=lambda entry: entry[1])
+
+    def _wait_for(self, name: str, work: _Work) -> float:
+        task = self._tasks.get(name)
+        if task is None:
+            return math.inf
+        return task.queue.expected_wait(work.rank, work.account)
+
+    def _prefill(self, pool: str) -> prefill.Prefill:
+        return self._prefills.setdefault(pool, prefill.Prefill())
+
+    def _answered(self, run: runs.Run) -> None:
+        """Learns the prefill time from the usage in the last event."""
+        try:
+            usage = msgspec.json.decode(run.last_event, type=_Chunk)["usage"]
+        except (msgspec.DecodeError, KeyError):
+            return
+        missing = usage["prompt_tokens"] - usage["cached_tokens"]
+        self._prefill(run.submit.model).answered(run.first_event_s, missing)
+
+    def _choose_for(
+        self, submit: wire.Submit, is_patient: bool = False
+    ) -> placement.Choice:
         return self._choose(
-            submit.model, submit.account, submit.chat, self._rank(submit)
+            submit.model, self._work(submit), submit.chat, is_patient
         )
 
-    def _rank(self, submit: wire.Submit) -> int:
+    def _work(self, submit: wire.Submit) -> _Work:
         item = self._view.directory.classes.get(submit.work_class)
-        return item["rank"] if item else 3
+        if item is None:
+            return _Work(submit.account, 3, 0.0)
+        return _Work(
+            submit.account, item["rank"], item["first_token_ms"] / 1000
+        )
 
     def _job(self, run: runs.Run) -> queueing.Job:
         submit = run.submit
@@ -379,12 +505,29 @@
             work_class=submit.work_class,
             rank=item["rank"],
             arrived=self._now() - age,
-            first_token_s=item["first_token_ms"] / 1000,
+            first_token_s=self._queue_target(run, item),
             finish_s=item.get("finish_s"),
             worth=item["worth"],
             cost=chat.cost(request, len(submit.body)),
         )
 
+    def _queue_target(
+        self, run: runs.Run, item: configuration.WorkClass
+    ) -> float:
+        """Returns the part of the target for the first token to queue in."""
+        submit = run.submit
+        target_s = item["first_token_ms"] / 1000
+        slots = self._view.directory.model(submit.model)["slots"]
+        if self._view.loads.mean(submit.model) < slots / 2:
+            # A long prefill is no reason to refuse work that can be done.
+            return target_s
+        chat_name = f"{submit.account}/{submit.chat}"
+        held = dict(self._view.placement.holders(submit.model, chat_name))
+        prompt = len(submit.body) // chat.BYTES_PER_TOKEN
+        return self._prefill(submit.model).target_s(
+            target_s, prompt - held.get(run.engine, 0), TARGET_SHARE_LEAST
+        )
+
     def _launch(self, run: runs.Run, engine: str) -> None:
         """Sends a run to an engine as far as its content may run."""
         now = self._now()
@@ -473,7 +616,9 @@
             self._placed.popitem(last=False)
 
     def _start(self, name: str) -> None:
-        endpoint = self._view.endpoints[name]
+        endpoint = self._view.find(name)
+        if endpoint is None:
+            raise errors.UnavailableError(f"engine {name!r} is gone")
         slots = self._view.directory.model(endpoint.pool)["slots"]
         task = engines.EngineTask(endpoint, slots, self._hooks)
         self._tasks[name] = task
@@ -556,11 +701,13 @@
 
     def _move(self, run: runs.Run) -> bool:
         """Moves a waiting run to another engine that is free."""
-        submit = run.submit
-        choice = self._choose_for(submit)
+        if run.moves >= MOVES_MAX:
+            return False
+        choice = self._choose_for(run.submit)
         waits = choice.reason == placement.REASON_QUEUE
         if waits or not choice.engine or choice.engine == run.engine:
             return False
+        run.moves += 1
         self._send_to(run, choice.engine)
         return True
 
--- a/packages/router/nutmegpost_router/relay.py
+++ b/packages/router/nutmegpost_router/relay.py
@@ -105,7 +105,7 @@
 def _target(the_view: view.View, position: _Position) -> str:
     submit = position.submit
     engine = position.engine
-    if engine not in the_view.endpoints:
+    if the_view.find(engine) is None:
         position.engine = ""
         chat_name = f"{submit.account}/{submit.chat}"
         engine = the_view.placement.home(submit.model, chat_name)
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -33,6 +33,7 @@
 from nutmegpost_router import owner
 from nutmegpost_router import peers
 from nutmegpost_router import relay
+from nutmegpost_router import rollouts
 from nutmegpost_router import services
 from nutmegpost_router import settings
 from nutmegpost_router import status
@@ -41,8 +42,7 @@
 
 __all__ = ["Router"]
 
-SUMS_INTERVAL_S = 0.25
-SUMS_IDLE_INTERVAL_S = 1.0
+SUMS_INTERVAL_S = 0.1
 # Above this many routers the loads of others come by gossip alone.
 SUMS_PEERS_MAX = 16
 # A call may wait at its holder for its endpoint, and a hop lies between.
@@ -54,6 +54,10 @@
 DRAIN_INTERVAL_S = 0.05
 STOP_GRACE_S = 600.0
 LEAVING_LIFETIME_S = 30.0
+BURN_WINDOW_S = 60.0
+# Fewest requests in the window that give a burn rate.
+BURN_COUNT_LEAST = 10
+MAJORITY = 0.5
 UPKEEP_INTERVAL_S = 0.01
 GOODBYE_S = 0.3
 
@@ -109,6 +113,7 @@
             self._notices,
             self._fetch_from_peer,
         )
+        self._rollouts = rollouts.Rollouts(self._rollout_ports())
         self._handover = handover.Handover(
             self._permits, self._links, self._gossip
         )
@@ -208,6 +213,25 @@
             burn=self._burn,
         )
 
+    def _rollout_ports(self) -> rollouts.Ports:
+        return rollouts.Ports(
+            client=self._client,
+            published=lambda: self._acceptance.in_force,
+            engines=self._view.pool,
+            owned=lambda: list(self._owner.tasks),
+            owner=self._view.owner,
+            address=lambda name: self._view.endpoints[name].address,
+            report=self._owner.report,
+            drain=self._owner.drain,
+            burn=lambda model: self._burn.rate(
+                model, BURN_WINDOW_S, self._now(), BURN_COUNT_LEAST
+            ),
+            may_begin=self._may_begin,
+            is_fresh=self._is_fresh,
+            tell=self._tell_others,
+            now=self._now,
+        )
+
     async def _listen(
         self,
     ) -> tuple[http_server.HttpServer, http_server.HttpServer]:
@@ -233,6 +257,7 @@
             ("gossip", self._gossip.run),
             ("watcher", self._watcher.run),
             ("sweep", self._owner.sweep),
+            ("rollouts", self._rollouts.run),
             ("sums", self._send_sums),
             ("upkeep", self._keep_up),
             ("notices", self._handle_notices),
@@ -348,19 +373,20 @@
     async def _send_sums(self) -> None:
         while True:
             try:
-                async with asyncio.timeout(SUMS_IDLE_INTERVAL_S):
+                async with asyncio.timeout(SUMS_INTERVAL_S):
                     await self._sums_due.wait()
             except TimeoutError:
                 pass
             self._sums_due.clear()
-            await self._broadcast_sums()
-            await asyncio.sleep(SUMS_INTERVAL_S)
+            now = self._now()
+            if self._view.loads.sums_due(now):
+                self._broadcast_sums(now)
 
-    async def _broadcast_sums(self) -> None:
+    def _broadcast_sums(self, now: float) -> None:
         others = [n for n in self._gossip.members.alive if n != self._name]
         if not others or len(others) >= SUMS_PEERS_MAX:
             return
-        message = self._view.loads.sums()
+        message = self._view.loads.sums(now)
         size = len(wire.encode(message))
         for name in others:
             if self._links.notify(name, message):
@@ -400,6 +426,8 @@
                 self._owner.wake()
             case wire.Call():
                 send(await self._services.serve(message))
+            case wire.Standings():
+                self._rollouts.learn(peer, message)
             case wire.Withdraw():
                 send(self._owner.withdraw(message))
             case wire.Handover():
@@ -508,6 +536,25 @@
         fence = report.get("fence") or [0]
         self._acceptance.floor(fence[0])
 
+    def _may_begin(self) -> bool:
+        """Whether engines may be taken out; never in a lesser part."""
+        in_doubt = self._gossip.members.in_doubt
+        return (
+            self.serving
+            and not in_doubt
+            and not self._acceptance.is_contested
+            and self._view.reach > MAJORITY
+        )
+
+    async def _is_fresh(self) -> bool:
+        return self._may_begin() and await self._watcher.confirm()
+
+    def _tell_others(self, message: wire.Standings) -> None:
+        size = len(wire.encode(message))
+        for name in self._links.open_peers:
+            if self._links.notify(name, message):
+                self._metrics.control_sent("standings", size)
+
     # Callers
 
     def _addresses(self, model: str, chat_name: str) -> list[str]:
--- a/packages/router/nutmegpost_router/runs.py
+++ b/packages/router/nutmegpost_router/runs.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from typing import NamedTuple
 
 from nutmegpost_core import charts
@@ -69,6 +70,11 @@
         self.attempts = 0
         self.may_have_run = False
         self.held_since: float | None = None
+        # Until when it waits for the engine that holds its cache.
+        self.wait_until = 0.0
+        self.moves = 0
+        self.dispatched_at = 0.0
+        self.first_event_s = 0.0
         self.ended_at = 0.0
         self.unread_since = 0.0
 
@@ -92,6 +98,11 @@
         """Sequence number of the next event."""
         return self._base + len(self._events)
 
+    @property
+    def last_event(self) -> bytes:
+        """Data of the last event; empty before the first."""
+        return self._events[-1] if self._events else b""
+
     @property
     def ended(self) -> bool:
         """Whether it ended."""
@@ -140,6 +151,8 @@
         )
         fresh = data[skip:] if skip else data
         if fresh:
+            if not self._events:
+                self.first_event_s = time.monotonic() - self.dispatched_at
             self._events.extend(fresh)
             self._wake()
         return min(skip, len(data))
--- a/packages/router/nutmegpost_router/view.py
+++ b/packages/router/nutmegpost_router/view.py
@@ -124,6 +124,13 @@
         listed = sum(1 for vm in self._vms.values() if vm["kind"] == "router")
         return min(1.0, len(self._routers) / listed) if listed else 1.0
 
+    def find(self, name: str) -> Endpoint | None:
+        """Returns a listed endpoint, also one that is leaving."""
+        vm = self._vms.get(name)
+        if vm is None or vm["kind"] == "router":
+            return None
+        return _endpoint(vm)
+
     def outliers(self, pool: str) -> outliers.Outliers:
         """Returns the record of failures in a pool."""
         return self._outliers.setdefault(pool, outliers.Outliers())
