Cancel copies of a suspect that the same router runs; tell suspects together

A soak found a third engine lost: a copy on another engine of the router that saw the crash was not cancelled, since only reports of others named exposed engines. Reports of one's own crashes now take the same path.

--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -579,7 +579,7 @@
     ) -> datagrams.Packet:
         entries: list[datagrams.Entry] = []
         shorts: list[datagrams.Short] = []
-        share = room // _SHARE_OF_RUMOURS
+        share = room // _SHARE_OF_RUMOURS if names or self._unsent else room
         fleet = len(self._table.live)
         if sample:
             items = self._riders.sample(share, now)
--- a/packages/core/nutmegpost_core/quarantine.py
+++ b/packages/core/nutmegpost_core/quarantine.py
@@ -30,12 +30,16 @@
     "Verdict",
     "decider",
     "digest",
+    "expand",
     "is_whole",
 ]
 
 CRASHES_MAX = 2
-DIGEST_BYTES = 16
+DIGEST_BYTES = 8
 _ID_BYTES = 4
+# The suspects of one crash are told together, under a digest of zeros.
+_BATCH = bytes(DIGEST_BYTES)
+_BATCH_MAX = 40
 
 
 class Verdict(enum.StrEnum):
@@ -123,6 +127,26 @@
     return max(routers, key=weight)
 
 
+def expand(key: bytes, payload: bytes) -> list[tuple[bytes, bytes]]:
+    """Splits the rumour of a crash into one report for each suspect.
+
+    Args:
+        key: Key of a rumour.
+        payload: Its content.
+
+    Returns:
+        Keys and payloads for `Quarantine.learn_report`.
+    """
+    if not key.startswith(_BATCH):
+        return [(key, payload)]
+    incident = key[DIGEST_BYTES:-1]
+    state, digests = payload[:1], payload[1:]
+    return [
+        (digests[start : start + DIGEST_BYTES] + incident, state)
+        for start in range(0, len(digests), DIGEST_BYTES)
+    ]
+
+
 def is_whole(listed: Iterable[str], alive: Collection[str]) -> bool:
     """Whether every router of the VM list can be reached.
 
@@ -215,8 +239,11 @@
         late = self._cancelled.pop(engine, {})
         found |= {item for item, until in late.items() if until > now}
         alone = self._alone.pop(engine, None)
-        for request in found:
-            self._crashed(request, engine, now)
+        key = self._incident_key(engine, now)
+        fresh = [item for item in sorted(found) if self._trial(item) is None]
+        self._report_crash(fresh, key)
+        for request in sorted(found):
+            self._crashed(request, key, now)
         if alone is not None:
             self._end_trial(alone, engine, now)
         return sorted(found)
@@ -245,7 +272,7 @@
         for number in range(count):
             key = number.to_bytes(_ID_BYTES, "big") + engine.encode()
             self._put(request, key, _State.CRASHED, now)
-        return self._exposed(request)
+        return self.exposed(request)
 
     def learn_report(self, key: bytes, payload: bytes, now: float) -> list[str]:
         """Takes in a report of another router.
@@ -268,7 +295,7 @@
         if state is _State.TRIAL and ended == incident[_ID_BYTES:]:
             # The trial ended here before its report arrived.
             self._set(request, incident, _State.CLEARED, now)
-        return self._exposed(request)
+        return self.exposed(request)
 
     # Decisions.
 
@@ -376,9 +403,22 @@
             default=0.0,
         )
 
-    def _crashed(self, request: bytes, engine: str, now: float) -> None:
-        key = self._trial(request) or self._incident_key(engine, now)
-        self._set(request, key, _State.CRASHED, now)
+    def _report_crash(self, requests: list[bytes], key: bytes) -> None:
+        for start in range(0, len(requests), _BATCH_MAX):
+            part = requests[start : start + _BATCH_MAX]
+            number = bytes([start // _BATCH_MAX % 256])
+            payload = bytes([_State.CRASHED]) + b"".join(part)
+            lifetime = self._limits.suspect_s
+            self._reports.append(
+                Report(_BATCH + key + number, payload, lifetime)
+            )
+
+    def _crashed(self, request: bytes, key: bytes, now: float) -> None:
+        trial = self._trial(request)
+        if trial is None:
+            self._put(request, key, _State.CRASHED, now)
+        else:
+            self._set(request, trial, _State.CRASHED, now)
         crashes = self._crashes(self._live(request, now), now)
         invariants.check(
             crashes <= CRASHES_MAX,
@@ -454,7 +494,11 @@
             self._alone.pop(engine, None)
         return True
 
-    def _exposed(self, request: bytes) -> list[str]:
+    def exposed(self, request: bytes) -> list[str]:
+        """Returns engines where a suspect runs here without a trial.
+
+        It must be cancelled there, also when the crash was noticed here.
+        """
         incidents = self._suspects.get(request, {}).values()
         if all(item.state is _State.CLEARED for item in incidents):
             return []
--- a/packages/core/nutmegpost_core/rumours.py
+++ b/packages/core/nutmegpost_core/rumours.py
@@ -166,9 +166,11 @@
             The items sent least often so far, the most important first.
         """
         limit = max(3, math.ceil(math.log2(fleet + 1)) + 1)
-        ordered = sorted(
-            self._fresh,
-            key=lambda name: (_IMPORTANCE[name[0]], self._held[name].sent),
+        # Nodes that sent in the same order would all be late with the same.
+        ordered = sorted(self._fresh)
+        self._rng.shuffle(ordered)
+        ordered.sort(
+            key=lambda name: (_IMPORTANCE[name[0]], self._held[name].sent)
         )
         taken = self._fit(ordered, room, now)
         for name in taken:
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -26,6 +26,38 @@
     return store
 
 
+def _teach(store, report, now):
+    """Lets a router hear a report, and returns where it is exposed."""
+    exposed = []
+    for key, payload in quarantine.expand(report.key, report.payload):
+        exposed += store.learn_report(key, payload, now)
+    return exposed
+
+
+def test_the_suspects_of_a_crash_are_told_together():
+    store = quarantine.Quarantine("router-1")
+    requests = [quarantine.digest("a", b"%d" % n) for n in range(64)]
+    for request in requests:
+        store.started(request, "engine-00001", 0.0)
+    store.engine_crashed("engine-00001", 1.0)
+    reports = store.reports()
+    assert len(reports) == 2
+    other = quarantine.Quarantine("router-2")
+    for report in reports:
+        assert len(report.key) + len(report.payload) <= 400
+        _teach(other, report, 2.0)
+    for request in requests:
+        assert other.verdict(request, 2.0) is Verdict.WAIT
+
+
+def test_a_copy_on_another_engine_of_the_same_router_is_exposed():
+    store = quarantine.Quarantine("router-1")
+    store.started(POISON, "engine-1", 0.0)
+    store.started(POISON, "engine-5", 0.0)
+    assert store.engine_crashed("engine-1", 1.0) == [POISON]
+    assert store.exposed(POISON) == ["engine-5"]
+
+
 def test_the_digest_names_account_and_body():
     assert quarantine.digest("a", b"x") == quarantine.digest("a", b"x")
     assert quarantine.digest("a", b"x") != quarantine.digest("b", b"x")
@@ -131,7 +163,7 @@
     other.started(POISON, "engine-5", 9.0)
     exposed = []
     for report in store.reports():
-        exposed += other.learn_report(report.key, report.payload, 11.0)
+        exposed += _teach(other, report, 11.0)
     assert exposed == ["engine-5"]
     assert other.verdict(INNOCENT, 11.0) is Verdict.WAIT
     assert not store.reports()
@@ -141,7 +173,7 @@
     deciding = _after_a_crash()
     running = quarantine.Quarantine("router-2")
     for report in deciding.reports():
-        running.learn_report(report.key, report.payload, 11.0)
+        _teach(running, report, 11.0)
     deciding.begin_trial(INNOCENT, "engine-2", 20.0)
     running.started(INNOCENT, "engine-2", 20.0)
     running.finished(INNOCENT, "engine-2", 20.1)
@@ -188,9 +220,9 @@
     limits = quarantine.Limits(suspects_max=10)
     store = quarantine.Quarantine("router-1", limits)
     for number in range(50):
-        store.learn(b"%016d" % number, 1, "engine-1", float(number))
+        store.learn(b"%08d" % number, 1, "engine-1", float(number))
     assert len(store) == 10
-    assert store.verdict(b"%016d" % 49, 50.0) is Verdict.WAIT
+    assert store.verdict(b"%08d" % 49, 50.0) is Verdict.WAIT
 
 
 def test_a_third_crash_is_reported_as_a_violation():
@@ -227,6 +259,7 @@
         self.early = set()
         for store in self.stores.values():
             store.note_fleet(True, self.now)
+        self.advance(LIMITS.spread_s)
 
     def _owner(self, engine):
         return ROUTERS[ENGINES.index(engine) % len(ROUTERS)]
@@ -235,7 +268,12 @@
         return ROUTERS.index(name) >= 2 if self.parted else False
 
     def _publish(self, name, share=0.99):
-        for report in self.stores[name].reports():
+        reports = [
+            pair
+            for report in self.stores[name].reports()
+            for pair in quarantine.expand(report.key, report.payload)
+        ]
+        for report in reports:
             for other in ROUTERS:
                 if other != name:
                     due = self.now + share * LIMITS.spread_s
@@ -316,7 +354,10 @@
             self.crashes[request] = self.crashes.get(request, 0) + 1
         self.running[engine] = []
         owner = self._owner(engine)
-        self.stores[owner].engine_crashed(engine, self.now)
+        store = self.stores[owner]
+        for request in store.engine_crashed(engine, self.now):
+            for other in store.exposed(request):
+                self._cancel(owner, request, other)
         self._publish(owner)
 
     @stateful.rule(engine=st.sampled_from(ENGINES))
@@ -353,10 +394,10 @@
                 held.append((end + 0.1, number, source, target, report))
                 continue
             store = self.stores[target]
-            for engine in store.learn_report(
-                report.key, report.payload, self.now
-            ):
-                self._cancel(target, report.key[:16], engine)
+            request = report[0][: quarantine.DIGEST_BYTES]
+            for engine in store.learn_report(*report, self.now):
+                self._cancel(target, request, engine)
+            self._publish(target)
         self.now = end
         for item in held:
             heapq.heappush(self.flying, item)
