Close the holes that tests of hand-over and documents found

A refusal from a restarted process of the successor's name reopened the table, although the first one may have run its permits; a hand-over starved while peers forwarded calls; a stopping, joining or outdated entry said not run of a call whose copy another router could run. Eleven checks of the documents failed: names and digests ending in a line end, ports out of range, doubled names, negative kinds and versions past 63 bits passed.

--- a/packages/core/nutmegpost_core/configuration.py
+++ b/packages/core/nutmegpost_core/configuration.py
@@ -32,10 +32,12 @@
 DOCUMENT_BYTES_MAX = 1_000_000
 
 Name = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=64)
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*\Z", max_length=64)
 ]
-Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+# Versions travel between processes as 64 bit numbers.
+Version = Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=7 * 86_400)]
 
@@ -103,7 +105,7 @@
     name: Name
     version: Name
     adapter: NotRequired[Name]
-    role: NotRequired[Annotated[str, msgspec.Meta(pattern="^(both|decode)$")]]
+    role: NotRequired[Annotated[str, msgspec.Meta(pattern=r"^(both|decode)\Z")]]
     slots: PositiveInt
     rollout: RolloutPolicy
 
@@ -146,7 +148,7 @@
         services: Plain services.
     """
 
-    version: PositiveInt
+    version: Version
     load_bound: Annotated[float, msgspec.Meta(ge=1, le=10)]
     classes: Annotated[list[WorkClass], msgspec.Meta(min_length=1)]
     accounts: list[Account]
@@ -223,6 +225,13 @@
             ],
         ),
     ]
+    lists.extend(
+        (
+            f"services[{position}].operations",
+            [operation["name"] for operation in item["operations"]],
+        )
+        for position, item in enumerate(document["services"])
+    )
     for key, names in lists:
         counts = collections.Counter(names)
         name, count = max(
--- a/packages/core/nutmegpost_core/vms.py
+++ b/packages/core/nutmegpost_core/vms.py
@@ -1,5 +1,6 @@
 """The VM list of the platform: its form and its checks."""
 
+import ipaddress
 from typing import Annotated, NamedTuple, TypedDict
 
 import msgspec
@@ -9,9 +10,9 @@
 
 __all__ = ["Address", "Vm", "VmList", "parse", "parse_address"]
 
-HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
+HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}\Z")]
 Name = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=64)
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*\Z", max_length=64)
 ]
 
 
@@ -45,9 +46,9 @@
     address: HostPort
     peer_address: HostPort
     zone: Name
-    kind: Annotated[str, msgspec.Meta(pattern="^(router|engine|service)$")]
+    kind: Annotated[str, msgspec.Meta(pattern=r"^(router|engine|service)\Z")]
     pool: str
-    state: Annotated[str, msgspec.Meta(pattern="^(live|leaving)$")]
+    state: Annotated[str, msgspec.Meta(pattern=r"^(live|leaving)\Z")]
     fenced: bool
 
 
@@ -76,7 +77,18 @@
     Raises:
         errors.DocumentError: The list is broken.
     """
-    return documents.decode(data, VmList, source, errors.DocumentError)
+    listed = documents.decode(data, VmList, source, errors.DocumentError)
+    names: set[str] = set()
+    for position, vm in enumerate(listed["vms"]):
+        key = f"$.vms[{position}]"
+        if vm["name"] in names:
+            raise errors.DocumentError(
+                source, f"{key}.name", f"no name twice, got {vm['name']!r}"
+            )
+        names.add(vm["name"])
+        _check_address(vm["address"], source, f"{key}.address")
+        _check_address(vm["peer_address"], source, f"{key}.peer_address")
+    return listed
 
 
 def parse_address(text: str) -> Address:
@@ -86,6 +98,16 @@
         ValueError: The text is not an IPv4 address and a port.
     """
     host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
+    ipaddress.IPv4Address(host)
+    if not 0 < int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
     return Address(host, int(port))
+
+
+def _check_address(text: str, source: str, key: str) -> None:
+    try:
+        parse_address(text)
+    except ValueError as caught:
+        raise errors.DocumentError(
+            source, key, f"an IPv4 address and a port, got {text!r}"
+        ) from caught
--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -343,6 +343,8 @@
         raise errors.PeerError(f"message of {len(data)} bytes")
     try:
         _, number, *fields = cbor2.loads(data)
+        if number < 0:
+            raise ValueError("negative number of a kind")
         kind = _KINDS[number]
         known = fields[: _FIELD_COUNTS[number]]
         return msgspec.convert(known, kind)
--- a/packages/core/tests/test_configuration.py
+++ b/packages/core/tests/test_configuration.py
@@ -89,6 +89,7 @@
     [
         (("version",), 0),
         (("version",), 1.5),
+        (("version",), 2**63),
         (("load_bound",), 0.9),
         (("load_bound",), "x"),
         (("classes",), []),
@@ -99,9 +100,11 @@
         (("classes", 1, "name"), "quick"),
         (("accounts", 0, "key_digests"), []),
         (("accounts", 0, "key_digests", 0), "abc"),
+        (("accounts", 0, "key_digests", 0), "0" * 64 + "\n"),
         (("accounts", 0, "classes"), ["none"]),
         (("models", 0, "slots"), 0),
         (("models", 0, "name"), "line"),
+        (("models", 0, "name"), "panel\n"),
         (("models", 0, "role"), "other"),
         (("models", 0, "rollout", "max_unavailable"), 0),
         (("models", 0, "rollout", "burn_limit"), 0),
@@ -115,6 +118,16 @@
     assert caught.value.key.startswith("$")
 
 
+def test_operation_named_twice_is_refused():
+    operation = {"name": "release", "repeatable": True}
+    data = _changed(
+        ("services", 0, "operations"),
+        [*DOCUMENT["services"][0]["operations"], operation],
+    )
+    with pytest.raises(errors.ConfigurationError):
+        configuration.parse(data, "test")
+
+
 def test_key_of_two_accounts_is_refused():
     account = {**DOCUMENT["accounts"][0], "name": "other"}
     data = _changed(("accounts",), [*DOCUMENT["accounts"], account])
--- a/packages/core/tests/test_vms.py
+++ b/packages/core/tests/test_vms.py
@@ -35,7 +35,12 @@
     [
         {"name": "Engine 1"},
         {"name": "x" * 65},
+        {"name": "engine-1\n"},
         {"address": "localhost:80"},
+        {"address": "127.0.0.2:8000\n"},
+        {"address": "127.0.0.2:0"},
+        {"address": "127.0.0.2:99999"},
+        {"peer_address": "999.0.0.2:80"},
         {"kind": "other"},
         {"state": "gone"},
         {"fenced": "yes"},
@@ -48,6 +53,12 @@
     assert caught.value.key.startswith("$.vms")
 
 
+def test_same_name_twice_is_refused():
+    content = {"version": 1, "vms": [VM, VM]}
+    with pytest.raises(errors.DocumentError):
+        vms.parse(json.dumps(content).encode(), "test")
+
+
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
 @hypothesis.given(st.binary(max_size=200) | st.text(max_size=200))
 def test_any_bytes_give_the_typed_error(data):
--- a/packages/core/tests/test_wire.py
+++ b/packages/core/tests/test_wire.py
@@ -108,6 +108,15 @@
         _decode(b"\x83\x02\x00" + data)
 
 
+def test_negative_number_of_a_kind_gives_the_typed_error():
+    fields = wire.encode(wire.Withdraw("r", "a"))
+    number = wire._KINDS.index(wire.Withdraw) - len(wire._KINDS)
+    values = cbor2.loads(fields)
+    values[1] = number
+    with pytest.raises(errors.PeerError):
+        wire.decode(cbor2.dumps(values))
+
+
 def test_oversized_message_gives_the_typed_error():
     with pytest.raises(errors.PeerError):
         wire.decode(bytes(wire.MESSAGE_BYTES_MAX + 1))
--- a/packages/router/nutmegpost_router/entry.py
+++ b/packages/router/nutmegpost_router/entry.py
@@ -47,6 +47,7 @@
         issue: Issues a permit to an account.
         call: Calls a plain service: account, service, operation, body,
             permit or None, age in seconds.
+        doubt: Makes the error of a call with a permit honest.
         taking: Whether new requests are taken.
         metrics: The metrics.
         burn: The service-level counts.
@@ -60,6 +61,7 @@
         [str, str, str, bytes, str | None, float],
         Awaitable[services.ServiceAnswer],
     ]
+    doubt: Callable[[errors.RequestError, str], errors.RequestError]
     taking: Callable[[], bool]
     metrics: metrics.Metrics
     burn: burn.Burn
@@ -116,6 +118,7 @@
         try:
             await self._route(exchange)
         except errors.RequestError as caught:
+            self._doubt(exchange.request, caught)
             log.emit(
                 events.REQUEST_REFUSED, code=caught.code, reason=str(caught)
             )
@@ -126,6 +129,14 @@
         finally:
             self._open -= 1
 
+    def _doubt(
+        self, request: http_server.Request, error: errors.RequestError
+    ) -> None:
+        """Makes the outcome unknown where a copy may run elsewhere."""
+        key = request.headers.get("idempotency-key")
+        if key and request.target.startswith(_SERVICE_PREFIX):
+            self._ports.doubt(error, key)
+
     async def _route(self, exchange: http_server.Exchange) -> None:
         request = exchange.request
         path, _, query = request.target.partition("?")
@@ -142,7 +153,10 @@
             raise errors.InvalidRequestError("no such call", 404)
         if path != _CHAT_PATH and not path.startswith(_SERVICE_PREFIX):
             raise errors.InvalidRequestError("no such call", 404)
-        if not self._ports.taking():
+        # A call with a permit goes on to the holder of the permit: another
+        # router may run a copy of it, so a refusal here would not be true.
+        has_permit = "idempotency-key" in request.headers
+        if not self._ports.taking() and (path == _CHAT_PATH or not has_permit):
             raise self._stopping()
         if path == _CHAT_PATH:
             await self._chat(exchange, account)
@@ -338,7 +352,6 @@
         if len(parts) != 2:
             raise errors.UnknownNameError("expected SERVICE/OPERATION")
         service, operation = parts
-        self._ports.view.directory.operation(service, operation)
         request = exchange.request
         answer = await self._ports.call(
             account["name"],
--- a/packages/router/nutmegpost_router/handover.py
+++ b/packages/router/nutmegpost_router/handover.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+import contextlib
 
 import cbor2
 import msgspec
@@ -23,6 +24,7 @@
 __all__ = ["Handover"]
 
 ANSWER_TIMEOUT_S = 1.0
+QUIET_LIMIT_S = 2.0
 INTERVAL_S = 0.05
 # Tries with one successor that may have the message.
 TRIES_MAX = 20
@@ -61,22 +63,43 @@
             except errors.PeerError as caught:
                 log.emit(events.HANDOVER_REFUSED, reason=str(caught))
         self._publish(now)
-        return wire.HandoverDone(held)
+        return wire.HandoverDone(held, self._table.incarnation)
 
     async def run(self, successors: Callable[[], Iterable[str]]) -> None:
-        """Hands all permits over, once no call is running.
+        """Hands all permits over, and later the results of running calls.
+
+        Other routers go on to send calls, so the wait for a moment without
+        one has an end.
 
         Args:
             successors: Gives the live routers, best first.
         """
-        while self._table.running:
-            await asyncio.sleep(INTERVAL_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(QUIET_LIMIT_S):
+                await self._wait_for_calls()
         for name in successors():
             if await self._give(name):
                 log.emit(events.HANDOVER_DONE, successor=name)
+                await self._give_results()
                 return
         log.emit(events.HANDOVER_FAILED)
 
+    async def _wait_for_calls(self) -> None:
+        while self._table.running:
+            await asyncio.sleep(INTERVAL_S)
+
+    async def _give_results(self) -> None:
+        """Sends the same successor what ended since the hand-over."""
+        successor = self._table.successor
+        if successor is None or not self._table.running:
+            return
+        await self._wait_for_calls()
+        now = asyncio.get_running_loop().time()
+        data = self._table.export(successor, now)
+        message = wire.Handover([self._table.incarnation], [data])
+        with contextlib.suppress(peers.LinkError):
+            await self._send(successor.name, message)
+
     async def _give(self, name: str) -> bool:
         """Returns whether another successor must not be tried."""
         member = self._gossip.members.members.get(name)
@@ -99,22 +122,20 @@
             if done is None:
                 may_have_arrived = True
                 continue
-            return self._answered(successor, done, now)
+            return self._answered(done, now)
         self._publish(now)
         return True
 
-    def _answered(
-        self,
-        successor: permits.Elsewhere,
-        done: wire.HandoverDone,
-        now: float,
-    ) -> bool:
+    def _answered(self, done: wire.HandoverDone, now: float) -> bool:
         if self._table.incarnation in done.incarnations:
             self._publish(now)
             return True
         try:
-            self._table.reopen(successor.incarnation)
+            self._table.reopen(done.incarnation)
         except errors.PeerError:
+            # A process in the successor's place cannot know what that one
+            # ran, so there is no other successor.
+            self._publish(now)
             return True
         return False
 
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -208,6 +208,7 @@
             addresses=self._addresses,
             issue=self._issue,
             call=self._services.call,
+            doubt=self._services.doubt,
             taking=lambda: self.serving and self._view.configured,
             metrics=self._metrics,
             burn=self._burn,
--- a/packages/standins/nutmegpost_standins/engine.py
+++ b/packages/standins/nutmegpost_standins/engine.py
@@ -470,6 +470,7 @@
             if self._order_task is not None:
                 self._order_task.cancel()
             self._loading = True
+            self._order_error = ""
             self._order_task = asyncio.create_task(self._load(wanted))
         return http.json_response({}, 202)
 
