--- a/packages/standins/nutmegpost_standins/slopes.py
+++ b/packages/standins/nutmegpost_standins/slopes.py
@@ -238,7 +238,7 @@
     return net.now - began
 
 
-def zone_loss(sizes: Sequence[int] = (35, 70, 140)) -> Slope:
+def zone_loss(sizes: Sequence[int] = (100, 300, 1_100)) -> Slope:
     """Measures the loss of one zone of seven at once."""
     points = []
     for size in sizes:
@@ -258,7 +258,7 @@
 
 
 def region_heal(
-    sizes: Sequence[int] = (30, 60, 120), apart_s: float = 120.0
+    sizes: Sequence[int] = (60, 120, 240), apart_s: float = 120.0
 ) -> Slope:
     """Measures the end of a partition that cut off a region of three."""
     points = []
@@ -326,18 +326,14 @@
     for size in sizes:
         net = _quiet_fleet(size)
         node = net.nodes[net.listed[0]]
-        for number in range(count):
-            request = quarantine.digest("account", b"%d" % number)
-            key = request + b"0000engine-00001"
-            kind = rumours.Kind.SUSPECT_REQUEST
-            node.riders.publish(kind, key, b"\x02", net.now, 86_400)
+        reports = _crash(count)
+        for report in reports:
+            node.riders.publish(
+                rumours.Kind.SUSPECT_REQUEST, *report[:2], net.now, 86_400
+            )
         began = net.now
         net.post(net.listed[0], node.members.announce(net.now))
-        nodes = list(net.nodes.values())
-
-        def known(nodes: list[network.Node] = nodes) -> bool:
-            return all(len(item.riders) == count for item in nodes)
-
+        known = functools.partial(_all_hold, net, len(reports))
         if not net.run(300, known, 0.1):
             raise RuntimeError("the suspects are not known after 300 s")
         points.append(Point(size, net.now - began))
@@ -349,6 +345,19 @@
     )
 
 
+def _all_hold(net: network.Network, count: int) -> bool:
+    return all(len(node.riders) == count for node in net.nodes.values())
+
+
+def _crash(count: int) -> list[quarantine.Report]:
+    store = quarantine.Quarantine("router-0000")
+    for number in range(count):
+        request = quarantine.digest("account", b"%d" % number)
+        store.started(request, "engine-00001", 0.0)
+    store.engine_crashed("engine-00001", 0.0)
+    return store.reports()
+
+
 def _read_configuration(
     net: network.Network, due: dict[str, float], done: set[str]
 ) -> None:
--- a/packages/standins/nutmegpost_standins/soak.py
+++ b/packages/standins/nutmegpost_standins/soak.py
@@ -114,6 +114,8 @@
         deadline=None,
         database=None,
         derandomize=False,
+        # Minutes of shrinking would be minutes without new runs.
+        phases=[hypothesis.Phase.generate],
         print_blob=False,
         suppress_health_check=list(hypothesis.HealthCheck),
     )
