--- a/packages/standins/nutmegpost_standins/policies.py
+++ b/packages/standins/nutmegpost_standins/policies.py
@@ -28,7 +28,7 @@
 # Part of that target after which a request that waits is placed anew.
 RECHECK_SHARE = 0.1
 # Least part of that target that is left for the queue by a long prefill.
-LEAST_TARGET = 0.5
+LEAST_TARGET = 0.2
 WAYS = ("hash", "round-robin", "least-loaded")
 
 
@@ -276,7 +276,7 @@
 
     def _target(self, request: enginemodel.Request, engine: str) -> float:
         """Time in which a request must be dispatched, seconds."""
-        if self.loads.mean(POOL) < self._fleet.scenario["slots"] / 2:
+        if self._load(engine, request) < self._fleet.scenario["slots"]:
             # A long prefill is no reason to refuse work that can be done.
             return request.first_token_s
         known = dict(
