Give each run of gossip processes a port of its own

Two runs at the same time met on one port: a test of 3 processes saw 1 member while the capacity command ran. It passes beside that command now.

--- a/packages/standins/nutmegpost_standins/slopes.py
+++ b/packages/standins/nutmegpost_standins/slopes.py
@@ -9,6 +9,7 @@
 import gc
 import json
 import random
+import socket
 import subprocess
 import sys
 import time
@@ -25,6 +26,7 @@
 from nutmegpost_core import rumours
 from nutmegpost_core import vms
 from nutmegpost_core import wire
+from nutmegpost_standins import gossiper
 from nutmegpost_standins import network
 
 __all__ = [
@@ -162,9 +164,17 @@
     ]
 
 
+def _free_port() -> int:
+    host, _ = gossiper.address(0, 0).split(":")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
 def _gossipers(
     size: int, warm_s: float, measure_s: float
 ) -> list[dict[str, float]]:
+    port = _free_port()
     processes = [
         subprocess.Popen(
             [
@@ -173,6 +183,7 @@
                 "nutmegpost_standins.gossiper",
                 f"--number={number}",
                 f"--count={size}",
+                f"--port={port}",
                 f"--warm={warm_s}",
                 f"--measure={measure_s}",
             ],
