--- a/packages/standins/nutmegpost_standins/capacity.py
+++ b/packages/standins/nutmegpost_standins/capacity.py
@@ -20,8 +20,13 @@
 
 __all__ = ["Limit", "Size", "limits", "main", "measure", "roles"]
 
-PROCESSES = flags.DEFINE_bool(
-    "processes", True, "Whether real processes are measured as well."
+# Flags of its own: other commands have flags of the same names.
+_FLAGS = flags.FlagValues()
+_PROCESSES = flags.DEFINE_bool(
+    "processes",
+    True,
+    "Whether real processes are measured as well.",
+    flag_values=_FLAGS,
 )
 
 _DAY_S = 86_400.0
@@ -438,7 +443,7 @@
 def main(argv: Sequence[str]) -> None:
     """Runs the command."""
     del argv
-    table = measure(PROCESSES.value)
+    table = measure(_PROCESSES.value)
     size = Size()
     lines = [
         "### Measured slopes",
@@ -460,5 +465,10 @@
     print("\n".join(lines))  # noqa: T201
 
 
+def _parse(argv: list[str]) -> list[str]:
+    flags.FLAGS(argv[:1])
+    return _FLAGS(argv)
+
+
 if __name__ == "__main__":
-    app.run(main)
+    app.run(main, flags_parser=_parse)
--- a/packages/standins/nutmegpost_standins/gossiper.py
+++ b/packages/standins/nutmegpost_standins/gossiper.py
@@ -22,11 +22,23 @@
 
 __all__ = ["address", "main"]
 
-NUMBER = flags.DEFINE_integer("number", 0, "Number of this process.")
-COUNT = flags.DEFINE_integer("count", 4, "Number of processes.")
-PORT = flags.DEFINE_integer("port", 17_946, "Port of all processes.")
-WARM_S = flags.DEFINE_float("warm", 10.0, "Seconds before the measurement.")
-MEASURE_S = flags.DEFINE_float("measure", 10.0, "Seconds of the measurement.")
+# Flags of its own: other commands have flags of the same names.
+_FLAGS = flags.FlagValues()
+_NUMBER = flags.DEFINE_integer(
+    "number", 0, "Number of this process.", flag_values=_FLAGS
+)
+_COUNT = flags.DEFINE_integer(
+    "count", 4, "Number of processes.", flag_values=_FLAGS
+)
+_PORT = flags.DEFINE_integer(
+    "port", 17_946, "Port of all processes.", flag_values=_FLAGS
+)
+_WARM_S = flags.DEFINE_float(
+    "warm", 10.0, "Seconds before the measurement.", flag_values=_FLAGS
+)
+_MEASURE_S = flags.DEFINE_float(
+    "measure", 10.0, "Seconds of the measurement.", flag_values=_FLAGS
+)
 
 _PEER_KEY = "a key of stand-ins only"
 
@@ -47,11 +59,13 @@
     task = _task()
     running = asyncio.create_task(task.run())
     task.send(
-        gossip.Seed([address(item, PORT.value) for item in range(COUNT.value)])
+        gossip.Seed(
+            [address(item, _PORT.value) for item in range(_COUNT.value)]
+        )
     )
-    await asyncio.sleep(WARM_S.value)
+    await asyncio.sleep(_WARM_S.value)
     before = _totals(task)
-    await asyncio.sleep(MEASURE_S.value)
+    await asyncio.sleep(_MEASURE_S.value)
     after = _totals(task)
     running.cancel()
     passed = after["at"] - before["at"]
@@ -64,8 +78,8 @@
 
 
 def _task() -> gossip.Gossip:
-    mine = address(NUMBER.value, PORT.value)
-    name = f"router-{NUMBER.value:04d}"
+    mine = address(_NUMBER.value, _PORT.value)
+    name = f"router-{_NUMBER.value:04d}"
     rng = random.Random()
     riders = rumours.Rumours(rng)
     me = membership.Member(name, rng.getrandbits(48), mine, mine, "zone-a")
@@ -95,5 +109,10 @@
     }
 
 
+def _parse(argv: list[str]) -> list[str]:
+    flags.FLAGS(argv[:1])
+    return _FLAGS(argv)
+
+
 if __name__ == "__main__":
-    app.run(main)
+    app.run(main, flags_parser=_parse)
--- a/packages/standins/nutmegpost_standins/soak.py
+++ b/packages/standins/nutmegpost_standins/soak.py
@@ -25,12 +25,17 @@
 
 __all__ = ["Machine", "Result", "find", "main", "soak"]
 
-SEED = flags.DEFINE_integer("seed", 0, "First seed.")
-SECONDS = flags.DEFINE_float("seconds", 600.0, "Length of the run.", 0.0)
-TESTS = flags.DEFINE_string(
+# Flags of its own: other commands have flags of the same names.
+_FLAGS = flags.FlagValues()
+_SEED = flags.DEFINE_integer("seed", 0, "First seed.", flag_values=_FLAGS)
+_SECONDS = flags.DEFINE_float(
+    "seconds", 600.0, "Length of the run.", 0.0, flag_values=_FLAGS
+)
+_TESTS = flags.DEFINE_string(
     "tests",
     str(pathlib.Path(__file__).parents[2] / "core" / "tests"),
     "Directory of the tests whose state machines run.",
+    flag_values=_FLAGS,
 )
 
 _EXAMPLES = 50
@@ -151,11 +156,11 @@
 def main(argv: Sequence[str]) -> int:
     """Runs the command."""
     del argv
-    machines = find(pathlib.Path(TESTS.value))
-    _say(f"seed {SEED.value}, {SECONDS.value:g} s, {len(machines)} machines")
+    machines = find(pathlib.Path(_TESTS.value))
+    _say(f"seed {_SEED.value}, {_SECONDS.value:g} s, {len(machines)} machines")
     if not machines:
         return 1
-    results = soak(machines, SEED.value, SECONDS.value)
+    results = soak(machines, _SEED.value, _SECONDS.value)
     for result in results:
         _say(
             f"{result.name}: {result.rounds} rounds passed, "
@@ -163,7 +168,7 @@
         )
     failed = sum(len(result.failures) for result in results)
     verdict = "FAILED" if failed else "passed"
-    _say(f"seed {SEED.value}: {verdict}")
+    _say(f"seed {_SEED.value}: {verdict}")
     return 1 if failed else 0
 
 
@@ -171,5 +176,10 @@
     print(text, flush=True)  # noqa: T201
 
 
+def _parse(argv: list[str]) -> list[str]:
+    flags.FLAGS(argv[:1])
+    return _FLAGS(argv)
+
+
 if __name__ == "__main__":
-    app.run(main)
+    app.run(main, flags_parser=_parse)
