--- a/packages/core/nutmegpost_core/datagrams.py
+++ b/packages/core/nutmegpost_core/datagrams.py
@@ -22,6 +22,7 @@
     "Short",
     "decode",
     "encode",
+    "is_address",
     "pack_address",
     "unpack_address",
 ]
@@ -121,14 +122,25 @@
     """Unpacks an address.
 
     Raises:
-        errors.PeerError: It does not have six bytes.
+        errors.PeerError: It does not have six bytes, or the port is 0.
     """
     if len(packed) != _ADDRESS_BYTES:
         raise errors.PeerError(f"address of {len(packed)} bytes")
     port = int.from_bytes(packed[4:], "big")
+    if port == 0:
+        raise errors.PeerError("address with port 0")
     return f"{socket.inet_ntoa(packed[:4])}:{port}"
 
 
+def is_address(text: str) -> bool:
+    """Whether datagrams can be sent to `host:port`."""
+    try:
+        pack_address(text)
+    except (ValueError, OSError):
+        return False
+    return True
+
+
 def encode(packet: Packet) -> bytes:
     """Encodes a datagram, without its MAC."""
     return cbor2.dumps(packet)
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -68,6 +68,9 @@
 DATAGRAM_MALFORMED = Event(
     303, "WARNING", "datagram from {source} is malformed: {reason}"
 )
+RUMOUR_REFUSED = Event(
+    304, "ERROR", "rumour of kind {kind} not published: {reason}"
+)
 LINK_OPENED = Event(350, "INFO", "link to {peer} is open")
 LINK_LOST = Event(351, "INFO", "link with {peer} is lost: {reason}")
 PEER_REFUSED = Event(352, "WARNING", "peer refused: {reason}")
--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -192,9 +192,11 @@
         """Takes in the peer addresses of the routers in the VM list.
 
         The addresses are contacts for a start and after a partition. Dead
-        members that the list no longer names are forgotten early.
+        members that the list no longer names are forgotten early. What is no
+        address is left out.
         """
-        self._listed = set(addresses) - {self.me.peer_address}
+        usable = {text for text in addresses if datagrams.is_address(text)}
+        self._listed = usable - {self.me.peer_address}
 
     def learn(self, members: Iterable[Member], now: float) -> None:
         """Takes in members that another router knows.
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -248,6 +248,28 @@
         view.receive(data, "10.0.0.9:7000", 0.0)
 
 
+@pytest.mark.parametrize(
+    "address", ["", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:70000", "999.1.1.1:80"]
+)
+def test_a_vm_list_with_a_broken_address_does_no_harm(address):
+    view = membership.Membership(_member(), random.Random(1))
+    view.seed([address, "10.0.0.2:7000"])
+    targets = {
+        datagram.address
+        for second in range(20)
+        for datagram in view.tick(float(second))
+    }
+    assert targets == {"10.0.0.2:7000"}
+
+
+def test_a_member_with_port_0_is_refused():
+    entry = datagrams.Entry("r", 1, 0, 0, b"1234\0\0", b"1234\0\0", "a")
+    data = datagrams.encode(datagrams.Packet(1, 0, 0, entry, 0, b""))
+    view = membership.Membership(_member(), random.Random(1))
+    with pytest.raises(errors.PeerError):
+        view.receive(data, "10.0.0.9:7000", 0.0)
+
+
 def test_later_fields_of_a_datagram_are_ignored():
     packet = datagrams.Packet(
         2,
--- a/packages/router/nutmegpost_router/gossip.py
+++ b/packages/router/nutmegpost_router/gossip.py
@@ -260,13 +260,8 @@
             case SetConfiguration(version, digest):
                 self._members.set_configuration(version, digest)
                 return self._members.announce(now)
-            case Publish(kind, key, payload, lifetime_s):
-                self._riders.publish(kind, key, payload, now, lifetime_s)
-                if kind == rumours.Kind.SUSPECT_REQUEST:
-                    # The publisher may run the suspect elsewhere as well.
-                    self._report_suspects(key, payload)
-                if kind in rumours.URGENT:
-                    return self._members.announce(now)
+            case Publish():
+                return self._publish(message, now)
             case Leave():
                 return self._members.leave(now)
             case Stop():
@@ -274,6 +269,22 @@
                 return self._members.left(now)
         return []
 
+    def _publish(
+        self, command: Publish, now: float
+    ) -> list[membership.Datagram]:
+        kind, key, payload, lifetime_s = command
+        try:
+            self._riders.publish(kind, key, payload, now, lifetime_s)
+        except ValueError as caught:
+            log.emit(events.RUMOUR_REFUSED, kind=kind, reason=str(caught))
+            return []
+        if kind == rumours.Kind.SUSPECT_REQUEST:
+            # The publisher may run the suspect elsewhere as well.
+            self._report_suspects(key, payload)
+        if kind in rumours.URGENT:
+            return self._members.announce(now)
+        return []
+
     def _receive(
         self, received: _Received, now: float
     ) -> list[membership.Datagram]:
--- a/packages/router/tests/test_gossip.py
+++ b/packages/router/tests/test_gossip.py
@@ -4,6 +4,7 @@
 
 from nutmegpost_core import budget
 from nutmegpost_core import membership
+from nutmegpost_core import quarantine
 from nutmegpost_core import rumours
 from nutmegpost_router import gossip
 
@@ -181,6 +182,46 @@
     _run(scenario)
 
 
+def test_a_rumour_that_cannot_be_sent_does_not_end_the_task():
+    async def scenario(nodes, tasks):
+        await _until(lambda: _all_joined(nodes))
+        nodes[0].task.send(gossip.Publish(1, b"key", b"x" * 500, 60))
+        nodes[0].task.send(gossip.Publish(99, b"key", b"x", 60))
+        nodes[0].task.send(gossip.Publish(1, b"key", b"fits", 60))
+        await nodes[1].expect(
+            lambda notice: (
+                isinstance(notice, gossip.RumourArrived)
+                and notice.payload == b"fits"
+            )
+        )
+        assert not tasks[0].done()
+
+    _run(scenario)
+
+
+def test_a_suspect_is_reported_to_its_publisher_as_well():
+    async def scenario(nodes, tasks):
+        await _until(lambda: _all_joined(nodes))
+        store = quarantine.Quarantine("router-0")
+        requests = [quarantine.digest("a", b"%d" % n) for n in range(3)]
+        for request in requests:
+            store.started(request, "engine-1", 0.0)
+        store.engine_crashed("engine-1", 1.0)
+        for report in store.reports():
+            kind = rumours.Kind.SUSPECT_REQUEST
+            nodes[0].task.send(gossip.Publish(kind, *report))
+        for node in nodes:
+            keys = set()
+            while len(keys) < 3:
+                notice = await node.expect(
+                    lambda notice: isinstance(notice, gossip.RumourArrived)
+                )
+                keys.add(notice.key[: quarantine.DIGEST_BYTES])
+            assert keys == set(requests)
+
+    _run(scenario)
+
+
 def test_a_pause_is_reported_and_the_others_are_not_declared_dead():
     async def scenario(nodes, tasks):
         await _until(lambda: _all_joined(nodes))
