--- a/packages/router/nutmegpost_router/metrics.py
+++ b/packages/router/nutmegpost_router/metrics.py
@@ -5,7 +5,7 @@
 """
 
 import bisect
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 import itertools
 
 import prometheus_client
@@ -89,6 +89,8 @@
     def __init__(self) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         prometheus_client.ProcessCollector(registry=self._registry)
+        self._endpoints: set[str] = set()
+        self._control_totals: dict[str, int] = {}
         self._gaps = _GapCollector()
         self._registry.register(self._gaps)
         self._requests = self._counter(
@@ -209,17 +211,27 @@
         self._retries.inc()
 
     def resumed(self, leg: str) -> None:
-        """Counts a resumed stream; the leg is `caller`, `peer` or `engine`."""
+        """Counts a stream that went on over a new connection to `leg`."""
         self._resumptions.labels(leg).inc()
 
     def permit(self, event: str) -> None:
-        """Counts a permit: `issued`, `used` or `refused`."""
+        """Counts a permit; the event is a constant of the caller."""
         self._permits.labels(event).inc()
 
     def control_sent(self, kind: str, size: int) -> None:
         """Counts the bytes of a control message of some kind."""
         self._control_bytes.labels(kind).inc(size)
 
+    def control_totals(self, totals: Mapping[str, int]) -> None:
+        """Brings kinds of control traffic that are counted elsewhere up.
+
+        Args:
+            totals: Bytes sent since the start, by kind.
+        """
+        for kind, total in totals.items():
+            self.control_sent(kind, total - self._control_totals.get(kind, 0))
+            self._control_totals[kind] = total
+
     def invariant_violated(self, number: int) -> None:
         """Counts a violated invariant by the number of its event."""
         self._invariants.labels(str(number)).inc()
@@ -230,13 +242,16 @@
 
     def endpoint(self, name: str, waiting: int, in_flight: int) -> None:
         """Sets the queue and the load of an endpoint owned here."""
+        self._endpoints.add(name)
         self._waiting.labels(name).set(waiting)
         self._in_flight.labels(name).set(in_flight)
 
-    def endpoint_gone(self, name: str) -> None:
-        """Drops the gauges of an endpoint that is no longer owned here."""
-        for gauge in (self._waiting, self._in_flight):
-            gauge.remove_by_labels({"endpoint": name})
+    def keep_endpoints(self, names: Collection[str]) -> None:
+        """Drops the gauges of endpoints that are not owned here any more."""
+        for name in self._endpoints - set(names):
+            self._waiting.remove(name)
+            self._in_flight.remove(name)
+        self._endpoints &= set(names)
 
     def configuration(self, version: int) -> None:
         """Sets the version of the configuration in force."""
--- a/packages/router/tests/test_metrics.py
+++ b/packages/router/tests/test_metrics.py
@@ -84,12 +84,23 @@
     in_flight = "nutmegpost_endpoint_in_flight"
     assert _value(state, waiting, endpoint="engine-1") == 3
     assert _value(state, in_flight, endpoint="engine-1") == 4
-    state.endpoint_gone("engine-1")
-    state.endpoint_gone("engine-1")
+    state.endpoint("engine-2", 5, 6)
+    state.keep_endpoints(["engine-2", "engine-9"])
+    state.keep_endpoints(["engine-2", "engine-9"])
+    assert _value(state, waiting, endpoint="engine-2") == 5
     assert _value(state, waiting, endpoint="engine-1") is None
     assert _value(state, in_flight, endpoint="engine-1") is None
 
 
+def test_totals_that_are_counted_elsewhere_become_counters():
+    state = metrics.Metrics()
+    name = "nutmegpost_control_bytes_total"
+    for total in (10, 10, 35):
+        state.control_totals({"ping": total, "ack": 2 * total})
+    assert _value(state, name, kind="ping") == 35
+    assert _value(state, name, kind="ack") == 70
+
+
 def test_two_routers_of_one_process_do_not_share_a_registry():
     first = metrics.Metrics()
     second = metrics.Metrics()
--- a/tests/test_conventions.py
+++ b/tests/test_conventions.py
@@ -109,6 +109,23 @@
                 yield node.module, alias.name
 
 
+def _modules(tree):
+    """Returns the project's modules by the name that they have here."""
+    return {
+        alias.asname or alias.name: f"{node.module}.{alias.name}"
+        for node in ast.walk(tree)
+        if isinstance(node, ast.ImportFrom)
+        and node.module.startswith("nutmegpost_")
+        for alias in node.names
+    }
+
+
+def _event_of(node, modules):
+    """Returns the name of the event that an expression is, or None."""
+    first, _, name = _dotted(node).partition(".")
+    return name if modules.get(first) == "nutmegpost_core.events" else None
+
+
 def _dotted(node):
     parts = []
     while isinstance(node, ast.Attribute):
@@ -191,9 +208,7 @@
 @every_source
 def test_no_private_name_of_another_module_is_used(path):
     tree = _tree(path)
-    imported = {
-        name for module, name in _imports(tree) if module.startswith("nutmeg")
-    }
+    imported = set(_modules(tree))
     for node in ast.walk(tree):
         if isinstance(node, ast.Attribute) and node.attr.startswith("_"):
             first = _dotted(node).partition(".")[0]
@@ -204,17 +219,15 @@
 @every_source
 def test_names_used_across_modules_are_exported(path):
     tree = _tree(path)
-    modules = {
-        name: f"{module}.{name}"
-        for module, name in _imports(tree)
-        if module.startswith("nutmegpost_")
-    }
+    modules = _modules(tree)
     for node in ast.walk(tree):
         if not isinstance(node, ast.Attribute):
             continue
         first, _, name = _dotted(node).partition(".")
+        if first not in modules or "." in name:
+            continue
         # The constants of the catalogue are exported by `catalogue`.
-        if first not in modules or "." in name or first == "events":
+        if _event_of(node, modules) in _event_names():
             continue
         exports = importlib.import_module(modules[first]).__all__
         assert name in exports, f"{first}.{name}"
@@ -277,16 +290,15 @@
 
 @every_source
 def test_events_get_the_fields_of_their_template(path):
-    for node in ast.walk(_tree(path)):
+    tree = _tree(path)
+    modules = _modules(tree)
+    for node in ast.walk(tree):
         if not isinstance(node, ast.Call):
             continue
         if _dotted(node.func) not in ("log.emit", "invariants.check"):
             continue
-        named = [
-            _dotted(item).removeprefix("events.")
-            for item in node.args
-            if _dotted(item).startswith("events.")
-        ]
+        found = [_event_of(item, modules) for item in node.args]
+        named = [name for name in found if name]
         given = {item.arg for item in node.keywords}
         if len(named) != 1 or None in given:
             continue
@@ -301,14 +313,14 @@
     }
 
 
+def _used_events(path):
+    tree = _tree(path)
+    modules = _modules(tree)
+    return {_event_of(node, modules) for node in ast.walk(tree)}
+
+
 def test_every_event_is_used():
-    used = {
-        node.attr
-        for path in _SOURCES
-        for node in ast.walk(_tree(path))
-        if isinstance(node, ast.Attribute)
-        and _dotted(node).startswith("events.")
-    }
+    used = set().union(*(_used_events(path) for path in _SOURCES))
     assert sorted(set(_event_names()) - used) == []
 
 
@@ -386,6 +398,17 @@
     assert codes == [str(int(code)) for code in exits.Exit]
 
 
+def test_the_architecture_names_every_module_and_no_other():
+    text = (_ROOT / "ARCHITECTURE.md").read_text()
+    named = set(re.findall(r"`(\w+\.py)`", text))
+    shipped = {
+        path.name
+        for path in _SOURCES
+        if _package(path) in _SHIPPED and path.name != "__init__.py"
+    }
+    assert named == shipped
+
+
 def _pages():
     return sorted([*_ROOT.glob("*.md"), *_ROOT.glob("docs/**/*.md")])
 
