Compare with a peer that was ahead once its version is in force here

Cause: a peer tells its digest when it takes a version. A router that was still one version behind had nothing to compare with, took other content under the same number from the service a moment later, and never looked at the digest again: two of four routers held a contested version without an alarm, and would have ordered engines under it. Ruled out: the comparison itself (the two routers that were first did raise event 204).

The digest is kept with the peer that is ahead, and compared when that version comes into force.

--- a/packages/router/nutmegpost_router/watcher.py
+++ b/packages/router/nutmegpost_router/watcher.py
@@ -20,6 +20,7 @@
 from nutmegpost_router import platform
 
 __all__ = [
+    "CONFIGURATION_WAIT_S",
     "PEER_TIMEOUT_S",
     "ConfigurationInForce",
     "VmsChanged",
@@ -80,8 +81,9 @@
 class _Ahead:
     """A peer with a higher version."""
 
-    def __init__(self, version: int):
+    def __init__(self, version: int, digest: str):
         self.version = version
+        self.digest = digest
         self.tries = 0
 
 
@@ -146,7 +148,7 @@
                 version=version,
             )
         if version > self._accepted.version:
-            self._peers[name] = _Ahead(version)
+            self._peers[name] = _Ahead(version, digest)
             self._news.set()
 
     def refresh(self) -> None:
@@ -214,6 +216,7 @@
                 digest=published.digest[:12],
                 source=source,
             )
+            self._compare_peers(published.version)
             self._outbox.put_nowait(ConfigurationInForce(published))
             return True
         if str(self._reported.get(source)) != str(verdict):
@@ -244,6 +247,13 @@
 
     # Peers
 
+    def _compare_peers(self, version: int) -> None:
+        # A peer that was ahead tells its digest once, before there is
+        # anything here to compare it with.
+        for name, ahead in list(self._peers.items()):
+            if ahead.version == version:
+                self.peer_has(name, version, ahead.digest)
+
     async def _follow_peers(self) -> None:
         while True:
             await self._news.wait()
--- a/packages/router/tests/test_watcher.py
+++ b/packages/router/tests/test_watcher.py
@@ -241,6 +241,15 @@
     assert fixture.held.is_contested
 
 
+@with_fixture
+async def test_other_content_of_a_peer_that_was_ahead_is_contested(fixture):
+    await fixture.until_version(1)
+    fixture.watcher.peer_has("b", 2, "00")
+    fixture.platform.publish("configuration", 2, _document(2))
+    await fixture.until_version(2)
+    assert fixture.held.is_contested
+
+
 @with_fixture
 async def test_second_content_of_the_service_is_not_taken(fixture):
     await fixture.until_version(1)
