--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -118,9 +118,6 @@
 REQUEST_SUSPECTED = Event(
     801, "WARNING", "request {digest} ran on {engine} as it crashed"
 )
-REQUEST_QUARANTINED = Event(
-    802, "ERROR", "request {digest} is refused, it crashed {crashes} engines"
-)
 REQUEST_CLEARED = Event(803, "INFO", "request {digest} is no suspect any more")
 
 # 6xx services and permits
--- a/packages/core/nutmegpost_core/member_table.py
+++ b/packages/core/nutmegpost_core/member_table.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "BUCKETS",
+    "STATES",
     "Change",
     "Member",
     "MemberTable",
--- a/packages/core/nutmegpost_core/quarantine.py
+++ b/packages/core/nutmegpost_core/quarantine.py
@@ -24,14 +24,18 @@
 
 __all__ = [
     "CRASHES_MAX",
+    "DIGEST_BYTES",
+    "IncidentState",
     "Limits",
     "Quarantine",
     "Report",
+    "Suspicion",
     "Verdict",
     "decider",
     "digest",
     "expand",
     "is_whole",
+    "read_report",
 ]
 
 CRASHES_MAX = 2
@@ -93,14 +97,30 @@
     lifetime_s: float
 
 
-class _State(enum.IntEnum):
+class IncidentState(enum.IntEnum):
+    """State of an incident; a report of a later state wins."""
+
     TRIAL = 1
     CRASHED = 2
     CLEARED = 3
 
 
+class Suspicion(NamedTuple):
+    """What a report says.
+
+    Attributes:
+        digest: The request.
+        engine: The engine that crashed, or that a trial is for.
+        state: State of the incident.
+    """
+
+    digest: bytes
+    engine: str
+    state: IncidentState
+
+
 class _Incident(NamedTuple):
-    state: _State
+    state: IncidentState
     learned: float
 
 
@@ -147,6 +167,22 @@
     ]
 
 
+def read_report(key: bytes, payload: bytes) -> Suspicion:
+    """Reads a report that `expand` gave.
+
+    Raises:
+        errors.PeerError: It is no report.
+    """
+    try:
+        state = IncidentState(payload[0])
+    except (IndexError, ValueError) as caught:
+        raise errors.PeerError(f"not a report: {caught}") from caught
+    if len(key) < DIGEST_BYTES + _ID_BYTES:
+        raise errors.PeerError(f"report with a key of {len(key)} bytes")
+    engine = key[DIGEST_BYTES + _ID_BYTES :].decode(errors="replace")
+    return Suspicion(key[:DIGEST_BYTES], engine, state)
+
+
 def is_whole(listed: Iterable[str], alive: Collection[str]) -> bool:
     """Whether every router of the VM list can be reached.
 
@@ -271,7 +307,7 @@
         """
         for number in range(count):
             key = number.to_bytes(_ID_BYTES, "big") + engine.encode()
-            self._put(request, key, _State.CRASHED, now)
+            self._put(request, key, IncidentState.CRASHED, now)
         return self.exposed(request)
 
     def learn_report(self, key: bytes, payload: bytes, now: float) -> list[str]:
@@ -283,18 +319,13 @@
         Raises:
             errors.PeerError: It is no report.
         """
-        try:
-            state = _State(payload[0])
-        except (IndexError, ValueError) as caught:
-            raise errors.PeerError(f"not a report: {caught}") from caught
-        if len(key) < DIGEST_BYTES + _ID_BYTES:
-            raise errors.PeerError(f"report with a key of {len(key)} bytes")
-        request, incident = key[:DIGEST_BYTES], key[DIGEST_BYTES:]
+        request, _, state = read_report(key, payload)
+        incident = key[DIGEST_BYTES:]
         self._put(request, incident, state, now)
         ended = self._ended.get(request)
-        if state is _State.TRIAL and ended == incident[_ID_BYTES:]:
+        if state is IncidentState.TRIAL and ended == incident[_ID_BYTES:]:
             # The trial ended here before its report arrived.
-            self._set(request, incident, _State.CLEARED, now)
+            self._set(request, incident, IncidentState.CLEARED, now)
         return self.exposed(request)
 
     # Decisions.
@@ -347,7 +378,7 @@
         if since is None or now < since + self._limits.spread_s:
             return Verdict.WAIT
         key = self._incident_key(engine, now)
-        self._set(request, key, _State.TRIAL, now)
+        self._set(request, key, IncidentState.TRIAL, now)
         return Verdict.ALONE
 
     def tick(self, now: float) -> None:
@@ -375,7 +406,7 @@
         return {
             key: incident
             for key, incident in found.items()
-            if incident.state is not _State.CLEARED
+            if incident.state is not IncidentState.CLEARED
             and incident.learned + self._limits.suspect_s > now
         }
 
@@ -385,7 +416,8 @@
     def _crashes(self, incidents: _Incidents, now: float) -> int:
         limit = self._limits.trial_s
         return sum(
-            incident.state is _State.CRASHED or incident.learned + limit <= now
+            incident.state is IncidentState.CRASHED
+            or incident.learned + limit <= now
             for incident in incidents.values()
         )
 
@@ -395,7 +427,7 @@
                 incident.learned
                 + (
                     self._limits.trial_s
-                    if incident.state is _State.TRIAL
+                    if incident.state is IncidentState.TRIAL
                     else self._limits.spread_s
                 )
                 for incident in incidents.values()
@@ -407,7 +439,7 @@
         for start in range(0, len(requests), _BATCH_MAX):
             part = requests[start : start + _BATCH_MAX]
             number = bytes([start // _BATCH_MAX % 256])
-            payload = bytes([_State.CRASHED]) + b"".join(part)
+            payload = bytes([IncidentState.CRASHED]) + b"".join(part)
             lifetime = self._limits.suspect_s
             self._reports.append(
                 Report(_BATCH + key + number, payload, lifetime)
@@ -416,9 +448,9 @@
     def _crashed(self, request: bytes, key: bytes, now: float) -> None:
         trial = self._trial(request)
         if trial is None:
-            self._put(request, key, _State.CRASHED, now)
+            self._put(request, key, IncidentState.CRASHED, now)
         else:
-            self._set(request, trial, _State.CRASHED, now)
+            self._set(request, trial, IncidentState.CRASHED, now)
         crashes = self._crashes(self._live(request, now), now)
         invariants.check(
             crashes <= CRASHES_MAX,
@@ -429,30 +461,30 @@
 
     def _clear(self, request: bytes, now: float) -> None:
         for key in self._live(request, now):
-            self._set(request, key, _State.CLEARED, now)
+            self._set(request, key, IncidentState.CLEARED, now)
 
     def _end_trial(self, request: bytes, engine: str, now: float) -> None:
         key = self._trial(request)
         if key is None and request in self._suspects:
             self._ended[request] = engine.encode()
         elif key is not None and key[_ID_BYTES:] == engine.encode():
-            self._set(request, key, _State.CLEARED, now)
+            self._set(request, key, IncidentState.CLEARED, now)
 
     def _trial(self, request: bytes) -> bytes | None:
         for key, incident in self._suspects.get(request, {}).items():
-            if incident.state is _State.TRIAL:
+            if incident.state is IncidentState.TRIAL:
                 return key
         return None
 
     def _set(
-        self, request: bytes, key: bytes, state: _State, now: float
+        self, request: bytes, key: bytes, state: IncidentState, now: float
     ) -> None:
         self._put(request, key, state, now)
         lifetime = self._lifetime(state)
         self._reports.append(Report(request + key, bytes([state]), lifetime))
 
     def _put(
-        self, request: bytes, key: bytes, state: _State, now: float
+        self, request: bytes, key: bytes, state: IncidentState, now: float
     ) -> None:
         if request not in self._suspects:
             self._make_room()
@@ -468,8 +500,8 @@
             del self._suspects[oldest]
             self._ended.pop(oldest, None)
 
-    def _lifetime(self, state: _State) -> float:
-        if state is _State.CLEARED:
+    def _lifetime(self, state: IncidentState) -> float:
+        if state is IncidentState.CLEARED:
             return self._limits.cleared_s
         return self._limits.suspect_s
 
@@ -500,7 +532,7 @@
         It must be cancelled there, also when the crash was noticed here.
         """
         incidents = self._suspects.get(request, {}).values()
-        if all(item.state is _State.CLEARED for item in incidents):
+        if all(item.state is IncidentState.CLEARED for item in incidents):
             return []
         return sorted(
             engine
--- a/packages/router/nutmegpost_router/gossip.py
+++ b/packages/router/nutmegpost_router/gossip.py
@@ -349,9 +349,22 @@
                     rumours.Kind.SUSPECT_REQUEST, one_key, one_payload
                 )
             )
+            _log_suspect(one_key, one_payload)
 
     def _mac(self, data: bytes) -> bytes:
         return hmac.digest(self._key, data, "sha256")[: datagrams.MAC_BYTES]
 
     def _count(self, **changes: int) -> None:
         self._counts = self._counts._replace(**changes)
+
+
+def _log_suspect(key: bytes, payload: bytes) -> None:
+    try:
+        digest, engine, state = quarantine.read_report(key, payload)
+    except errors.PeerError:
+        # Whoever takes the notice reports what is wrong with it.
+        return
+    if state is quarantine.IncidentState.CRASHED:
+        log.emit(events.REQUEST_SUSPECTED, digest=digest.hex(), engine=engine)
+    if state is quarantine.IncidentState.CLEARED:
+        log.emit(events.REQUEST_CLEARED, digest=digest.hex())
--- a/packages/router/nutmegpost_router/watcher.py
+++ b/packages/router/nutmegpost_router/watcher.py
@@ -22,6 +22,7 @@
 __all__ = [
     "CONFIGURATION_WAIT_S",
     "PEER_TIMEOUT_S",
+    "VMS_WAIT_S",
     "ConfigurationInForce",
     "VmsChanged",
     "Watcher",
