--- a/packages/core/nutmegpost_core/datagrams.py
+++ b/packages/core/nutmegpost_core/datagrams.py
@@ -20,6 +20,7 @@
     "Kind",
     "Packet",
     "Short",
+    "WIRE_VERSION",
     "decode",
     "encode",
     "is_address",
