Settle trials only where they ran

A soak found an innocent request refused: it was cleared, started again before the report of its trial came, and the trial then stayed open. A cancelled copy could also settle a trial that was still to begin. Both have a test; the soak's example passes.

--- a/packages/core/nutmegpost_core/quarantine.py
+++ b/packages/core/nutmegpost_core/quarantine.py
@@ -236,8 +236,8 @@
             self._alone.pop(engine, None)
         else:
             self._alone[engine] = request
+            self._ended.pop(request, None)
         running[request] = running.get(request, 0) + 1
-        self._ended.pop(request, None)
 
     def finished(self, request: bytes, engine: str, now: float) -> None:
         """Notes that a request ended with its whole answer.
@@ -255,15 +255,17 @@
         Call it once the engine has confirmed the cancellation. A crash soon
         afterwards still counts against the request.
         """
+        alone = self._alone.get(engine) == request
         if self._stop(request, engine):
             late = self._cancelled.setdefault(engine, {})
             late[request] = now + self._limits.cancelled_s
-        self._end_trial(request, engine, now)
+        self._end_trial(request, engine, now, alone)
 
     def withdrawn(self, request: bytes, engine: str, now: float) -> None:
         """Notes that no byte of a request can have reached the engine."""
+        alone = self._alone.get(engine) == request
         self._stop(request, engine)
-        self._end_trial(request, engine, now)
+        self._end_trial(request, engine, now, alone)
 
     def engine_crashed(self, engine: str, now: float) -> list[bytes]:
         """Notes that an engine crashed, not that it could not be reached.
@@ -463,12 +465,15 @@
         for key in self._live(request, now):
             self._set(request, key, IncidentState.CLEARED, now)
 
-    def _end_trial(self, request: bytes, engine: str, now: float) -> None:
+    def _end_trial(
+        self, request: bytes, engine: str, now: float, alone: bool = True
+    ) -> None:
         key = self._trial(request)
-        if key is None and request in self._suspects:
-            self._ended[request] = engine.encode()
-        elif key is not None and key[_ID_BYTES:] == engine.encode():
+        if key is not None and key[_ID_BYTES:] == engine.encode():
             self._set(request, key, IncidentState.CLEARED, now)
+        elif key is None and alone and request in self._suspects:
+            # The report of this trial is still under way.
+            self._ended[request] = engine.encode()
 
     def _trial(self, request: bytes) -> bytes | None:
         for key, incident in self._suspects.get(request, {}).items():
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -185,6 +185,38 @@
     assert deciding.verdict(INNOCENT, 21.0) is Verdict.ALLOW
 
 
+def _runner_of_a_trial(deciding):
+    running = quarantine.Quarantine("router-2")
+    for report in deciding.reports():
+        _teach(running, report, 11.0)
+    deciding.begin_trial(INNOCENT, "engine-2", 20.0)
+    return running
+
+
+def test_a_cleared_request_that_runs_again_does_not_keep_its_trial_open():
+    deciding = _after_a_crash()
+    running = _runner_of_a_trial(deciding)
+    running.started(INNOCENT, "engine-2", 20.0)
+    running.finished(INNOCENT, "engine-2", 20.1)
+    running.started(INNOCENT, "engine-2", 20.2)
+    for report in deciding.reports():
+        _teach(running, report, 20.3)
+    assert running.verdict(INNOCENT, 200.0) is Verdict.ALLOW
+
+
+def test_a_cancelled_copy_does_not_end_the_trial_that_follows():
+    deciding = _after_a_crash()
+    running = quarantine.Quarantine("router-2")
+    running.started(INNOCENT, "engine-2", 9.0)
+    for report in deciding.reports():
+        _teach(running, report, 11.0)
+    running.cancelled(INNOCENT, "engine-2", 11.0)
+    deciding.begin_trial(INNOCENT, "engine-2", 20.0)
+    for report in deciding.reports():
+        _teach(running, report, 20.1)
+    assert running.verdict(INNOCENT, 21.0) is Verdict.WAIT
+
+
 def test_reports_agree_in_any_order():
     store = _after_a_crash()
     store.begin_trial(INNOCENT, "engine-2", 20.0)
