--- a/packages/ctl/nutmegpost_ctl/advice.py
+++ b/packages/ctl/nutmegpost_ctl/advice.py
@@ -4,7 +4,6 @@
 advice decides nothing.
 """
 
-import collections
 from collections.abc import Iterator
 import typing
 from typing import Any, NamedTuple
@@ -132,13 +131,3 @@
                 f"$.models[{position}].name",
                 "is also a class; their burn rates are counted together",
             )
-    for position, service in enumerate(document["services"]):
-        counts = collections.Counter(
-            item["name"] for item in service["operations"]
-        )
-        for name, count in counts.items():
-            if count > 1:
-                yield Advice(
-                    f"$.services[{position}].operations",
-                    f"names {name!r} {count} times",
-                )
--- a/packages/router/nutmegpost_router/settings.py
+++ b/packages/router/nutmegpost_router/settings.py
@@ -4,7 +4,6 @@
 """
 
 import collections
-import ipaddress
 import pathlib
 from typing import Annotated, NotRequired, TypedDict
 
@@ -113,7 +112,7 @@
     texts = [(key, str(found[key])) for key in _ADDRESSES]  # type: ignore[literal-required]
     for key, text in texts:
         try:
-            ipaddress.IPv4Address(vms.parse_address(text).host)
+            vms.parse_address(text)
         except ValueError:
             raise errors.SettingsError(
                 source, f"$.{key}", f"an IPv4 address and port, got {text!r}"
