--- a/tests/test_conventions.py
+++ b/tests/test_conventions.py
@@ -1,6 +1,7 @@
 """Conventions of the source tree that the linter does not know."""
 
 import ast
+import functools
 import importlib
 import importlib.util
 import pathlib
@@ -62,6 +63,7 @@
     return path.relative_to(_ROOT).parts[1]
 
 
+@functools.cache
 def _tree(path):
     return ast.parse(path.read_text(), _name(path))
 
