Place a request anew after a crash without counting it twice

Cause, from the trace of an engine killed in mid-stream: the caller resumed at the dead engine while its request waited in quarantine; the router looked for the stream there, was refused, and counted a second crash, so an innocent request was quarantined. A second way to the same end: a redirection to another engine of the router that decided on the trial named the dead one. Now a redirection says whether the request begins anew, a suspect is not looked for at an engine, and a lost engine is out everywhere for 5 s at a time.

--- a/packages/core/nutmegpost_core/placement.py
+++ b/packages/core/nutmegpost_core/placement.py
@@ -17,6 +17,7 @@
     "CHATS_MAX",
     "CHAT_BYTES",
     "HOLDERS_MAX",
+    "REASON_QUEUE",
     "Choice",
     "Placement",
     "cache_key",
--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -71,6 +71,8 @@
         age: Seconds since the caller's request reached the fleet.
         hops: Routers that handled it before this one.
         digest: Names the request by its content, whoever sends it again.
+        fresh: Whether to begin anew on the engine, though it may have run
+            the request before.
     """
 
     request_id: str
@@ -84,6 +86,7 @@
     age: float = 0.0
     hops: int = 0
     digest: bytes = b""
+    fresh: bool = False
 
 
 class Redirected(NamedTuple):
@@ -93,11 +96,13 @@
         request_id: Name of the request.
         account: Account of the caller.
         engine: Engine that was chosen.
+        fresh: Whether the request begins anew there.
     """
 
     request_id: str
     account: str
     engine: str
+    fresh: bool = False
 
 
 class Frames(NamedTuple):
--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -29,7 +29,18 @@
 from nutmegpost_router import runs
 from nutmegpost_router import view
 
-__all__ = ["EngineTask", "Hooks", "LoadReport"]
+__all__ = [
+    "AttemptDone",
+    "CacheEvents",
+    "Drain",
+    "EngineTask",
+    "Hooks",
+    "LoadReport",
+    "Offer",
+    "Reported",
+    "Trial",
+    "Wake",
+]
 
 LOAD_WAIT_S = 0.5
 LOAD_TIMEOUT_S = 2.0
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -66,12 +66,14 @@
     Attributes:
         load_changed: The load of an engine changed.
         leaving: An engine said that it takes no new work.
+        lost: An engine cannot be reached.
         retried: A request is tried again.
         reported: An engine sent a load report.
     """
 
     load_changed: Callable[[], None]
     leaving: Callable[[str], None]
+    lost: Callable[[str], None]
     retried: Callable[[], None]
     reported: Callable[[str, engines.LoadReport], None]
 
@@ -328,7 +330,7 @@
         self, submit: wire.Submit
     ) -> "runs.Subscription | wire.Redirected":
         key = runs.Key(submit.account, submit.request_id)
-        digest = submit.digest or quarantine.digest(submit.account, submit.body)
+        digest = _digest(submit)
         last = (
             sse.EventId.read(submit.last_event) if submit.last_event else None
         )
@@ -346,7 +348,10 @@
             self._note_placed(key, place.engine)
             self._note_elsewhere(submit, place.engine)
             return wire.Redirected(
-                submit.request_id, submit.account, place.engine
+                submit.request_id,
+                submit.account,
+                place.engine,
+                submit.fresh or not place.is_resumed,
             )
         return self._create(submit, digest, place, last)
 
@@ -396,7 +401,8 @@
         found = self._view.find(engine)
         if found is not None and found.pool == model["name"]:
             # A stream goes on where it runs, even while the engine leaves.
-            if last is not None and last.engine == engine:
+            is_there = last is not None and last.engine == engine
+            if is_there and not submit.fresh and not self._is_suspect(submit):
                 return _Place(engine, 0.0, True)
             task = self._tasks.get(engine)
             is_taken = engine in self._view.endpoints
@@ -410,6 +416,14 @@
             )
         return _Place(choice.engine, choice.wait_s, False)
 
+    def _is_suspect(self, submit: wire.Submit) -> bool:
+        """Whether an engine crashed with the request, so no stream is left.
+
+        To look for the stream would count the same crash a second time.
+        """
+        verdict = self._quarantine.verdict(_digest(submit), self._now())
+        return verdict is not quarantine.Verdict.ALLOW
+
     def _choose(
         self, pool: str, work: _Work, chat_name: str, is_patient: bool
     ) -> placement.Choice:
@@ -588,7 +602,8 @@
     def _redirect(self, run: runs.Run, engine: str) -> None:
         key = run.key
         run.finish(
-            wire.Redirected(key.request_id, key.account, engine), self._now()
+            wire.Redirected(key.request_id, key.account, engine, fresh=True),
+            self._now(),
         )
 
     def cancel_exposed(self, engine_names: list[str], digest: bytes) -> None:
@@ -734,6 +749,7 @@
     def _lost(self, engine: str, crashed: bool) -> None:
         if crashed:
             self._view.placement.forget_engine(engine)
+        self._observer.lost(engine)
 
     def _state_changed(self, engine: str, state: str) -> None:
         if state == "leaving" and engine in self._view.endpoints:
@@ -756,6 +772,10 @@
         return asyncio.get_running_loop().time()
 
 
+def _digest(submit: wire.Submit) -> bytes:
+    return submit.digest or quarantine.digest(submit.account, submit.body)
+
+
 def _frames(run: runs.Run, piece: runs.Piece, is_last: bool) -> wire.Frames:
     key = run.key
     return wire.Frames(
--- a/packages/router/nutmegpost_router/peers.py
+++ b/packages/router/nutmegpost_router/peers.py
@@ -25,7 +25,16 @@
 from nutmegpost_core import wire
 from nutmegpost_router import log
 
-__all__ = ["Conversation", "LinkError", "LinkLost", "Links", "Send"]
+__all__ = [
+    "Conversation",
+    "LinkError",
+    "LinkLost",
+    "Links",
+    "Peer",
+    "Send",
+    "conversation_key",
+    "proof",
+]
 
 OPEN_TIMEOUT_S = 1.0
 PING_INTERVAL_S = 2.0
--- a/packages/router/nutmegpost_router/relay.py
+++ b/packages/router/nutmegpost_router/relay.py
@@ -56,6 +56,7 @@
         )
         self.engine = submit.engine
         self.unreachable: set[str] = set()
+        self.fresh = False
         self.hops = 0
         self.fruitless = 0
         self.may_have_run = self.last is not None
@@ -70,6 +71,7 @@
             last_event=str(self.last) if self.last else "",
             age=age,
             hops=self.hops,
+            fresh=self.fresh,
         )
 
 
@@ -185,6 +187,7 @@
             return
         if isinstance(message, wire.Redirected):
             position.engine = message.engine
+            position.fresh = message.fresh
             position.hops += 1
             return
         if isinstance(message, wire.Failed):
@@ -221,6 +224,7 @@
             frames.engine, frames.attempt, expected + len(fresh) - 1
         )
         position.engine = frames.engine
+        position.fresh = False
         position.fruitless = 0
         position.hops = 0
         position.may_have_run = True
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -53,7 +53,9 @@
 JOIN_LIMIT_S = 3.0
 DRAIN_INTERVAL_S = 0.05
 STOP_GRACE_S = 600.0
-LEAVING_LIFETIME_S = 30.0
+# Whole seconds for which an endpoint stays out on a router's word alone.
+LEAVING_LIFETIME_S = 30
+LOST_LIFETIME_S = 5
 BURN_WINDOW_S = 60.0
 # Fewest requests in the window that give a burn rate.
 BURN_COUNT_LEAST = 10
@@ -161,7 +163,8 @@
     def _observer(self) -> owner.Observer:
         return owner.Observer(
             load_changed=self._sums_due_now,
-            leaving=self._endpoint_leaving,
+            leaving=lambda name: self._take_out(name, LEAVING_LIFETIME_S),
+            lost=lambda name: self._take_out(name, LOST_LIFETIME_S),
             retried=self._metrics.retried,
             reported=self._engine_reported,
         )
@@ -332,9 +335,7 @@
 
     def _take_rumour(self, rumour: gossip.RumourArrived) -> None:
         if rumour.kind is rumours.Kind.ENDPOINT_LEAVING:
-            name = rumour.key.decode(errors="replace")
-            if self._view.leave(name, self._now() + LEAVING_LIFETIME_S):
-                self._reconcile()
+            self._take_leaving(rumour)
         elif rumour.kind is rumours.Kind.SUSPECT_REQUEST:
             self._take_suspect(rumour)
         elif rumour.kind is rumours.Kind.SUCCESSOR:
@@ -486,17 +487,26 @@
 
     # Endpoints
 
-    def _endpoint_leaving(self, name: str) -> None:
-        if self._view.leave(name, self._now() + LEAVING_LIFETIME_S):
-            self._gossip.send(
-                gossip.Publish(
-                    rumours.Kind.ENDPOINT_LEAVING,
-                    name.encode(),
-                    b"",
-                    LEAVING_LIFETIME_S,
-                )
+    def _take_out(self, name: str, lifetime_s: int) -> None:
+        """Takes an endpoint out here and tells the others."""
+        if not self._view.leave(name, self._now() + lifetime_s):
+            return
+        self._gossip.send(
+            gossip.Publish(
+                rumours.Kind.ENDPOINT_LEAVING,
+                name.encode(),
+                bytes([lifetime_s]),
+                lifetime_s,
             )
-            self._spawn_soon(self._reconcile)
+        )
+        # The caller is a task that this change may release.
+        asyncio.get_running_loop().call_soon(self._reconcile)
+
+    def _take_leaving(self, rumour: gossip.RumourArrived) -> None:
+        lifetime_s = rumour.payload[0] if rumour.payload else 0
+        name = rumour.key.decode(errors="replace")
+        if self._view.leave(name, self._now() + lifetime_s):
+            self._reconcile()
 
     async def _keep_up(self) -> None:
         """Ages what is known and tells of requests that crash engines."""
@@ -636,8 +646,5 @@
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
 
-    def _spawn_soon(self, work: Any) -> None:
-        asyncio.get_running_loop().call_soon(work)
-
     def _now(self) -> float:
         return time.monotonic()
--- a/packages/router/tests/test_owner.py
+++ b/packages/router/tests/test_owner.py
@@ -138,6 +138,7 @@
         return owner.Observer(
             load_changed=lambda: None,
             leaving=self.left.append,
+            lost=lambda name: None,
             retried=lambda: None,
             reported=lambda name, report: None,
         )
@@ -309,6 +310,33 @@
     _run(use)
 
 
+@pytest.mark.parametrize("fresh", [False, True])
+def test_a_stream_is_resumed_unless_it_was_placed_anew(fresh):
+    async def use(fixture):
+        fixture.let_go()
+        inbox, _ = fixture.ask(
+            "r1", engine="e1", last_event="e1/5/1", fresh=fresh
+        )
+        assert await _events(inbox) == TOKENS[2:]
+        assert fixture.asked() == (["press/r1"] if fresh else [])
+
+    _run(use)
+
+
+def test_a_stream_that_ended_with_its_engine_is_not_looked_for():
+    async def use(fixture):
+        now = asyncio.get_running_loop().time()
+        digest = quarantine.digest("press", BODY)
+        fixture.suspects.learn(digest, 1, "e1", now)
+        fixture.ask("r1", engine="e1", last_event="e1/5/1", digest=digest)
+        await asyncio.sleep(0.2)
+        run = next(iter(fixture.owner._runs.values()))
+        assert run.attempts == 0
+        assert not run.ended
+
+    _run(use)
+
+
 def test_a_request_that_crashed_two_engines_is_refused():
     async def use(fixture):
         now = asyncio.get_running_loop().time()
--- a/packages/router/tests/test_relay.py
+++ b/packages/router/tests/test_relay.py
@@ -121,6 +121,14 @@
     assert fleet.asked[1].hops == 1
 
 
+def test_a_request_that_is_placed_anew_says_so():
+    moved = wire.Redirected("r1", "press", "e1", fresh=True)
+    fleet = _Fleet([[_frames(0, 2), moved], [_frames(2, 1), _lost()]])
+    fleet.script.append([_frames(3, 3, last=True)])
+    assert _follow(fleet) == TOKENS
+    assert [ask.fresh for ask in fleet.asked] == [False, True, False]
+
+
 def test_a_lost_link_goes_on_after_the_last_event():
     fleet = _Fleet([[_frames(0, 3), _lost()], [_frames(3, 3, last=True)]])
     assert _follow(fleet) == TOKENS
