Keep the crash of a trial when its own report comes back afterwards

Cause: reports of one's own crashes are learnt like those of others since. A trial that ended in a crash within the time that its report waited to be sent was taken for one that had ended well: the incident went from crashed to cleared, the request counted one crash, and a second trial lost a third engine at once. Ruled out: the decider and the waits; the log has one trial at a time.

Only an incident that is still a trial is settled. The new test failed before and passes now; packages/core/tests/test_quarantine.py: 28 passed.

--- a/packages/core/nutmegpost_core/quarantine.py
+++ b/packages/core/nutmegpost_core/quarantine.py
@@ -325,7 +325,8 @@
         incident = key[DIGEST_BYTES:]
         self._put(request, incident, state, now)
         ended = self._ended.get(request)
-        if state is IncidentState.TRIAL and ended == incident[_ID_BYTES:]:
+        known = self._suspects[request][incident].state
+        if known is IncidentState.TRIAL and ended == incident[_ID_BYTES:]:
             # The trial ended here before its report arrived.
             self._set(request, incident, IncidentState.CLEARED, now)
         return self.exposed(request)
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -193,6 +193,16 @@
     return running
 
 
+def test_the_own_report_of_a_trial_comes_back_after_its_crash():
+    store = _after_a_crash()
+    assert store.begin_trial(POISON, "engine-2", 20.0) is Verdict.ALONE
+    store.started(POISON, "engine-2", 20.0)
+    store.engine_crashed("engine-2", 20.1)
+    for report in store.reports():
+        _teach(store, report, 20.2)
+    assert store.verdict(POISON, 30.0) is Verdict.REFUSE
+
+
 def test_a_cleared_request_that_runs_again_does_not_keep_its_trial_open():
     deciding = _after_a_crash()
     running = _runner_of_a_trial(deciding)
