Count usage and drops, refuse deep nesting, join anew after a pause

Causes: usage was read only when the last frames also held events; events that came twice were logged and not counted; gossip bytes were missing from the metrics; a deeply nested body raised RecursionError, so a caller was told unknown of what never ran; an address in use ended in a traceback.

--- a/packages/core/nutmegpost_core/documents.py
+++ b/packages/core/nutmegpost_core/documents.py
@@ -46,3 +46,5 @@
         raise error(source, found["path"] or "$", found["expected"]) from caught
     except (msgspec.DecodeError, UnicodeDecodeError) as caught:
         raise error(source, "$", f"not JSON: {caught}") from caught
+    except RecursionError as caught:
+        raise error(source, "$", "not nested so deeply") from caught
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -37,6 +37,9 @@
 STOP_GRACE_OVER = Event(
     107, "WARNING", "router {name} stops with requests still open"
 )
+ADDRESS_UNUSABLE = Event(
+    108, "ERROR", "an address of the settings cannot be used: {reason}"
+)
 TASK_FAILED = Event(106, "ERROR", "task {task} failed and restarts: {reason}")
 
 # 2xx platform and configuration
--- a/packages/core/tests/test_chat.py
+++ b/packages/core/tests/test_chat.py
@@ -52,6 +52,13 @@
     assert f"$.{next(iter(change))}" in str(caught.value)
 
 
+def test_a_deeply_nested_request_was_not_run():
+    deep = b'{"model": "m", "x": ' + b"[" * 200_000
+    with pytest.raises(errors.InvalidRequestError) as caught:
+        chat.parse(deep, "r1")
+    assert caught.value.outcome == errors.Outcome.NOT_RUN
+
+
 def test_content_does_not_depend_on_form_or_name():
     turned = dict(reversed(BODY.items()))
     first = chat.parse(json.dumps(BODY).encode(), "r1")
--- a/packages/router/nutmegpost_router/attempt.py
+++ b/packages/router/nutmegpost_router/attempt.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import enum
 from typing import NamedTuple
 
@@ -62,6 +63,7 @@
         cache_key: Names the chat in the engine's cache.
         rank: Rank of the work.
         resume: Whether to begin by resuming a stream that may run there.
+        dropped: Told of each event that came twice.
     """
 
     engine: str
@@ -69,6 +71,7 @@
     cache_key: str
     rank: int
     resume: bool
+    dropped: Callable[[str], None]
 
 
 class _Broken(errors.PeerError):
@@ -134,7 +137,7 @@
         HEAD_TIMEOUT_S,
     )
     # A new attempt begins anew; the run drops the events that it has.
-    return await _read(stream, run, 0)
+    return await _read(stream, target, run, 0)
 
 
 async def _resume(
@@ -154,16 +157,19 @@
         )
     except http_client.ConnectError as caught:
         return _unreachable(Ending.LOST, caught)
-    return await _read(stream, run, first)
+    return await _read(stream, target, run, first)
 
 
 async def _read(
-    stream: http_client.Stream, run: runs.Run, first: int
+    stream: http_client.Stream,
+    target: Target,
+    run: runs.Run,
+    first: int,
 ) -> AttemptEnd:
     try:
         if stream.status != 200:
             return await _refused(stream)
-        return await _relay(stream, run, first)
+        return await _relay(stream, target, run, first)
     finally:
         stream.close()
 
@@ -178,7 +184,10 @@
 
 
 async def _relay(
-    stream: http_client.Stream, run: runs.Run, first: int
+    stream: http_client.Stream,
+    target: Target,
+    run: runs.Run,
+    first: int,
 ) -> AttemptEnd:
     parser = sse.Parser()
     expected = first
@@ -186,7 +195,7 @@
         data = await stream.read(SILENCE_LIMIT_S)
         if not data:
             raise _Broken("stream ended early")
-        batch = _collect(parser.feed(data), run, expected)
+        batch = _collect(parser.feed(data), target, run, expected)
         if batch.events:
             run.append(expected, batch.events)
             expected += len(batch.events)
@@ -210,7 +219,9 @@
     gap: bool = False
 
 
-def _collect(received: list[sse.Event], run: runs.Run, expected: int) -> _Batch:
+def _collect(
+    received: list[sse.Event], target: Target, run: runs.Run, expected: int
+) -> _Batch:
     batch: list[bytes] = []
     for event in received:
         if event.data == sse.DONE:
@@ -225,7 +236,8 @@
         elif sequence > expected:
             return _Batch(batch, gap=True)
         else:
-            _dropped(run, f"event {sequence} came twice")
+            target.dropped("doubled")
+            _log_dropped(run, f"event {sequence} came twice")
     return _Batch(batch)
 
 
@@ -240,7 +252,7 @@
         raise _Broken("event without a sequence number") from None
 
 
-def _dropped(run: runs.Run, reason: str) -> None:
+def _log_dropped(run: runs.Run, reason: str) -> None:
     log.emit(events.FRAME_DROPPED, request=str(run.key), reason=reason)
 
 
--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -141,6 +141,7 @@
         lost: Told of an engine that cannot be reached, and whether it died.
         state_changed: Told that an engine became ready, or left.
         load_changed: Told that the load of an engine changed.
+        dropped: Told of each event that was dropped, with the reason.
         reported: Told of each load report.
     """
 
@@ -155,6 +156,7 @@
     lost: Callable[[str, bool], None]
     state_changed: Callable[[str, str], None]
     load_changed: Callable[[], None]
+    dropped: Callable[[str], None]
     reported: Callable[[str, LoadReport], None]
 
 
@@ -489,6 +491,7 @@
             placement.cache_key(submit.account, submit.chat),
             job.rank,
             resume,
+            self._hooks.dropped,
         )
         end = attempt.AttemptEnd(attempt.Ending.CANCELLED)
         try:
--- a/packages/router/nutmegpost_router/entry.py
+++ b/packages/router/nutmegpost_router/entry.py
@@ -82,6 +82,7 @@
     def __init__(self, began: float):
         self._began = began
         self._last = began
+        self.last_event = b""
         self.first_token_s: float | None = None
         self.worst_gap_s = 0.0
 
@@ -285,8 +286,15 @@
     def _measure(
         self, request: _Chat, frames: wire.Frames, timing: _Timing
     ) -> None:
-        if not frames.events:
-            return
+        if frames.events:
+            self._measure_events(request, frames, timing)
+        if frames.last:
+            self._count_usage(request, timing.last_event)
+
+    def _measure_events(
+        self, request: _Chat, frames: wire.Frames, timing: _Timing
+    ) -> None:
+        timing.last_event = frames.events[-1]
         name = request.work_class["name"]
         is_first = timing.first_token_s is None
         gap = timing.frames(asyncio.get_running_loop().time())
@@ -294,8 +302,6 @@
         if is_first:
             the_metrics.first_token(name, gap)
         the_metrics.tokens_relayed(name, gap, len(frames.events))
-        if frames.last:
-            self._count_usage(request, frames.events[-1])
 
     def _count_usage(self, request: _Chat, event: bytes) -> None:
         try:
--- a/packages/router/nutmegpost_router/main.py
+++ b/packages/router/nutmegpost_router/main.py
@@ -22,6 +22,7 @@
 )
 
 EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
 
 
 async def _serve(config: settings.Settings) -> None:
@@ -43,7 +44,11 @@
     log.set_up(config["name"], config.get("log_level", "INFO"))
     # Links have numbered events of their own.
     logging.getLogger("websockets").setLevel(logging.CRITICAL)
-    asyncio.run(_serve(config))
+    try:
+        asyncio.run(_serve(config))
+    except OSError as caught:
+        log.emit(events.ADDRESS_UNUSABLE, reason=str(caught))
+        sys.exit(EXIT_ADDRESS)
 
 
 def run() -> None:
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -68,6 +68,7 @@
         leaving: An engine said that it takes no new work.
         lost: An engine cannot be reached.
         retried: A request is tried again.
+        dropped: An event of a stream was dropped, with the reason.
         reported: An engine sent a load report.
     """
 
@@ -75,6 +76,7 @@
     leaving: Callable[[str], None]
     lost: Callable[[str], None]
     retried: Callable[[], None]
+    dropped: Callable[[str], None]
     reported: Callable[[str, engines.LoadReport], None]
 
 
@@ -164,6 +166,7 @@
             lost=self._lost,
             state_changed=self._state_changed,
             load_changed=observer.load_changed,
+            dropped=observer.dropped,
             reported=observer.reported,
         )
 
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -60,7 +60,7 @@
 # Fewest requests in the window that give a burn rate.
 BURN_COUNT_LEAST = 10
 MAJORITY = 0.5
-UPKEEP_INTERVAL_S = 0.01
+UPKEEP_INTERVAL_S = 0.05
 GOODBYE_S = 0.3
 
 
@@ -166,6 +166,7 @@
             leaving=lambda name: self._take_out(name, LEAVING_LIFETIME_S),
             lost=lambda name: self._take_out(name, LOST_LIFETIME_S),
             retried=self._metrics.retried,
+            dropped=self._metrics.frame_dropped,
             reported=self._engine_reported,
         )
 
@@ -301,7 +302,7 @@
                     notice.name, notice.version, notice.digest
                 )
             case gossip.Paused():
-                self._watcher.refresh()
+                self._refresh()
 
     def _take_vms(self, listed: vms.VmList) -> None:
         self._view.set_vms(listed)
@@ -352,10 +353,19 @@
         if self.serving:
             self._owner.reconcile()
 
+    def _refresh(self) -> None:
+        """Joins anew after a pause, before this router acts on old views."""
+        self._watcher.refresh()
+        if self._chart.allows("refresh"):
+            self._chart.fire("refresh")
+            self._spawn(self._join())
+
     def _has_joined(self) -> bool:
         """Whether the other routers were heard, or had time to answer."""
         if not self._view.vm_version or not self._acceptance.ready:
             return False
+        if self._gossip.members.in_doubt:
+            return False
         listed = {vm["name"] for vm in self._view.router_vms()}
         waited = time.monotonic() - self._joining_since
         return listed <= set(self._view.routers) or waited > JOIN_LIMIT_S
--- a/packages/router/nutmegpost_router/runs.py
+++ b/packages/router/nutmegpost_router/runs.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from nutmegpost_core import charts
-from nutmegpost_core import events as log_events
+from nutmegpost_core import events
 from nutmegpost_core import invariants
 from nutmegpost_core import wire
 
@@ -144,7 +144,7 @@
         skip = self.next_sequence - first
         invariants.check(
             skip >= 0,
-            log_events.STREAM_GAP,
+            events.STREAM_GAP,
             request=str(self.key),
             first=first,
             expected=self.next_sequence,
--- a/packages/router/nutmegpost_router/status.py
+++ b/packages/router/nutmegpost_router/status.py
@@ -149,6 +149,11 @@
 
 
 def _metrics(parts: Parts) -> bytes:
+    spent = parts.members.spending.counts
+    parts.metrics.control_totals(
+        {kind.name.lower(): count.bytes for kind, count in spent.items()}
+    )
+    parts.metrics.keep_endpoints(parts.owner.tasks)
     for name, task in parts.owner.tasks.items():
         parts.metrics.endpoint(name, task.queue.waiting, task.in_flight)
     return parts.metrics.render()
--- a/packages/router/tests/test_attempt.py
+++ b/packages/router/tests/test_attempt.py
@@ -66,7 +66,7 @@
         submit = wire.Submit("r1", "press", "quick", "m", "c1", b"{}")
         run = runs.Run(submit, b"d", base)
         run.attempt = 7
-        target = attempt.Target("e1", address, "key", 1, resume)
+        target = attempt.Target("e1", address, "key", 1, resume, lambda _: None)
         client = http_client.Client()
         end = await asyncio.wait_for(
             attempt.run_attempt(client, target, run), 30
@@ -165,7 +165,7 @@
         submit = wire.Submit("r1", "press", "quick", "m", "c1", b"{}")
         run = runs.Run(submit, b"d", 0)
         address = vms.Address("127.0.0.1", port)
-        target = attempt.Target("e1", address, "key", 1, False)
+        target = attempt.Target("e1", address, "key", 1, False, lambda _: None)
         return await attempt.run_attempt(http_client.Client(), target, run)
 
     end = asyncio.run(main())
--- a/packages/router/tests/test_owner.py
+++ b/packages/router/tests/test_owner.py
@@ -140,6 +140,7 @@
             leaving=self.left.append,
             lost=lambda name: None,
             retried=lambda: None,
+            dropped=lambda reason: None,
             reported=lambda name, report: None,
         )
 
