Look at a held suspect again within a second

Cause: a request that meets a trial of its content was held for as long as the trial may last, 120 s, though the report of the trial's end arrives within a second; its caller heard nothing. Seen in a fleet of four routers: the second crash reached router-1 0.6 s late, and a copy sent through router-4 in between had no answer within 20 s.

--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -53,11 +53,13 @@
 PATIENCE = 0.5
 # Least part of that target that is left for the queue by a long prefill.
 TARGET_SHARE_LEAST = 0.5
-# Moves of a waiting request between engines.
-MOVES_MAX = 4
+# Share of that target for which a request stays where it was moved to.
+MOVE_INTERVAL = 0.1
 # A request that no engine may take now, or that must run alone, is held.
 HOLD_RETRY_S = 0.1
 HOLD_LIMIT_S = 60.0
+# The verdict on a suspect changes when a report of another router arrives.
+HOLD_VERDICT_S = 1.0
 
 
 class Observer(NamedTuple):
@@ -555,7 +557,7 @@
             )
         if verdict is quarantine.Verdict.WAIT:
             delay = self._quarantine.retry_after(run.digest, now)
-            self._later(delay, run)
+            self._later(min(delay, HOLD_VERDICT_S), run)
         elif verdict is quarantine.Verdict.ALONE:
             self._launch_trial(run)
         else:
@@ -719,13 +721,13 @@
 
     def _move(self, run: runs.Run) -> bool:
         """Moves a waiting run to another engine that is free."""
-        if run.moves >= MOVES_MAX:
-            return False
         choice = self._choose_for(run.submit)
         waits = choice.reason == placement.REASON_QUEUE
         if waits or not choice.engine or choice.engine == run.engine:
             return False
         run.moves += 1
+        work = self._work(run.submit)
+        run.wait_until = self._now() + MOVE_INTERVAL * work.first_token_s
         self._send_to(run, choice.engine)
         return True
 
