--- a/tests/test_load_bound.py
+++ b/tests/test_load_bound.py
@@ -16,10 +16,10 @@
     pytest.mark.xdist_group("processes"),
 ]
 
-ACCOUNTS = ["press-line-1", "press-line-2", "warehouse", "shift-supervisors"]
-CHATS = 8
-TOKENS = 60
-ANSWERS = 200
+CALLERS = 32
+TURNS = 8
+WORDS = 2_000
+TOKENS = 40
 # A request is on its way to its engine, and a lower load on its way to the
 # other owners, for at most this long.
 ON_THE_WAY_S = 0.5
@@ -116,27 +116,40 @@
     assert len(judge(later, 1.0, 2).over) == 1
 
 
+async def _ask_hot_chat(found: harness.Deployment, number: int):
+    """Goes on in one chat, whose cache is on one engine."""
+    program = found.caller("press-line-1", number, budget_s=60.0)
+    text = " ".join(f"word-{place}" for place in range(WORDS))
+    results = []
+    for turn in range(TURNS):
+        question = f"{text} {number} {turn}"
+        result = await program.chat(
+            found.model,
+            [{"role": "user", "content": question}],
+            chat="hot",
+            tokens=TOKENS,
+        )
+        results.append(result)
+    return results
+
+
 def _run(tmp_path, disturb):
     async def main():
         async with harness.deployment(tmp_path) as found:
-            runs = load.Load(
-                found,
-                ACCOUNTS,
-                chats=CHATS,
-                tokens=TOKENS,
-                releases=False,
-                budget_s=60.0,
-            )
-            async with runs:
-                await runs.until_answered(ANSWERS // 2)
-                await disturb(found)
-                await runs.until_answered(ANSWERS // 2)
-            load.check_answers(runs.results)
+            # The cache of the chat is on one engine before the others ask.
+            await _ask_hot_chat(found, CALLERS)
+            asked = [
+                asyncio.create_task(_ask_hot_chat(found, number))
+                for number in range(CALLERS)
+            ]
+            await disturb(found)
+            for results in await asyncio.gather(*asked):
+                load.check_answers(results)
             rows = await observe.merged_rows(found)
             engines = len(found.names("engine"))
             judged = judge(rows, found.document["load_bound"], engines)
             _LOGGER.info("%s", judged)
-            assert judged.arrivals >= ANSWERS
+            assert judged.arrivals >= CALLERS * TURNS
             assert judged.over == []
 
     asyncio.run(main())
@@ -151,6 +164,7 @@
 
 def test_no_engine_over_the_bound_when_owners_change(tmp_path):
     async def disturb(found: harness.Deployment):
+        await asyncio.sleep(1.0)
         await found.processes["router-3"].stop()
 
     _run(tmp_path, disturb)
