--- a/packages/core/nutmegpost_core/admission.py
+++ b/packages/core/nutmegpost_core/admission.py
@@ -116,6 +116,9 @@
             kept.remove(victim)
             backlog -= victim.cost
             refused.append(victim.key)
+            if victim.key == newest:
+                # The others are late no more than they were without it.
+                return refused
             if victim is claim:
                 break
             late = _lateness(kept, pace, now, waiting, backlog)
--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -197,6 +197,9 @@
         """
         usable = {text for text in addresses if datagrams.is_address(text)}
         self._listed = usable - {self.me.peer_address}
+        if self._strangers() and len(self._table.live) == 1:
+            # A router that knows nobody yet asks at once.
+            self._next_sync = min(self._next_sync, self._now)
 
     def learn(self, members: Iterable[Member], now: float) -> None:
         """Takes in members that another router knows.
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -29,6 +29,12 @@
     assert admission.overdue(claims, "new", PACE, 0.0) == []
 
 
+def test_those_that_the_refused_one_did_not_delay_stay():
+    claims = [claim("new", 1.5, worth=1.0), claim("late", 1.6, worth=2.0)]
+    refused = admission.overdue(claims, "new", PACE, 0.0, 1, 100.0)
+    assert refused == ["new"]
+
+
 def test_wait_is_paced_by_those_that_run_first():
     pace = admission.Pace(width=4, mean_cost=100.0, rate=400.0)
     assert admission.wait_s(0, 0.0, pace) == 0.25
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -408,3 +408,14 @@
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 TestFleet = FleetMachine.TestCase
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_joiner_asks_as_soon_as_the_vm_list_is_here(seed):
+    me = membership.Member(
+        "router-0001", 1001, "10.0.0.1:7000", "10.0.0.1:7000", "a"
+    )
+    view = membership.Membership(me, random.Random(seed))
+    assert view.tick(0.0) == []
+    view.seed(["10.0.0.2:7000"])
+    assert view.tick(0.05)
--- a/packages/router/nutmegpost_router/entry.py
+++ b/packages/router/nutmegpost_router/entry.py
@@ -243,11 +243,14 @@
         headers = request.headers
         request_id = headers.get("x-request-id") or uuid.uuid4().hex
         chat.read_name(request_id, "X-Request-Id", REQUEST_ID_LENGTH_MAX)
-        chat_id = headers.get("x-chat-id") or request_id
+        parsed = chat.parse(request.body, request_id)
+        # Copies of one request without a chat meet at one router, which sees
+        # that they are the same.
+        digest = quarantine.digest(account["name"], parsed.content)
+        chat_id = headers.get("x-chat-id") or digest.hex()
         chat.read_name(chat_id, "X-Chat-Id", CHAT_ID_LENGTH_MAX)
         directory = self._ports.view.directory
         work_class = directory.work_class(account, headers.get("x-class", ""))
-        parsed = chat.parse(request.body, request_id)
         model = directory.model(parsed.request["model"])
         last_event = headers.get("last-event-id", "")
         engine = sse.EventId.read(last_event).engine if last_event else ""
@@ -260,7 +263,7 @@
             body=parsed.body,
             engine=engine,
             last_event=last_event,
-            digest=quarantine.digest(account["name"], parsed.content),
+            digest=digest,
         )
         streamed = parsed.request.get("stream", False)
         began = asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -58,6 +58,9 @@
 # A request that no engine may take now, or that must run alone, is held.
 HOLD_RETRY_S = 0.1
 HOLD_LIMIT_S = 60.0
+# Redirections of a suspect after which it waits for the views to agree.
+TRIAL_HOPS_MAX = 2
+TRIAL_HOLD_S = 1.0
 # The verdict on a suspect changes when a report of another router arrives.
 HOLD_VERDICT_S = 1.0
 
@@ -591,7 +594,11 @@
             owned.setdefault(self._view.owner(name), []).append(name)
         decider = quarantine.decider(run.digest, sorted(owned))
         if decider != self._view.name:
-            self._redirect(run, owned[decider][0])
+            # While views differ, routers may name one another in a circle.
+            if run.submit.hops >= TRIAL_HOPS_MAX and run.held_since is None:
+                self._later(TRIAL_HOLD_S, run)
+            else:
+                self._redirect(run, owned[decider][0])
             return
         tasks = [
             self._tasks[name]
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -56,6 +56,7 @@
 # Whole seconds for which an endpoint stays out on a router's word alone.
 LEAVING_LIFETIME_S = 30
 LOST_LIFETIME_S = 5
+LOST_DOUBLINGS_MAX = 3
 BURN_WINDOW_S = 60.0
 # Fewest requests in the window that give a burn rate.
 BURN_COUNT_LEAST = 10
@@ -87,6 +88,7 @@
         self._quarantine = quarantine.Quarantine(self._name)
         self._notices: asyncio.Queue[Any] = asyncio.Queue()
         self._sums_due = asyncio.Event()
+        self._lost_times: dict[str, int] = {}
         self._connected_at: dict[str, float] = {}
         self._tasks: list[asyncio.Task[Any]] = []
         self._owner = owner.Owner(
@@ -164,7 +166,7 @@
         return owner.Observer(
             load_changed=self._sums_due_now,
             leaving=lambda name: self._take_out(name, LEAVING_LIFETIME_S),
-            lost=lambda name: self._take_out(name, LOST_LIFETIME_S),
+            lost=self._take_out_lost,
             retried=self._metrics.retried,
             dropped=self._metrics.frame_dropped,
             reported=self._engine_reported,
@@ -497,6 +499,13 @@
 
     # Endpoints
 
+    def _take_out_lost(self, name: str) -> None:
+        """Takes out an endpoint for longer each time it is lost again."""
+        times = self._lost_times.get(name, 0)
+        self._lost_times[name] = times + 1
+        lifetime_s = LOST_LIFETIME_S * 2 ** min(times, LOST_DOUBLINGS_MAX)
+        self._take_out(name, lifetime_s)
+
     def _take_out(self, name: str, lifetime_s: int) -> None:
         """Takes an endpoint out here and tells the others."""
         if not self._view.leave(name, self._now() + lifetime_s):
@@ -554,6 +563,7 @@
         self._owner.cancel_exposed(exposed, digest)
 
     def _engine_reported(self, engine: str, report: engines.LoadReport) -> None:
+        self._lost_times.pop(engine, None)
         fence = report.get("fence") or [0]
         self._acceptance.floor(fence[0])
 
--- a/packages/standins/nutmegpost_standins/enginemodel.py
+++ b/packages/standins/nutmegpost_standins/enginemodel.py
@@ -10,7 +10,14 @@
 import random
 from typing import NamedTuple
 
-__all__ = ["Clock", "Engine", "Request", "step_s"]
+__all__ = [
+    "PREFILL_TOKENS_PER_STEP",
+    "STEP_FULL_S",
+    "Clock",
+    "Engine",
+    "Request",
+    "step_s",
+]
 
 STEP_EMPTY_S = 0.015
 STEP_FULL_S = 0.030
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 import contextlib
 import json
 import os
@@ -395,17 +395,20 @@
     return json.loads(path.read_text())
 
 
-def _free_net() -> str:
+@contextlib.contextmanager
+def _free_net() -> Iterator[str]:
+    """Gives a loopback net that no other deployment has meanwhile."""
     for _ in range(100):
         number = random.SystemRandom().randrange(1, 255)
         net = f"127.88.{number}"
-        with socket.socket() as probe:
+        with socket.socket() as held:
             try:
-                probe.bind((f"{net}.254", _PROBE_PORT))
+                held.bind((f"{net}.254", _PROBE_PORT))
             except OSError:
                 continue
             if _is_quiet(f"{net}.9"):
-                return net
+                yield net
+                return
     raise RuntimeError("no free loopback net")
 
 
@@ -439,12 +442,13 @@
         engine: Options of every engine.
         service: Options of every runner of the plain service.
     """
-    found = Deployment(folder, example, _free_net())
-    found.prepare(engines=engines, relayed=relayed, settings=settings or {})
-    found.add_all(platform or {}, engine or {}, service or {})
-    try:
-        await found.start()
-        yield found
-        assert found.complaints() == []
-    finally:
-        await found.end()
+    with _free_net() as net:
+        found = Deployment(folder, example, net)
+        found.prepare(engines=engines, relayed=relayed, settings=settings or {})
+        found.add_all(platform or {}, engine or {}, service or {})
+        try:
+            await found.start()
+            yield found
+            assert found.complaints() == []
+        finally:
+            await found.end()
