--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -732,6 +732,10 @@
         waits = choice.reason == placement.REASON_QUEUE
         if waits or not choice.engine or choice.engine == run.engine:
             return False
+        is_elsewhere = choice.engine not in self._tasks
+        if is_elsewhere and run.submit.hops >= HOPS_MAX:
+            # Owners that know each other's loads late would pass it on and on.
+            return False
         run.moves += 1
         work = self._work(run.submit)
         run.wait_until = self._now() + MOVE_INTERVAL * work.first_token_s
--- a/packages/router/tests/test_owner.py
+++ b/packages/router/tests/test_owner.py
@@ -263,6 +263,27 @@
     _run(use)
 
 
+@pytest.mark.parametrize("hops", [0, owner.HOPS_MAX])
+def test_a_waiting_request_moves_between_owners_only_so_often(hops):
+    async def use(fixture):
+        for name in ("f1", "f2"):
+            await fixture.until(fixture.owner.tasks["e1"].limit.bit_length)
+            inbox, _ = fixture.ask(name, engine="e1")
+        await fixture.until(lambda: len(fixture.asked()) == 2)
+        sums = wire.Sums(1, ["m"], [0], [1], ["e9"], [0])
+        listed = [_vm(n, 9) for n in ("e1", "e2", "e9")]
+        fixture.view.set_vms({"version": 2, "vms": listed})
+        fixture.view.set_available("m", ())
+        now = asyncio.get_running_loop().time()
+        fixture.view.loads.observe("other", sums, now)
+        inbox, _ = fixture.ask("r1", engine="e1", hops=hops)
+        await asyncio.sleep(0.3)
+        moved = not inbox.empty()
+        assert moved == (hops == 0)
+
+    _run(use)
+
+
 def test_a_request_is_held_while_no_engine_takes_it():
     async def use(fixture):
         for engine in fixture.engines.values():
