List the request that crashes engines through all routers at once

Cause: copies that spill past the bound run beside the first before it has crashed. Weighed and not done: one engine for all copies of a content, which would make a burst of equal questions wait.

--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -107,3 +107,22 @@
             await _check(found, name_for)
 
     asyncio.run(main())
+
+
+def test_request_sent_through_every_router_at_once(tmp_path):
+    async def main():
+        options = {"poison": POISON}
+        async with harness.deployment(tmp_path, engine=options) as found:
+            restarts = _Restarts(found)
+            task = asyncio.create_task(restarts.run())
+            for number in range(ROUNDS):
+                sent = [
+                    _send(found, router, f"r-{number}-{router}")
+                    for router in found.names("router")
+                ]
+                for _, outcome in await asyncio.gather(*sent):
+                    assert outcome != "answered"
+            task.cancel()
+            assert 1 <= len(restarts.died) <= CRASHES_MAX, restarts.died
+
+    asyncio.run(main())
