--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -10,22 +10,18 @@
 from collections.abc import AsyncGenerator, Callable
 import contextlib
 import math
-from typing import NamedTuple, TypedDict
-
-import msgspec
+from typing import NamedTuple
 
 from nutmegpost_core import chat
-from nutmegpost_core import configuration
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import placement
-from nutmegpost_core import prefill
 from nutmegpost_core import quarantine
-from nutmegpost_core import queueing
 from nutmegpost_core import retry
 from nutmegpost_core import rollout
 from nutmegpost_core import sse
 from nutmegpost_core import wire
+from nutmegpost_router import chooser
 from nutmegpost_router import engines
 from nutmegpost_router import http_client
 from nutmegpost_router import log
@@ -49,11 +45,7 @@
 RUN_COUNT_MAX = 50_000
 PLACED_COUNT_MAX = 20_000
 RETRY_AFTER_S = 1.0
-# Share of the target for the first token that may pass in waiting for a cache.
-PATIENCE = 0.5
-# Least part of that target that is left for the queue by a long prefill.
-TARGET_SHARE_LEAST = 0.5
-# Share of that target for which a request stays where it was moved to.
+# Share of the target for the first token for which a moved request stays.
 MOVE_INTERVAL = 0.1
 # A request that no engine may take now, or that must run alone, is held.
 HOLD_RETRY_S = 0.1
@@ -101,20 +93,6 @@
     )
 
 
-class _Work(NamedTuple):
-    """What placement looks at in a request.
-
-    Attributes:
-        account: Account of the caller.
-        rank: Rank of the work.
-        first_token_s: Target for the first token, seconds.
-    """
-
-    account: str
-    rank: int
-    first_token_s: float
-
-
 class _Place(NamedTuple):
     """Where a request goes.
 
@@ -129,15 +107,6 @@
     is_resumed: bool
 
 
-class _Usage(TypedDict):
-    prompt_tokens: int
-    cached_tokens: int
-
-
-class _Chunk(TypedDict):
-    usage: _Usage
-
-
 class Owner:
     """The engines that this router owns and the requests it runs there."""
 
@@ -158,7 +127,7 @@
             collections.OrderedDict()
         )
         self._retries = retry.RetryBudget(RETRY_SHARE, RETRY_BURST)
-        self._prefills: dict[str, prefill.Prefill] = {}
+        self._chooser = chooser.Chooser(the_view, self._tasks)
         self._hooks = engines.Hooks(
             client=client,
             view=the_view,
@@ -166,7 +135,7 @@
             again=self._again,
             hold=self._hold,
             move=self._move,
-            answered=self._answered,
+            answered=self._chooser.answered,
             refuse=self._refuse,
             lost=self._lost,
             state_changed=self._state_changed,
@@ -325,7 +294,9 @@
         self, model: str, account: str, chat_name: str
     ) -> placement.Choice:
         """Returns how a request would be placed now."""
-        return self._choose(model, _Work(account, 1, 0.0), chat_name, False)
+        return self._chooser.choose(
+            model, chooser.Work(account, 1, 0.0), chat_name, False
+        )
 
     def _is_unread(self, run: runs.Run, now: float) -> bool:
         return (
@@ -388,7 +359,7 @@
         task = self._task(place.engine)
         if place.is_resumed:
             # It is running there already, so there is nothing to decide.
-            task.offer(run, self._job(run), True)
+            task.offer(run, self._chooser.job(run), True)
         else:
             self._guarded(run, lambda: self._launch(run, place.engine))
         return subscription
@@ -417,7 +388,7 @@
             if is_taken and (task is None or task.takes_work):
                 return _Place(engine, 0.0, False)
         is_patient = not submit.hops and not submit.engine
-        choice = self._choose_for(submit, is_patient)
+        choice = self._chooser.choose_for(submit, is_patient)
         if not choice.engine:
             raise errors.UnavailableError(
                 f"no engine of {submit.model!r}", retry_after=RETRY_AFTER_S
@@ -432,124 +403,6 @@
         verdict = self._quarantine.verdict(_digest(submit), self._now())
         return verdict is not quarantine.Verdict.ALLOW
 
-    def _choose(
-        self, pool: str, work: _Work, chat_name: str, is_patient: bool
-    ) -> placement.Choice:
-        limit = self._limit(pool)
-        patience_s = PATIENCE * work.first_token_s if is_patient else 0.0
-        return self._view.placement.choose(
-            pool,
-            f"{work.account}/{chat_name}",
-            lambda name: self._load_for(pool, name, work, limit),
-            limit,
-            self._least(pool, work, limit),
-            wait_of=lambda name: self._wait_for(name, work),
-            token_s=self._prefill(pool).token_s,
-            patience_s=patience_s,
-            zone=self._view.zone,
-        )
-
-    def _limit(self, pool: str) -> int:
-        document = self._view.directory.published.document
-        limit = self._view.loads.limit(
-            pool, document["load_bound"], self._now(), self._view.reach
-        )
-        return min(limit, self._view.directory.model(pool)["slots"])
-
-    def _load_for(self, pool: str, name: str, work: _Work, limit: int) -> int:
-        task = self._tasks.get(name)
-        if task is None:
-            return int(self._view.loads.mean(pool))
-        if not task.takes_work:
-            return limit
-        return task.load_for(work.rank, work.account)
-
-    def _least(
-        self, pool: str, work: _Work, limit: int
-    ) -> list[tuple[str, int]]:
-        """Least loaded engines of others, and all of this router."""
-        others = [
-            entry
-            for entry in self._view.loads.least(pool)
-            if entry[0] not in self._tasks
-        ]
-        mine = [
-            (name, self._load_for(pool, name, work, limit))
-            for name, task in self._tasks.items()
-            if task.endpoint.pool == pool
-        ]
-        return sorted(others + mine, key=lambda entry: entry[1])
-
-    def _wait_for(self, name: str, work: _Work) -> float:
-        task = self._tasks.get(name)
-        if task is None:
-            return math.inf
-        return task.queue.expected_wait(work.rank, work.account)
-
-    def _prefill(self, pool: str) -> prefill.Prefill:
-        return self._prefills.setdefault(pool, prefill.Prefill())
-
-    def _answered(self, run: runs.Run) -> None:
-        """Learns the prefill time from the usage in the last event."""
-        try:
-            usage = msgspec.json.decode(run.last_event, type=_Chunk)["usage"]
-        except (msgspec.DecodeError, KeyError):
-            return
-        missing = usage["prompt_tokens"] - usage["cached_tokens"]
-        self._prefill(run.submit.model).answered(run.first_event_s, missing)
-
-    def _choose_for(
-        self, submit: wire.Submit, is_patient: bool = False
-    ) -> placement.Choice:
-        return self._choose(
-            submit.model, self._work(submit), submit.chat, is_patient
-        )
-
-    def _work(self, submit: wire.Submit) -> _Work:
-        item = self._view.directory.classes.get(submit.work_class)
-        if item is None:
-            return _Work(submit.account, 3, 0.0)
-        return _Work(
-            submit.account, item["rank"], item["first_token_ms"] / 1000
-        )
-
-    def _job(self, run: runs.Run) -> queueing.Job:
-        submit = run.submit
-        # The target of a request that had begun was met or missed already.
-        age = 0.0 if run.may_have_run else submit.age
-        directory = self._view.directory
-        account = directory.account(submit.account)
-        item = directory.work_class(account, submit.work_class)
-        request = chat.parse(submit.body, submit.request_id).request
-        return queueing.Job(
-            key=str(runs.Key(submit.account, submit.request_id)),
-            account=submit.account,
-            work_class=submit.work_class,
-            rank=item["rank"],
-            arrived=self._now() - age,
-            first_token_s=self._queue_target(run, item),
-            finish_s=item.get("finish_s"),
-            worth=item["worth"],
-            cost=chat.cost(request, len(submit.body)),
-        )
-
-    def _queue_target(
-        self, run: runs.Run, item: configuration.WorkClass
-    ) -> float:
-        """Returns the part of the target for the first token to queue in."""
-        submit = run.submit
-        target_s = item["first_token_ms"] / 1000
-        slots = self._view.directory.model(submit.model)["slots"]
-        if self._view.loads.mean(submit.model) < slots / 2:
-            # A long prefill is no reason to refuse work that can be done.
-            return target_s
-        chat_name = f"{submit.account}/{submit.chat}"
-        held = dict(self._view.placement.holders(submit.model, chat_name))
-        prompt = len(submit.body) // chat.BYTES_PER_TOKEN
-        return self._prefill(submit.model).target_s(
-            target_s, prompt - held.get(run.engine, 0), TARGET_SHARE_LEAST
-        )
-
     def _launch(self, run: runs.Run, engine: str) -> None:
         """Sends a run to an engine as far as its content may run."""
         now = self._now()
@@ -609,7 +462,7 @@
             self._later(HOLD_RETRY_S, run)
             return
         task = min(tasks, key=lambda item: item.in_flight)
-        task.post(engines.Trial(run, self._job(run)))
+        task.post(engines.Trial(run, self._chooser.job(run)))
 
     def _redirect(self, run: runs.Run, engine: str) -> None:
         key = run.key
@@ -691,7 +544,7 @@
             run.fire("retry")
             self._check_retry(run, now)
         submit = run.submit
-        choice = self._choose_for(submit)
+        choice = self._chooser.choose_for(submit)
         if not choice.engine:
             raise errors.UnavailableError(
                 f"no engine of {submit.model!r}", retry_after=RETRY_AFTER_S
@@ -724,11 +577,11 @@
             return
         if run.state == "queued":
             run.fire("place")
-        task.offer(run, self._job(run), False)
+        task.offer(run, self._chooser.job(run), False)
 
     def _move(self, run: runs.Run) -> bool:
         """Moves a waiting run to another engine that is free."""
-        choice = self._choose_for(run.submit)
+        choice = self._chooser.choose_for(run.submit)
         waits = choice.reason == placement.REASON_QUEUE
         if waits or not choice.engine or choice.engine == run.engine:
             return False
@@ -737,7 +590,7 @@
             # Owners that know each other's loads late would pass it on and on.
             return False
         run.moves += 1
-        work = self._work(run.submit)
+        work = self._chooser.work(run.submit)
         run.wait_until = self._now() + MOVE_INTERVAL * work.first_token_s
         self._send_to(run, choice.engine)
         return True
