Serve nothing below the version that the other routers told

Joining now looks at the versions of the members themselves. Ruled out: acceptance, which refuses an older version once it heard of a higher one.

--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -368,9 +368,20 @@
             return False
         if self._gossip.members.in_doubt:
             return False
+        members = self._gossip.members.members
+        others = [
+            members[name]
+            for name in self._view.routers
+            if name in members and name != self._name
+        ]
+        versions = [member.config_version for member in others]
+        if max(versions, default=0) > self._acceptance.version:
+            # Nobody may be served below what is in force elsewhere.
+            return False
         listed = {vm["name"] for vm in self._view.router_vms()}
+        is_told = listed <= set(self._view.routers) and all(versions)
         waited = time.monotonic() - self._joining_since
-        return listed <= set(self._view.routers) or waited > JOIN_LIMIT_S
+        return is_told or waited > JOIN_LIMIT_S
 
     async def _join(self) -> None:
         """Looks until this router serves whether it has joined."""
