Check a request once for its cost, and name its chat in one place

An owner parsed and re-encoded the whole body of a request at every offer, move and retry only to read its token limit; the check now stands alone in chat.read, with the same errors, and the re-encoding stays with the entry. The name account/chat was built in four places; it is a property of the message.

--- a/packages/core/nutmegpost_core/chat.py
+++ b/packages/core/nutmegpost_core/chat.py
@@ -18,6 +18,7 @@
     "assemble",
     "cost",
     "parse",
+    "read",
     "read_name",
 ]
 
@@ -74,6 +75,21 @@
     pass
 
 
+def read(body: bytes) -> ChatRequest:
+    """Checks a request.
+
+    Args:
+        body: The body as received.
+
+    Raises:
+        errors.InvalidRequestError: The body has not the form it must have.
+    """
+    try:
+        return documents.decode(body, ChatRequest, "body", _BodyError)
+    except _BodyError as caught:
+        raise errors.InvalidRequestError(str(caught)) from caught
+
+
 def parse(body: bytes, request_id: str) -> ParsedRequest:
     """Checks a request and makes the body for the engine.
 
@@ -87,10 +103,7 @@
     Raises:
         errors.InvalidRequestError: The body has not the form it must have.
     """
-    try:
-        request = documents.decode(body, ChatRequest, "body", _BodyError)
-    except _BodyError as caught:
-        raise errors.InvalidRequestError(str(caught)) from caught
+    request = read(body)
     whole: dict[str, Any] = msgspec.json.decode(body)
     content = msgspec.json.encode(whole, order="sorted")
     whole["stream"] = True
--- a/packages/core/nutmegpost_core/wire.py
+++ b/packages/core/nutmegpost_core/wire.py
@@ -88,6 +88,11 @@
     digest: bytes = b""
     fresh: bool = False
 
+    @property
+    def chat_name(self) -> str:
+        """Name of the chat, unique in the fleet."""
+        return f"{self.account}/{self.chat}"
+
 
 class Redirected(NamedTuple):
     """The request was placed on an engine that another router owns.
--- a/packages/router/nutmegpost_router/chooser.py
+++ b/packages/router/nutmegpost_router/chooser.py
@@ -165,7 +165,7 @@
         directory = self._view.directory
         account = directory.account(submit.account)
         item = directory.work_class(account, submit.work_class)
-        request = chat.parse(submit.body, submit.request_id).request
+        request = chat.read(submit.body)
         return queueing.Job(
             key=str(runs.Key(submit.account, submit.request_id)),
             account=submit.account,
@@ -188,8 +188,9 @@
         if self._view.loads.mean(submit.model) < slots / 2:
             # A long prefill is no reason to refuse work that can be done.
             return target_s
-        chat_name = f"{submit.account}/{submit.chat}"
-        held = dict(self._view.placement.holders(submit.model, chat_name))
+        held = dict(
+            self._view.placement.holders(submit.model, submit.chat_name)
+        )
         prompt = len(submit.body) // chat.BYTES_PER_TOKEN
         return self._prefill(submit.model).target_s(
             target_s, prompt - held.get(run.engine, 0), TARGET_SHARE_LEAST
--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -591,7 +591,7 @@
         submit = run.submit
         self._hooks.view.placement.served(
             self._endpoint.pool,
-            f"{submit.account}/{submit.chat}",
+            submit.chat_name,
             self._endpoint.name,
             int(job.cost),
         )
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -486,8 +486,9 @@
     def _note_elsewhere(self, submit: wire.Submit, engine: str) -> None:
         """Remembers that the cache of a chat will be on a foreign engine."""
         tokens = len(submit.body) // chat.BYTES_PER_TOKEN
-        chat_name = f"{submit.account}/{submit.chat}"
-        self._view.placement.served(submit.model, chat_name, engine, tokens)
+        self._view.placement.served(
+            submit.model, submit.chat_name, engine, tokens
+        )
 
     def _note_placed(self, key: runs.Key, engine: str) -> None:
         self._placed[key] = engine
--- a/packages/router/nutmegpost_router/relay.py
+++ b/packages/router/nutmegpost_router/relay.py
@@ -109,8 +109,7 @@
     engine = position.engine
     if the_view.find(engine) is None:
         position.engine = ""
-        chat_name = f"{submit.account}/{submit.chat}"
-        engine = the_view.placement.home(submit.model, chat_name)
+        engine = the_view.placement.home(submit.model, submit.chat_name)
     if not engine:
         raise errors.UnavailableError(
             f"no engine of {submit.model!r}",
