Keep prompts where they are: caches tracked, fetched, learnt at start

Cause, from the lists of the runners compared with the estimate at each send: the estimate was right while nothing changed, and prompts were read again because (1) the caches of endpoints that leave were forgotten at once, though they serve on for 2 s and more; (2) two gateways placed one prompt within the 0.1 to 1.8 s that a report took (the byte budget stretched it in bursts); (3) a second request came while the first was still being read; (4) gateways that started knew nothing; (5) endpoints that crashed kept their estimate and were chosen as the least loaded.

Now: prompts are fetched from another endpoint's cache; departed endpoints stay sources for 4 s; placements and endpoints found down are told at once within a token bucket of 2 KB/s; requests wait for a prompt that is being read; a start takes the caches of a peer or asks the endpoints, each gateway a share; ties are as wide as the time to read the prompt.

--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -20,7 +20,7 @@
 from nutmegpost_core import prefixes
 from nutmegpost_core import roster
 
-__all__ = ["Candidate", "Choice", "Load", "Policy", "choose", "load_bound"]
+__all__ = ["Choice", "Load", "Policy", "Source", "choose", "load_bound"]
 
 
 class Load(NamedTuple):
@@ -42,8 +42,11 @@
         load_multiple: Bound of the load as a multiple of the mean.
         load_extra: Requests that may be added to that bound.
         read_tokens_s: Prompt tokens that an endpoint reads in a second.
+        fetch_tokens_s: Prompt tokens that an endpoint fetches in a second
+            from the cache of another; 0 when it cannot.
         reread_weight: Cost of a second of reading what another endpoint has
             in its cache, against a second of waiting.
+        fetch_weight: The same for what is fetched and so not read again.
         running_s: Delay that each running request adds.
         other_zone_s: Cost of an endpoint in another availability zone.
         slow_s: Cost of an endpoint that is still warming up.
@@ -52,18 +55,30 @@
     load_multiple: float = 2.0
     load_extra: float = 3.0
     read_tokens_s: float = 48_200.0
-    reread_weight: float = 3.0
+    fetch_tokens_s: float = 0.0
+    reread_weight: float = 12.0
+    fetch_weight: float = 1.0
     running_s: float = 0.004
     other_zone_s: float = 0.001
     slow_s: float = 0.5
 
 
-class Candidate(NamedTuple):
-    """An endpoint with its cost, the lowest is best."""
+# A fetch of fewer tokens takes longer than to read them.
+FETCH_TOKENS_MIN = 200
+# Time to set up a fetch.
+FETCH_SETUP_S = 0.0025
+
+
+class Source(NamedTuple):
+    """Where a prompt can be fetched from.
+
+    Attributes:
+        endpoint: The endpoint that has it in its cache.
+        tokens: Tokens that it has beyond the one that fetches.
+    """
 
-    cost: float
     endpoint: roster.Endpoint
-    load: Load
+    tokens: int
 
 
 class Choice(NamedTuple):
@@ -72,6 +87,9 @@
     Attributes:
         endpoint: The endpoint.
         cached_tokens: Prompt tokens that are expected in its cache.
+        reread_tokens: Prompt tokens that another endpoint has in its cache
+            and this one must read.
+        source: Where the prompt is fetched from, or None.
         cost: Estimated cost in seconds.
         bound: Load beyond which no endpoint gets more.
         load: Its load before this request.
@@ -79,10 +97,17 @@
 
     endpoint: roster.Endpoint
     cached_tokens: int
+    reread_tokens: int
+    source: Source | None
     cost: float
     bound: int
     load: Load
 
+    @property
+    def ready_tokens(self) -> int:
+        """Prompt tokens that need not be read."""
+        return self.cached_tokens + (self.source.tokens if self.source else 0)
+
 
 def load_bound(loads: Collection[Load], policy: Policy) -> int:
     """Returns the most requests that any endpoint of a service may have."""
@@ -102,6 +127,7 @@
     policy: Policy,
     avoid: Collection[str] = (),
     suspects: Collection[str] = (),
+    leaving: Sequence[roster.Endpoint] = (),
 ) -> Choice | None:
     """Chooses the endpoint of one request.
 
@@ -115,6 +141,7 @@
         policy: Weights of the choice.
         avoid: Endpoints that already had this request.
         suspects: Endpoints that failed lately; used when there is no other.
+        leaving: Endpoints that take no more work but have their caches.
 
     Returns:
         The choice; None when no endpoint may take the request.
@@ -130,59 +157,77 @@
     candidates = sound or allowed
     if not candidates:
         return None
+    length = hints.prompt_tokens if hints else 0
     parts = hints.parts if hints else ()
     shared = parts[:-1] if len(parts) > 1 else parts
-    held = {
-        endpoint.name: caches.cached(endpoint.name, parts)
-        for endpoint in candidates
-    }
-    best_shared = max(
-        caches.cached(endpoint.name, shared) for endpoint in endpoints
+    everywhere = (*endpoints, *leaving)
+    held = max(caches.cached(item.name, shared) for item in everywhere)
+    holder = max(
+        (
+            Source(item, caches.fetchable(item.name, shared, now))
+            for item in everywhere
+        ),
+        key=lambda item: item.tokens,
     )
-    length = hints.prompt_tokens if hints else 0
 
-    def cost(endpoint: roster.Endpoint) -> float:
+    def rate(endpoint: roster.Endpoint) -> Choice:
         load = loads[endpoint.name]
-        cached = held[endpoint.name]
-        reread = max(0, best_shared - cached)
-        unread = max(0, length - cached) + load.unread_tokens
-        seconds = unread / policy.read_tokens_s
-        seconds += policy.reread_weight * reread / policy.read_tokens_s
-        seconds += policy.running_s * load.running
+        cached = caches.cached(endpoint.name, parts)
+        lacking = max(0, held - cached)
+        source = None
+        if policy.fetch_tokens_s and holder.tokens - cached >= FETCH_TOKENS_MIN:
+            source = Source(holder.endpoint, holder.tokens - cached)
+        cost = _cost(policy, load, length - cached, lacking, source)
         if endpoint.zone != zone:
-            seconds += policy.other_zone_s
+            cost += policy.other_zone_s
         if endpoint.slow_until > now:
-            seconds += policy.slow_s
-        return seconds
+            cost += policy.slow_s
+        reread = lacking - (source.tokens if source else 0)
+        return Choice(endpoint, cached, reread, source, cost, bound, load)
 
     key = shared[-1].identity if shared else ""
-    costs = {endpoint.name: cost(endpoint) for endpoint in candidates}
-    chosen = min(
-        candidates,
-        key=lambda item: (
-            _tie(costs[item.name], key),
-            _order(item.name, key),
-            loads[item.name].running,
-        ),
+    step_s = max(
+        _TIE_S, sum(part.tokens for part in shared) / policy.read_tokens_s
     )
-    return Choice(
-        chosen,
-        held[chosen.name],
-        costs[chosen.name],
-        bound,
-        loads[chosen.name],
+    return min(
+        map(rate, candidates),
+        key=lambda item: _preference(item, key, step_s),
     )
 
 
-# Costs that differ by less are decided by the order that all routers share.
-_TIE_S = 0.02
-
+def _cost(
+    policy: Policy, load: Load, unread: int, lacking: int, source: Source | None
+) -> float:
+    """Returns the estimated cost in seconds, but for the place of the endpoint.
 
-def _tie(cost: float, key: str) -> float:
-    return round(cost / _TIE_S) if key else cost
+    Args:
+        policy: Weights.
+        load: Load of the endpoint.
+        unread: Prompt tokens that it does not have in its cache.
+        lacking: Those of them that another endpoint has.
+        source: Where they are fetched from, or None.
+    """
+    seconds = policy.running_s * load.running
+    fetched = source.tokens if source else 0
+    reread = max(0, lacking - fetched)
+    weighed = policy.reread_weight * reread + policy.fetch_weight * fetched
+    waiting = max(0, unread - fetched) + load.unread_tokens
+    if fetched:
+        seconds += FETCH_SETUP_S + fetched / policy.fetch_tokens_s
+    return seconds + (weighed + waiting) / policy.read_tokens_s
+
+
+# Costs that differ by less are decided by the order that all routers share, and
+# so do those that differ by less than it takes to read the prompt: two routers
+# that see other loads shall not have it read at two endpoints.
+_TIE_S = 0.02
 
 
-def _order(name: str, key: str) -> int:
+def _preference(
+    choice: Choice, key: str, step_s: float
+) -> tuple[float, int, int]:
+    """Returns what the best choice has the least of."""
     if not key:
-        return 0
-    return xxhash.xxh3_64_intdigest(f"{key}#{name}".encode())
+        return choice.cost, choice.load.running, 0
+    order = xxhash.xxh3_64_intdigest(f"{key}#{choice.endpoint.name}".encode())
+    return round(choice.cost / step_s), order, choice.load.running
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -112,9 +112,9 @@
     410,
     "INFO",
     "{request} attempt {attempt} of {route} goes to {endpoint}: running "
-    "{running} of {bound}, cached {cached} tokens, cost {cost_ms} ms, left "
-    "{left_ms} ms, loads {loads_age_ms} ms old, endpoints at "
-    "{endpoints_revision}",
+    "{running} of {bound}, cached {cached} tokens, {fetched} fetched, {reread} "
+    "read again, cost {cost_ms} ms, left {left_ms} ms, loads {loads_age_ms} "
+    "ms old, endpoints at {endpoints_revision}",
 )
 REQUEST_ANSWERED = Event(
     411,
@@ -152,6 +152,11 @@
 ENGINE_EJECTED = Event(506, "WARNING", "endpoint {engine} is ejected")
 
 
+CACHE_LEARNT = Event(508, "INFO", "cache of {endpoint} has {count} parts")
+CACHE_UNKNOWN = Event(
+    509, "WARNING", "cache of {endpoint} is not known: {reason}"
+)
+
 # 7xx rollouts
 ROLLOUT_DRAINS = Event(
     701, "INFO", "engine {engine} is drained for configuration {version}"
--- a/packages/core/nutmegpost_core/outliers.py
+++ b/packages/core/nutmegpost_core/outliers.py
@@ -91,6 +91,16 @@
         record.failures = self._eject_after - 1
         return True
 
+    def eject(self, engine: str, now: float) -> None:
+        """Takes out an engine that is certainly down, for the least time.
+
+        Args:
+            engine: Name of the engine.
+            now: Monotonic time, seconds.
+        """
+        record = self._records.setdefault(engine, _Record())
+        record.out_until = max(record.out_until, now + OUT_MIN_S)
+
     def ejected(self, now: float) -> set[str]:
         """Returns the engines that are out."""
         return {
--- a/packages/core/nutmegpost_core/patience.py
+++ b/packages/core/nutmegpost_core/patience.py
@@ -3,7 +3,13 @@
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
 
-__all__ = ["FIRST_BYTE_TARGETS", "first_byte_s", "next_event_s"]
+__all__ = [
+    "FIRST_BYTE_TARGETS",
+    "READING_TOKENS_MIN",
+    "first_byte_s",
+    "next_event_s",
+    "reading_s",
+]
 
 # An answer that took this many targets to begin will probably not come.
 FIRST_BYTE_TARGETS = 2.0
@@ -13,6 +19,16 @@
 SILENT_PAUSES = 2.0
 SILENCE_MIN_S = 1.0
 
+# Reading fewer tokens twice costs less than to wait for them.
+READING_TOKENS_MIN = 1_000
+# Part of its target for which a request waits while another reads its prompt.
+READING_TARGET_SHARE = 0.4
+
+
+def reading_s(call: calls.Call) -> float:
+    """Returns how long to wait while an endpoint reads the same prompt."""
+    return READING_TARGET_SHARE * call.route.target_s
+
 
 def first_byte_s(call: calls.Call, left_s: float, can_retry: bool) -> float:
     """Returns how long to wait for the start of an answer.
--- a/packages/core/nutmegpost_core/prefixes.py
+++ b/packages/core/nutmegpost_core/prefixes.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self._caches: dict[str, _Cache] = {}
+        self._reading: dict[tuple[str, str], float] = {}
 
     def cached(self, endpoint: str, parts: Sequence[calls.Part]) -> int:
         """Returns the tokens of a prompt that need not be read again."""
@@ -54,6 +55,18 @@
             total += part.tokens
         return total
 
+    def fetchable(
+        self, endpoint: str, parts: Sequence[calls.Part], now: float
+    ) -> int:
+        """Returns the tokens of a prompt that others can fetch from here.
+
+        What an endpoint is just reading cannot be fetched yet.
+        """
+        ready = list(parts)
+        while ready and self.reading(endpoint, ready[-1:], now):
+            ready.pop()
+        return self.cached(endpoint, ready)
+
     def touch(
         self, endpoint: str, parts: Iterable[calls.Part], cache_tokens: int
     ) -> None:
@@ -72,11 +85,57 @@
         for part in reversed(list(parts)):
             cache.touch(part)
 
+    def listed(self) -> dict[str, list[calls.Part]]:
+        """Returns the parts of each endpoint, the least recently used first."""
+        return {
+            endpoint: [calls.Part(*item) for item in cache.parts.items()]
+            for endpoint, cache in self._caches.items()
+        }
+
+    def begin_reading(
+        self, endpoint: str, parts: Iterable[calls.Part], until: float
+    ) -> None:
+        """Notes that an endpoint is about to read parts.
+
+        Args:
+            endpoint: Name of the endpoint.
+            parts: The parts.
+            until: Monotonic time at which it will have read them, seconds.
+        """
+        for part in parts:
+            self._reading[endpoint, part.identity] = until
+
+    def finish_reading(
+        self, endpoint: str, parts: Iterable[calls.Part]
+    ) -> None:
+        """Notes that an endpoint has read parts."""
+        for part in parts:
+            self._reading.pop((endpoint, part.identity), None)
+
+    def reading(
+        self, endpoint: str, parts: Iterable[calls.Part], now: float
+    ) -> int:
+        """Returns the tokens of a prompt that an endpoint is just reading."""
+        total = 0
+        for part in parts:
+            until = self._reading.get((endpoint, part.identity))
+            if until is None:
+                continue
+            if until <= now:
+                del self._reading[endpoint, part.identity]
+            else:
+                total += part.tokens
+        return total
+
     def forget(self, endpoint: str) -> None:
         """Forgets an endpoint that lost its cache."""
         self._caches.pop(endpoint, None)
 
     def keep(self, endpoints: Iterable[str]) -> None:
         """Forgets all endpoints but these."""
-        for name in set(self._caches) - set(endpoints):
+        kept = set(endpoints)
+        for name in set(self._caches) - kept:
             del self._caches[name]
+        self._reading = {
+            key: until for key, until in self._reading.items() if key[0] in kept
+        }
--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -3,6 +3,10 @@
 The directory can be away for a while, and entries can lapse meanwhile though
 their endpoints live. An entry that went missing around such a time is kept
 for a grace period after the return, and then dropped.
+
+Lists can come from peers, whose knowledge is older in part. The revision at
+which an entry was removed is remembered, and nothing that was written before
+brings the entry back.
 """
 
 from collections.abc import Iterable, Mapping
@@ -10,6 +14,12 @@
 
 __all__ = ["Endpoint", "Roster"]
 
+# Removals that are remembered; the oldest are forgotten first.
+REMOVALS_MAX = 10_000
+# An endpoint whose entry is gone serves on for the 2 s in which it drains, and
+# a little longer; what it has in its cache can be fetched for that time.
+DEPARTED_S = 4.0
+
 
 class Endpoint(NamedTuple):
     """One start of an endpoint.
@@ -50,6 +60,8 @@
         self._grace_s = grace_s
         self._endpoints: dict[str, Endpoint] = {}
         self._missing: dict[str, float] = {}
+        self._removed: dict[str, int] = {}
+        self._departed: dict[str, tuple[Endpoint, float]] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
         self._revision = 0
         self._away = False
@@ -65,10 +77,40 @@
         """All known endpoints by name, those that leave included."""
         return self._endpoints
 
+    @property
+    def listed(self) -> list[Endpoint]:
+        """The endpoints whose entries stand in the directory."""
+        return [
+            endpoint
+            for name, endpoint in self._endpoints.items()
+            if name not in self._missing
+        ]
+
     def usable(self, service: str) -> list[Endpoint]:
         """Returns the endpoints of a service that may get work."""
         return self._by_service.get(service, [])
 
+    def leaving(self, service: str) -> list[Endpoint]:
+        """Returns the endpoints of a service that take no more work.
+
+        Those are among them that left the directory a moment ago.
+        """
+        departed = [endpoint for endpoint, _ in self._departed.values()]
+        return [
+            endpoint
+            for endpoint in (*self._endpoints.values(), *departed)
+            if endpoint.service == service
+            and (endpoint.is_leaving or endpoint.name in self._departed)
+        ]
+
+    def known(self) -> set[str]:
+        """Returns the names of all endpoints that may have a cache."""
+        return {*self._endpoints, *self._departed}
+
+    def is_down(self, name: str) -> None:
+        """Notes that an endpoint does not listen any more."""
+        self._departed.pop(name, None)
+
     def directory_lost(self) -> None:
         """Notes that the directory does not answer."""
         self._away = True
@@ -95,7 +137,7 @@
             return False
         listed = {endpoint.name: endpoint for endpoint in endpoints}
         for name in set(self._endpoints) - set(listed):
-            self._drop(name, now)
+            self._drop(name, revision, now)
         for endpoint in listed.values():
             self._put(endpoint)
         self._revision = revision
@@ -105,7 +147,7 @@
     def update(
         self,
         endpoints: Iterable[Endpoint],
-        removed: Iterable[str],
+        removed: Mapping[str, int],
         revision: int,
         now: float,
     ) -> None:
@@ -113,14 +155,15 @@
 
         Args:
             endpoints: Entries that were written.
-            removed: Names of entries that were removed and not written since.
+            removed: Entries that were removed and not written since, with
+                the revision of the removal.
             revision: Revision of the directory after the changes.
             now: Monotonic time, seconds.
         """
         for endpoint in endpoints:
             self._put(endpoint)
-        for name in removed:
-            self._drop(name, now)
+        for name, removal in removed.items():
+            self._drop(name, removal, now)
         self._revision = max(self._revision, revision)
         self._index()
 
@@ -136,16 +179,25 @@
             self._endpoints.pop(name, None)
         if over:
             self._index()
+        for name, (_, until) in list(self._departed.items()):
+            if until <= now:
+                del self._departed[name]
         return over
 
     def _put(self, endpoint: Endpoint) -> None:
         known = self._endpoints.get(endpoint.name)
         if known is not None and endpoint.revision < known.revision:
             return
+        if endpoint.revision <= self._removed.get(endpoint.name, -1):
+            return
         self._missing.pop(endpoint.name, None)
+        self._departed.pop(endpoint.name, None)
         self._endpoints[endpoint.name] = endpoint
 
-    def _drop(self, name: str, now: float) -> None:
+    def _drop(self, name: str, revision: int, now: float) -> None:
+        if len(self._removed) >= REMOVALS_MAX:
+            del self._removed[next(iter(self._removed))]
+        self._removed[name] = max(revision, self._removed.get(name, 0))
         known = self._endpoints.get(name)
         if known is None:
             return
@@ -155,6 +207,7 @@
             return
         del self._endpoints[name]
         self._missing.pop(name, None)
+        self._departed[name] = (known, now + DEPARTED_S)
 
     def _index(self) -> None:
         self._by_service = {}
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -38,6 +38,8 @@
 # request that may run once goes on one that was used a moment ago, or a new.
 _IDLE_REPEATABLE_S = 4.0
 _IDLE_ONCE_S = 0.5
+# Time between two looks at whether a prompt was read meanwhile.
+_READING_POLL_S = 0.02
 _RETRY_AFTER_NO_ENDPOINT_S = 0.5
 _RETRY_AFTER_FULL_S = 0.3
 _RETRY_AFTER_STARTING_S = 0.3
@@ -106,6 +108,7 @@
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
         stop_left_s: Callable[[], float | None],
+        on_down: Callable[[str], None],
     ):
         """Prepares to serve.
 
@@ -115,12 +118,14 @@
             client: Connections to endpoints.
             counters: Metrics.
             stop_left_s: Gives the time until this process ends, or None.
+            on_down: Told of each endpoint that refuses connections.
         """
         self._known = known
         self._port = port
         self._client = client
         self._counters = counters
         self._stop_left_s = stop_left_s
+        self._on_down = on_down
         self._broken: dict[str, list[tuple[float, str]]] = {}
 
     async def handle(self, exchange: http_server.Exchange) -> None:
@@ -192,12 +197,25 @@
         self._known.budget.request(call.service, call.received)
         job = _Job(exchange, call, digest)
         while True:
-            choice = self._next_choice(job)
+            choice = await self._settled_choice(job)
             result = await self._send(job, choice)
             self._note_result(job, choice, result)
             if result.end is _End.ANSWERED:
                 return
 
+    async def _settled_choice(self, job: _Job) -> dispatch.Choice:
+        """Returns where to send next, once no prompt is read twice for it."""
+        call = job.call
+        choice = self._next_choice(job)
+        until = _now() + patience.reading_s(call)
+        if not self._known.is_reading(call, choice.endpoint.name):
+            return choice
+        while _now() < until:
+            await asyncio.sleep(_READING_POLL_S)
+            if not self._known.is_reading(call, choice.endpoint.name):
+                break
+        return self._known.choose(call, job.avoid) or choice
+
     def _next_choice(self, job: _Job) -> dispatch.Choice:
         """Returns where to send next; raises when the request must end."""
         call = job.call
@@ -262,7 +280,7 @@
         endpoint = choice.endpoint
         unread = 0
         if call.hints is not None:
-            unread = max(0, call.hints.prompt_tokens - choice.cached_tokens)
+            unread = max(0, call.hints.prompt_tokens - choice.ready_tokens)
         job.sends += 1
         self._known.placed(call, choice)
         load = _HeldLoad(self._known, endpoint.name, unread)
@@ -275,6 +293,8 @@
             running=choice.load.running,
             bound=choice.bound,
             cached=choice.cached_tokens,
+            reread=choice.reread_tokens,
+            fetched=choice.source.tokens if choice.source else 0,
             cost_ms=round(choice.cost * 1000),
             left_ms=round((call.deadline - now) * 1000),
             loads_age_ms=round(self._known.loads.age_s(now) * 1000),
@@ -298,6 +318,7 @@
                 choice.endpoint.name,
                 left_s,
                 job.last_event,
+                choice.source.endpoint.address if choice.source else "",
             )
         )
         can_retry = self._can_retry(job)
@@ -398,6 +419,7 @@
             if first:
                 first = False
                 load.read()
+                self._known.was_read(call, load.endpoint)
                 self._counters.first_event(
                     call.route.name, _now() - call.received
                 )
@@ -469,6 +491,8 @@
     def _endpoint_down(self, name: str) -> None:
         """Charges the requests that broke just before with the crash."""
         now = _now()
+        self._known.endpoint_down(name)
+        self._on_down(name)
         for at, digest in self._broken.pop(name, []):
             if now - at > _CRASH_WINDOW_S:
                 continue
@@ -531,6 +555,11 @@
         self._unread = unread
         known.loads.add(endpoint, 1, unread)
 
+    @property
+    def endpoint(self) -> str:
+        """Name of the endpoint."""
+        return self._endpoint
+
     def read(self) -> None:
         """Notes that the prompt was read."""
         self._known.loads.add(self._endpoint, 0, -self._unread)
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -1,43 +1,57 @@
 """Loads and placements that gateways tell one another.
 
-Each gateway sends its own part of every endpoint's load to each peer, as often
-as its budget of bytes allows. With it go the prompts that it placed where it
-had not placed them before, so that its peers know of the caches.
+Each gateway tells every peer its own part of each endpoint's load. The prompts
+that it placed where they had not been before go out at once, so that its peers
+know of the caches, and so do endpoints that it found down. A budget of bytes
+bounds all of it; loads wait for room first.
 """
 
 import asyncio
+import collections
 from collections.abc import Callable, Iterable, Mapping
 import hmac
 from typing import NamedTuple
 
 import cbor2
+import xxhash
 
+from nutmegpost_core import budget
 from nutmegpost_core import calls
 from nutmegpost_core import dispatch
 from nutmegpost_core import events
 from nutmegpost_core import vms
 from nutmegpost_router import log
 
-__all__ = ["Loads", "LoadSharing", "Placement", "interval_s"]
+__all__ = ["LoadSharing", "Loads", "Placement", "Told", "endpoint_digest"]
 
-# Least time between two reports.
-INTERVAL_MIN_S = 0.1
-# Bytes of reports that a gateway sends in a second; letter 1 allows 2 KB.
+# Time between two reports of loads.
+INTERVAL_S = 0.2
+# Placements that were made within this time share a datagram.
+GATHERING_S = 0.02
+# Bytes that a gateway sends in a second; letter 1 allows 2 KB.
 BUDGET_BYTES_S = 2_000.0
+# Bytes that a gateway saves up for a burst of placements.
+BUDGET_BURST_BYTES = 24_000.0
 # A report of a gateway that fell silent counts no longer than this.
 REPORT_LIFETIME_S = 2.0
-# Times that a placement is sent, against lost datagrams.
-PLACEMENT_REPEATS = 2
 DATAGRAM_BYTES_MAX = 1_200
+_ENDPOINT_BYTES = 4
 _MAC_BYTES = 8
 _HEADER_BYTES = 28
 _MAC_PURPOSE = b"nutmegpost loads"
 
 
 class Placement(NamedTuple):
-    """A prompt that an endpoint read."""
+    """A prompt that an endpoint reads.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        read_s: Seconds that it will probably take from now on.
+        parts: Parts of the prompt.
+    """
 
     endpoint: str
+    read_s: float
     parts: tuple[calls.Part, ...]
 
 
@@ -98,14 +112,9 @@
         return dispatch.Load(running, unread)
 
 
-def interval_s(peers: int, size: int) -> float:
-    """Returns the time between two reports.
-
-    Args:
-        peers: Gateways that get each report.
-        size: Bytes of a report.
-    """
-    return max(INTERVAL_MIN_S, peers * (size + _HEADER_BYTES) / BUDGET_BYTES_S)
+def endpoint_digest(name: str) -> bytes:
+    """Returns the short form of the name of an endpoint in datagrams."""
+    return xxhash.xxh3_64_digest(name.encode())[:_ENDPOINT_BYTES]
 
 
 class _Protocol(asyncio.DatagramProtocol):
@@ -120,6 +129,18 @@
         pass
 
 
+class Told(NamedTuple):
+    """What a peer tells beside its loads.
+
+    Attributes:
+        placements: Prompts that it placed.
+        down: Names of endpoints that refuse connections.
+    """
+
+    placements: list[Placement]
+    down: list[str]
+
+
 class LoadSharing:
     """The task that owns the socket for reports."""
 
@@ -130,7 +151,8 @@
         key: str,
         loads: Loads,
         peers: Callable[[], Iterable[str]],
-        on_placement: Callable[[Placement], None],
+        endpoints: Callable[[], Iterable[str]],
+        on_told: Callable[[Told], None],
     ):
         """Prepares the task.
 
@@ -140,26 +162,31 @@
             key: Secret shared by the gateways.
             loads: Loads to report and to fill.
             peers: Gives the hosts of the peers.
-            on_placement: Told of each placement of a peer.
+            endpoints: Gives the names of all endpoints.
+            on_told: Told of what a peer tells beside its loads.
         """
         self._name = name
         self._address = vms.parse_address(address)
         self._key = hmac.digest(key.encode(), _MAC_PURPOSE, "sha256")
         self._loads = loads
         self._peers = peers
-        self._on_placement = on_placement
-        self._placements: list[tuple[Placement, int]] = []
+        self._endpoints = endpoints
+        self._on_told = on_told
+        self._budget = budget.Budget(BUDGET_BYTES_S, BUDGET_BURST_BYTES)
+        self._placements: collections.deque[Placement] = collections.deque()
+        self._down: list[str] = []
+        self._waiting = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
-        self._sent_bytes = 0
-
-    @property
-    def sent_bytes(self) -> int:
-        """Bytes sent since the start, headers of UDP and IP included."""
-        return self._sent_bytes
 
     def placed(self, placement: Placement) -> None:
-        """Tells peers of a placement with the next reports."""
-        self._placements.append((placement, PLACEMENT_REPEATS))
+        """Tells the peers of a placement soon."""
+        self._placements.append(placement)
+        self._waiting.set()
+
+    def found_down(self, endpoint: str) -> None:
+        """Tells the peers of an endpoint that refuses connections."""
+        self._down.append(endpoint)
+        self._waiting.set()
 
     async def run(self) -> None:
         """Sends reports until it is cancelled.
@@ -172,40 +199,76 @@
             lambda: _Protocol(self._receive),
             local_addr=(self._address.host, self._address.port),
         )
+        next_report = loop.time()
         try:
             while True:
-                hosts = list(self._peers())
-                size = self._report(hosts)
-                await asyncio.sleep(interval_s(len(hosts), size))
-                self._loads.expire(loop.time())
+                now = loop.time()
+                is_due = now >= next_report
+                if is_due:
+                    next_report = now + INTERVAL_S
+                    self._loads.expire(now)
+                self._send(is_due, now)
+                await self._wait(next_report - loop.time())
         finally:
             self._transport.close()
 
-    def _report(self, hosts: list[str]) -> int:
-        body = cbor2.dumps([self._name, self._encoded_loads(), self._due()])
+    async def _wait(self, seconds: float) -> None:
+        if self._placements or self._down:
+            await asyncio.sleep(GATHERING_S)
+            return
+        self._waiting.clear()
+        try:
+            async with asyncio.timeout(max(0.0, seconds)):
+                await self._waiting.wait()
+            await asyncio.sleep(GATHERING_S)
+        except TimeoutError:
+            return
+
+    def _send(self, with_loads: bool, now: float) -> None:
+        """Sends one datagram to each peer, if there is room for it."""
+        hosts = list(self._peers())
+        if not hosts:
+            self._placements.clear()
+            self._down.clear()
+            return
+        placements = self._next_placements()
+        if not (with_loads or placements or self._down):
+            return
+        loads = self._encoded_loads() if with_loads else None
+        body = cbor2.dumps([self._name, loads, placements, self._down])
         datagram = body + self._mac(body)
+        kind = (
+            budget.Kind.UPDATE if placements or self._down else budget.Kind.LINK
+        )
+        size = (len(datagram) + _HEADER_BYTES) * len(hosts)
+        if not self._budget.spend(kind, size, now):
+            return
+        for _ in placements:
+            self._placements.popleft()
+        self._down.clear()
         assert self._transport is not None
         for host in hosts:
             self._transport.sendto(datagram, (host, self._address.port))
-            self._sent_bytes += len(datagram) + _HEADER_BYTES
-        return len(datagram)
 
-    def _encoded_loads(self) -> dict[str, list[int]]:
-        return {name: list(load) for name, load in self._loads.own.items()}
+    def _encoded_loads(self) -> dict[bytes, list[int]]:
+        return {
+            endpoint_digest(name): list(load)
+            for name, load in self._loads.own.items()
+        }
 
-    def _due(self) -> list[list[object]]:
+    def _next_placements(self) -> list[list[object]]:
+        """Returns the oldest placements, as many as a datagram takes."""
         found: list[list[object]] = []
-        kept: list[tuple[Placement, int]] = []
         size = 0
-        for placement, repeats in self._placements:
-            size += 20 + 24 * len(placement.parts)
-            if size > DATAGRAM_BYTES_MAX / 2:
-                kept.append((placement, repeats))
-                continue
-            found.append([placement.endpoint, *map(list, placement.parts)])
-            if repeats > 1:
-                kept.append((placement, repeats - 1))
-        self._placements = kept
+        for placement in self._placements:
+            parts = [x for part in placement.parts for x in part]
+            read_ms = int(placement.read_s * 1000)
+            digest = endpoint_digest(placement.endpoint)
+            item: list[object] = [digest, read_ms, *parts]
+            size += len(cbor2.dumps(item))
+            if size > DATAGRAM_BYTES_MAX / 2 and found:
+                break
+            found.append(item)
         return found
 
     def _receive(self, data: bytes) -> None:
@@ -214,24 +277,35 @@
             log.emit(events.DATAGRAM_FORGED, source="loads")
             return
         try:
-            name, loads, placements = cbor2.loads(body)
-            found = {
-                endpoint: dispatch.Load(*load)
-                for endpoint, load in loads.items()
-            }
-            placed = [
-                Placement(endpoint, tuple(calls.Part(*part) for part in parts))
-                for endpoint, *parts in placements
-            ]
+            self._take(body)
         except (cbor2.CBORDecodeError, TypeError, ValueError) as caught:
             log.emit(
                 events.DATAGRAM_MALFORMED, source="loads", reason=str(caught)
             )
-            return
-        now = asyncio.get_running_loop().time()
-        self._loads.reported(name, found, now)
-        for placement in placed:
-            self._on_placement(placement)
+
+    def _take(self, body: bytes) -> None:
+        name, loads, placements, down = cbor2.loads(body)
+        names = {endpoint_digest(item): item for item in self._endpoints()}
+        if loads is not None:
+            found = {
+                names[digest]: dispatch.Load(*load)
+                for digest, load in loads.items()
+                if digest in names
+            }
+            now = asyncio.get_running_loop().time()
+            self._loads.reported(name, found, now)
+        told = [
+            Placement(names[digest], read_ms / 1000, _parts(fields))
+            for digest, read_ms, *fields in placements
+            if digest in names
+        ]
+        if told or down:
+            self._on_told(Told(told, [str(item) for item in down]))
 
     def _mac(self, body: bytes) -> bytes:
         return hmac.digest(self._key, body, "sha256")[:_MAC_BYTES]
+
+
+def _parts(fields: list[object]) -> tuple[calls.Part, ...]:
+    pairs = zip(fields[::2], fields[1::2], strict=True)
+    return tuple(calls.Part(str(name), int(str(size))) for name, size in pairs)
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -10,6 +10,7 @@
 
 import cbor2
 
+from nutmegpost_core import calls
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import roster
@@ -27,6 +28,8 @@
 _POLL_S = 0.5
 _TIMEOUT_S = 0.4
 _PATH = "/published"
+# Asks for what endpoints have in their caches, too.
+_CACHES = "caches"
 
 
 class HandingOn:
@@ -89,7 +92,8 @@
         self, request: http_server.Request
     ) -> http_server.Response:
         """Answers the question of a peer."""
-        path, _, version = request.target.partition("?")
+        path, _, query = request.target.partition("?")
+        version, _, asked = query.partition("&")
         found = self._known.catalog
         if path != _PATH or found is None:
             return http_server.Response(404, [], b"")
@@ -98,9 +102,16 @@
         now = asyncio.get_running_loop().time()
         listed = [
             list(item._replace(slow_until=item.slow_until - now))
-            for item in self._known.roster.endpoints.values()
+            for item in self._known.roster.listed
         ]
-        body = cbor2.dumps([document, self._known.roster.revision, listed])
+        caches = {
+            name: [list(part) for part in parts]
+            for name, parts in self._known.prefixes.listed().items()
+            if asked == _CACHES and self._known.caches_known
+        }
+        body = cbor2.dumps(
+            [document, self._known.roster.revision, listed, caches]
+        )
         return http_server.Response(200, [], body)
 
     async def _ask_all(self) -> None:
@@ -111,10 +122,12 @@
 
     async def _ask(self, address: vms.Address) -> None:
         found = self._known.catalog
-        version = found.version if found else 0
+        query = str(found.version if found else 0)
+        if not self._known.caches_known:
+            query = f"{query}&{_CACHES}"
         try:
             answer = await self._client.request(
-                address, "GET", f"{_PATH}?{version}", {}, timeout_s=_TIMEOUT_S
+                address, "GET", f"{_PATH}?{query}", {}, timeout_s=_TIMEOUT_S
             )
             if answer.status == 200:
                 self._take(answer.body)
@@ -136,7 +149,7 @@
             )
 
     def _take(self, body: bytes) -> None:
-        document, revision, listed = cbor2.loads(body)
+        document, revision, listed, caches = cbor2.loads(body)
         if document:
             decoded = self._port.publications.decode_configuration(document)
             self._news.put_nowait(ports.CatalogPublished(decoded, document))
@@ -148,6 +161,15 @@
                 for item in endpoints
             ]
             self._news.put_nowait(ports.EndpointsListed(endpoints, revision))
+        if caches and not self._known.caches_known:
+            self._news.put_nowait(
+                ports.CachesTold(
+                    {
+                        name: [calls.Part(*part) for part in parts]
+                        for name, parts in caches.items()
+                    }
+                )
+            )
 
 
 # Peers that are asked in one round.
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "Answer",
+    "CachesTold",
     "CatalogPublished",
     "Dialect",
     "Directory",
@@ -66,6 +67,8 @@
         endpoint: Name of the endpoint that must take it.
         left_s: Time until the answer is of no use.
         resume_after: Id of the last event that was passed on, or empty.
+        cache_source: Address of an endpoint from whose cache the prompt is
+            to be fetched, or empty.
     """
 
     call: calls.Call
@@ -73,6 +76,7 @@
     endpoint: str
     left_s: float
     resume_after: str
+    cache_source: str = ""
 
 
 class Verdict(enum.StrEnum):
@@ -121,10 +125,14 @@
     Attributes:
         request_fields: Returns the header lines of a request.
         read_answer: Judges the head of an answer by status and lines.
+        cache_path: Path at which an endpoint lists its cache.
+        read_cache: Reads that list; raises PeerError.
     """
 
     request_fields: Callable[[Forward], list[tuple[str, str]]]
     read_answer: Callable[[calls.Call, int, Fields], Answer]
+    cache_path: str
+    read_cache: Callable[[bytes], list[calls.Part]]
 
 
 class Directory(NamedTuple):
@@ -157,10 +165,16 @@
 
 
 class EndpointsChanged(NamedTuple):
-    """Entries of endpoints were written or removed."""
+    """Entries of endpoints were written or removed.
+
+    Attributes:
+        endpoints: Entries that were written.
+        removed: Revisions of the removals, by name of the endpoint.
+        revision: Revision after the changes.
+    """
 
     endpoints: list[roster.Endpoint]
-    removed: list[str]
+    removed: dict[str, int]
     revision: int
 
 
@@ -174,8 +188,15 @@
     """The platform answers again."""
 
 
+class CachesTold(NamedTuple):
+    """A peer told what endpoints have in their caches."""
+
+    caches: dict[str, list[calls.Part]]
+
+
 SourceNews = (
-    CatalogPublished
+    CachesTold
+    | CatalogPublished
     | EndpointsListed
     | EndpointsChanged
     | SourceLost
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -15,6 +15,7 @@
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
+from nutmegpost_router.gateway import caches
 from nutmegpost_router.gateway import forwarding
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
@@ -53,9 +54,6 @@
         self._client = http_client.Client()
         self._news: asyncio.Queue[ports.SourceNews] = asyncio.Queue()
         self._notices: asyncio.Queue[gossip.Notice] = asyncio.Queue()
-        self._forwarder = forwarding.Forwarder(
-            self._known, port, self._client, self._counters, self._stop_left_s
-        )
         self._members = self._membership()
         self._sharing = loads.LoadSharing(
             config["name"],
@@ -63,12 +61,27 @@
             config["peer_key"],
             self._known.loads,
             self._peer_hosts,
-            self._known.placed_by_peer,
+            self._known.roster.known,
+            self._known.told,
         )
         self._known.on_placement = self._sharing.placed
+        self._forwarder = forwarding.Forwarder(
+            self._known,
+            port,
+            self._client,
+            self._counters,
+            self._stop_left_s,
+            self._sharing.found_down,
+        )
         self._handing_on = peers.HandingOn(
             self._known, port, self._client, self._news, self._control_addresses
         )
+        self._caches = caches.CacheLearning(
+            self._known,
+            port.dialect,
+            self._client,
+            lambda: self._members.alive,
+        )
         self._callers: http_server.HttpServer | None = None
         self._has_endpoints = False
         self._stopping_at: float | None = None
@@ -134,6 +147,7 @@
             ("loads", self._sharing.run),
             ("peers", self._handing_on.run),
             ("clock", self._tick),
+            ("caches", self._caches.run),
         ]
 
     async def _supervise(
@@ -307,6 +321,8 @@
                     n for n, item in after.items() if item.is_leaving
                 }:
                     self._log_endpoints()
+            case ports.CachesTold(told):
+                known.learn_caches(told)
             case ports.SourceLost(reason):
                 known.roster.directory_lost()
                 self._handing_on.source_lost()
--- a/packages/router/nutmegpost_router/gateway/settings.py
+++ b/packages/router/nutmegpost_router/gateway/settings.py
@@ -54,6 +54,7 @@
         retry_ratio: Retries for each request, over all gateways.
         retry_extra: Retries in a window beyond the ratio, over all gateways.
         retry_window_s: Length of that window.
+        first_start: Whether the whole system starts for the first time.
         load_multiple: Bound of an endpoint's load as a multiple of the mean.
     """
 
@@ -77,6 +78,7 @@
     retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=10)]
     retry_extra: Annotated[float, msgspec.Meta(ge=0)]
     retry_window_s: Annotated[float, msgspec.Meta(gt=0)]
+    first_start: bool
     load_multiple: Annotated[float, msgspec.Meta(ge=1)]
 
 
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -1,7 +1,7 @@
 """What a gateway knows, shared by its tasks within one event loop."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 import random
 
 from nutmegpost_core import calls
@@ -9,6 +9,7 @@
 from nutmegpost_core import crashes
 from nutmegpost_core import dispatch
 from nutmegpost_core import outliers
+from nutmegpost_core import patience
 from nutmegpost_core import prefixes
 from nutmegpost_core import retrybudget
 from nutmegpost_core import roster
@@ -50,6 +51,9 @@
         )
         self.rng = random.Random()
         self.fleet_size = 1
+        # Whether the caches are known as well as running on makes them known.
+        self.caches_known = config["first_start"]
+        self._started: dict[str, int] = {}
         self.on_placement: Callable[[loads.Placement], None] = lambda _: None
 
     @property
@@ -62,7 +66,11 @@
     ) -> dispatch.Choice | None:
         """Chooses the endpoint of a request; see `dispatch.choose`."""
         now = asyncio.get_running_loop().time()
-        policy = dispatch.Policy(load_multiple=self._config["load_multiple"])
+        service = self.catalog and self.catalog.services.get(call.service)
+        policy = dispatch.Policy(
+            load_multiple=self._config["load_multiple"],
+            fetch_tokens_s=service.fetch_tokens_s if service else 0.0,
+        )
         return dispatch.choose(
             self.roster.usable(call.service),
             self.loads.total,
@@ -73,30 +81,77 @@
             policy,
             set(avoid),
             self.outliers.ejected(now),
+            self.roster.leaving(call.service),
         )
 
     def placed(self, call: calls.Call, choice: dispatch.Choice) -> None:
         """Notes that a prompt goes to an endpoint, and tells the peers."""
-        hints = call.hints
-        if hints is None or not hints.parts:
+        shared = _shared(call)
+        if not shared or call.hints is None:
             return
         endpoint = choice.endpoint.name
-        shared = hints.parts[:-1]
         known = self.prefixes.cached(endpoint, shared)
-        self._touch(endpoint, hints.parts)
+        self._touch(endpoint, call.hints.parts)
         if known < sum(part.tokens for part in shared):
-            self.on_placement(loads.Placement(endpoint, shared))
+            placement = loads.Placement(endpoint, choice.cost, shared)
+            self._begin_reading(placement)
+            self.on_placement(placement)
+
+    def was_read(self, call: calls.Call, endpoint: str) -> None:
+        """Notes that an endpoint has read the prompt of a request."""
+        self.prefixes.finish_reading(endpoint, _shared(call))
+
+    def is_reading(self, call: calls.Call, endpoint: str) -> bool:
+        """Returns whether an endpoint is reading most of the same prompt."""
+        now = asyncio.get_running_loop().time()
+        tokens = self.prefixes.reading(endpoint, _shared(call), now)
+        return tokens >= patience.READING_TOKENS_MIN
 
-    def placed_by_peer(self, placement: loads.Placement) -> None:
-        """Notes a placement that a peer told of."""
-        if placement.endpoint in self.roster.endpoints:
+    def told(self, news: loads.Told) -> None:
+        """Takes in what a peer told beside its loads."""
+        for placement in news.placements:
+            known = self.prefixes.cached(placement.endpoint, placement.parts)
+            if known < sum(part.tokens for part in placement.parts):
+                self._begin_reading(placement)
             self._touch(placement.endpoint, placement.parts)
+        for endpoint in news.down:
+            self.endpoint_down(endpoint)
+
+    def endpoint_down(self, endpoint: str) -> None:
+        """Notes that an endpoint refuses connections, so its cache is lost."""
+        now = asyncio.get_running_loop().time()
+        self.roster.is_down(endpoint)
+        self.prefixes.forget(endpoint)
+        self.outliers.eject(endpoint, now)
+
+    def learn_caches(self, caches: Mapping[str, Iterable[calls.Part]]) -> None:
+        """Takes in what a peer knows of all caches."""
+        self.caches_known = True
+        for endpoint, parts in caches.items():
+            self.learn_cache(endpoint, parts)
+
+    def learn_cache(self, endpoint: str, parts: Iterable[calls.Part]) -> None:
+        """Takes in what one endpoint has in its cache."""
+        self._touch(endpoint, tuple(parts))
 
     def endpoints_changed(self) -> None:
-        """Forgets what concerns endpoints that are gone."""
-        names = set(self.roster.endpoints)
-        self.prefixes.keep(names)
-        self.outliers.set_engines(names)
+        """Forgets what concerns endpoints that are gone or started again."""
+        self.prefixes.keep(self.roster.known())
+        self.outliers.set_engines(set(self.roster.endpoints))
+        for name, endpoint in self.roster.endpoints.items():
+            started = self._started.get(name, endpoint.started_ms)
+            if started != endpoint.started_ms:
+                self.prefixes.forget(name)
+        self._started = {
+            name: endpoint.started_ms
+            for name, endpoint in self.roster.endpoints.items()
+        }
+
+    def _begin_reading(self, placement: loads.Placement) -> None:
+        now = asyncio.get_running_loop().time()
+        self.prefixes.begin_reading(
+            placement.endpoint, placement.parts, now + placement.read_s
+        )
 
     def _touch(self, endpoint: str, parts: tuple[calls.Part, ...]) -> None:
         entry = self.roster.endpoints.get(endpoint)
@@ -105,3 +160,8 @@
         service = self.catalog.services.get(entry.service)
         if service is not None and service.cache_tokens:
             self.prefixes.touch(endpoint, parts, service.cache_tokens)
+
+
+def _shared(call: calls.Call) -> tuple[calls.Part, ...]:
+    """Returns the parts of a prompt that other requests have as well."""
+    return call.hints.parts[:-1] if call.hints else ()
