--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -365,6 +365,8 @@
         answer = self._port.dialect.read_answer(
             call, stream.status, stream.fields
         )
+        if answer.load is not None:
+            self._known.loads.observed(load.endpoint, answer.load, _now())
         if answer.verdict is ports.Verdict.FOREIGN:
             stream.abort()
             return _Result(_End.LOST, "answer to another request")
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -34,6 +34,8 @@
 BUDGET_BURST_BYTES = 24_000.0
 # A report of a gateway that fell silent counts no longer than this.
 REPORT_LIFETIME_S = 2.0
+# What an endpoint told of its load with an answer counts no longer than this.
+OBSERVATION_LIFETIME_S = 1.0
 DATAGRAM_BYTES_MAX = 1_200
 _ENDPOINT_BYTES = 4
 _MAC_BYTES = 8
@@ -66,6 +68,7 @@
     def __init__(self) -> None:
         self._own: dict[str, dispatch.Load] = {}
         self._reports: dict[str, _Report] = {}
+        self._observed: dict[str, tuple[float, int]] = {}
 
     @property
     def own(self) -> Mapping[str, dispatch.Load]:
@@ -89,8 +92,16 @@
         """Takes the part of a peer, which replaces its last one."""
         self._reports[peer] = _Report(now, loads)
 
+    def observed(self, endpoint: str, running: int, now: float) -> None:
+        """Takes what an endpoint told of its load over all gateways."""
+        own = self._own.get(endpoint, dispatch.Load()).running
+        self._observed[endpoint] = now, max(0, running - own)
+
     def expire(self, now: float) -> None:
-        """Forgets the parts of peers that fell silent."""
+        """Forgets the parts of peers that fell silent, and old tellings."""
+        for endpoint, (at, _) in list(self._observed.items()):
+            if now - at > OBSERVATION_LIFETIME_S:
+                del self._observed[endpoint]
         for peer, report in list(self._reports.items()):
             if now - report.at > REPORT_LIFETIME_S:
                 del self._reports[peer]
@@ -102,14 +113,20 @@
         )
 
     def total(self, endpoint: str) -> dispatch.Load:
-        """Returns the load of an endpoint over all gateways."""
+        """Returns the load of an endpoint over all gateways.
+
+        The peers' part is what they report or what the endpoint told of late,
+        whichever is more: reports come seldom in a large fleet.
+        """
         running, unread = self._own.get(endpoint, dispatch.Load())
+        others = 0
         for report in self._reports.values():
             part = report.loads.get(endpoint)
             if part is not None:
-                running += part.running
+                others += part.running
                 unread += part.unread_tokens
-        return dispatch.Load(running, unread)
+        _, told = self._observed.get(endpoint, (0.0, 0))
+        return dispatch.Load(running + max(others, told), unread)
 
 
 def endpoint_digest(name: str) -> bytes:
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -100,11 +100,14 @@
         fields: Header lines to pass on.
         idle_s: How long the endpoint keeps an idle connection; None when it
             does not tell.
+        load: Requests that the endpoint runs or queues; None when it does not
+            tell.
     """
 
     verdict: Verdict
     fields: list[tuple[str, str]]
     idle_s: float | None = None
+    load: int | None = None
 
 
 class Door(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -83,6 +83,7 @@
             lambda: self._members.alive,
         )
         self._callers: http_server.HttpServer | None = None
+        self._servers: list[http_server.HttpServer] = []
         self._has_endpoints = False
         self._stopping_at: float | None = None
         self._stopped = asyncio.Event()
@@ -97,6 +98,16 @@
             and self._stopping_at is None
         )
 
+    @property
+    def config(self) -> settings.GatewaySettings:
+        """Settings of this gateway."""
+        return self._config
+
+    @property
+    def known(self) -> state.State:
+        """What the gateway knows."""
+        return self._known
+
     def stop(self) -> None:
         """Begins the planned stop."""
         if self._stopping_at is not None:
@@ -134,8 +145,14 @@
         await asyncio.sleep(_TICK_S)
         for task in tasks:
             task.cancel()
+        await self.close()
         log.emit(events.PROCESS_STOPPED, name=self._config["name"])
 
+    async def close(self) -> None:
+        """Closes all servers and their connections."""
+        for server in self._servers:
+            await server.close()
+
     def _tasks(
         self,
     ) -> list[tuple[str, Callable[[], Coroutine[None, None, None]]]]:
@@ -170,7 +187,9 @@
             ("metrics_address", self._answer_metrics),
         ):
             address = vms.parse_address(self._config[key])  # type: ignore[literal-required]
-            await http_server.serve(address, http_server.responder(handler))
+            self._servers.append(
+                await http_server.serve(address, http_server.responder(handler))
+            )
         self._callers = await http_server.serve(
             vms.parse_address(self._config["public_address"]),
             self._forwarder.handle,
@@ -178,6 +197,7 @@
             on_refused=self._refused,
             on_failed=self._failed,
         )
+        self._servers.append(self._callers)
 
     def _limits(self) -> http_server.Limits:
         found = self._known.catalog
