Count a gateway as ready only once it listens for callers

Cause: a test was refused its connection though the gateway said ready; the readiness server listens before the one for callers.

--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-import collections
+import bisect
 from collections.abc import Callable, Iterable, Mapping
 import hmac
 from typing import NamedTuple
@@ -26,6 +26,11 @@
 
 # Time between two reports of loads.
 INTERVAL_S = 0.2
+# Part of the budget of bytes that reports of loads may take. Where they would
+# come less often than they live, they are not sent; endpoints tell their load.
+REPORTS_SHARE = 0.6
+# A placement that found no room for this time is old news.
+PLACEMENT_LIFETIME_S = 1.0
 # Placements that were made within this time share a datagram.
 GATHERING_S = 0.02
 # Bytes that a gateway sends in a second; letter 1 allows 2 KB.
@@ -146,6 +151,15 @@
         pass
 
 
+class _Queued(NamedTuple):
+    placement: Placement
+    at: float
+
+
+def _urgency(queued: _Queued) -> int:
+    return -sum(part.tokens for part in queued.placement.parts)
+
+
 class Told(NamedTuple):
     """What a peer tells beside its loads.
 
@@ -190,14 +204,17 @@
         self._endpoints = endpoints
         self._on_told = on_told
         self._budget = budget.Budget(BUDGET_BYTES_S, BUDGET_BURST_BYTES)
-        self._placements: collections.deque[Placement] = collections.deque()
+        self._placements: list[_Queued] = []
         self._down: list[str] = []
         self._waiting = asyncio.Event()
+        self._reported = 0.0
         self._transport: asyncio.DatagramTransport | None = None
 
     def placed(self, placement: Placement) -> None:
         """Tells the peers of a placement soon."""
-        self._placements.append(placement)
+        now = asyncio.get_running_loop().time()
+        # The largest prompts go first: they cost most when read again.
+        bisect.insort(self._placements, _Queued(placement, now), key=_urgency)
         self._waiting.set()
 
     def found_down(self, endpoint: str) -> None:
@@ -224,7 +241,8 @@
                 if is_due:
                     next_report = now + INTERVAL_S
                     self._loads.expire(now)
-                self._send(is_due, now)
+                    self._report(now)
+                self._tell(now)
                 await self._wait(next_report - loop.time())
         finally:
             self._transport.close()
@@ -241,31 +259,50 @@
         except TimeoutError:
             return
 
-    def _send(self, with_loads: bool, now: float) -> None:
-        """Sends one datagram to each peer, if there is room for it."""
+    def _report(self, now: float) -> None:
+        """Sends the loads, if reports come often enough to be of use."""
         hosts = list(self._peers())
-        if not hosts:
-            self._placements.clear()
-            self._down.clear()
+        datagram = self._datagram(self._encoded_loads(), [], [])
+        size = (len(datagram) + _HEADER_BYTES) * len(hosts)
+        interval_s = size / (REPORTS_SHARE * BUDGET_BYTES_S)
+        if interval_s > REPORT_LIFETIME_S or now - self._reported < interval_s:
             return
+        if self._transmit(datagram, hosts, budget.Kind.LINK, now):
+            self._reported = now
+
+    def _tell(self, now: float) -> None:
+        """Sends placements and endpoints that are down, if there are any."""
+        oldest = now - PLACEMENT_LIFETIME_S
+        self._placements = [x for x in self._placements if x.at > oldest]
         placements = self._next_placements()
-        if not (with_loads or placements or self._down):
+        if not (placements or self._down):
             return
-        loads = self._encoded_loads() if with_loads else None
-        body = cbor2.dumps([self._name, loads, placements, self._down])
-        datagram = body + self._mac(body)
-        kind = (
-            budget.Kind.UPDATE if placements or self._down else budget.Kind.LINK
-        )
+        datagram = self._datagram(None, placements, self._down)
+        hosts = list(self._peers())
+        if self._transmit(datagram, hosts, budget.Kind.UPDATE, now):
+            del self._placements[: len(placements)]
+            self._down.clear()
+
+    def _datagram(
+        self,
+        loads: dict[bytes, list[int]] | None,
+        placements: list[list[object]],
+        down: list[str],
+    ) -> bytes:
+        body = cbor2.dumps([self._name, loads, placements, down])
+        return body + self._mac(body)
+
+    def _transmit(
+        self, datagram: bytes, hosts: list[str], kind: budget.Kind, now: float
+    ) -> bool:
+        """Sends a datagram to all peers, if there is room for it."""
         size = (len(datagram) + _HEADER_BYTES) * len(hosts)
         if not self._budget.spend(kind, size, now):
-            return
-        for _ in placements:
-            self._placements.popleft()
-        self._down.clear()
+            return False
         assert self._transport is not None
         for host in hosts:
             self._transport.sendto(datagram, (host, self._address.port))
+        return True
 
     def _encoded_loads(self) -> dict[bytes, list[int]]:
         return {
@@ -277,7 +314,7 @@
         """Returns the oldest placements, as many as a datagram takes."""
         found: list[list[object]] = []
         size = 0
-        for placement in self._placements:
+        for placement, _ in self._placements:
             parts = [x for part in placement.parts for x in part]
             read_ms = int(placement.read_s * 1000)
             digest = endpoint_digest(placement.endpoint)
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -93,7 +93,8 @@
     def ready(self) -> bool:
         """Whether callers should be sent here."""
         return (
-            self._known.catalog is not None
+            self._callers is not None
+            and self._known.catalog is not None
             and self._has_endpoints
             and self._stopping_at is None
         )
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,8 +3,9 @@
 import asyncio
 import base64
 import contextlib
+import itertools
 import json
-import socket
+import os
 import urllib.parse
 
 from nutmegpost_core import vms
@@ -25,10 +26,18 @@
 }
 
 
+_hosts = itertools.count(1)
+
+
+def free_host():
+    """Returns a loopback address that no other test of this run uses."""
+    number = next(_hosts) % 64_000
+    return f"127.{os.getpid() % 200 + 20}.{number // 250}.{number % 250 + 2}"
+
+
 def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    # Below the ports that the system gives to connections.
+    return f"{free_host()}:20000"
 
 
 def route(name, kind, service, **fields):
@@ -341,8 +350,8 @@
         for runner in self.runners.values():
             await runner.start()
             self.store.put(f"servers/{runner.name}", runner.entry())
-        for number in range(self._count):
-            self.start_gateway(number)
+        for _ in range(self._count):
+            self.start_gateway()
         if self.config:
             for gateway in self.gateways:
                 await self.until(lambda gateway=gateway: gateway.ready)
@@ -355,15 +364,15 @@
         for gateway in self.gateways:
             await gateway.close()
 
-    def start_gateway(self, number):
-        host = f"127.0.8.{number + 1}"
-        ports = iter(range(*self._ports()))
+    def start_gateway(self):
+        host = free_host()
+        ports = itertools.count(20_001)
 
         def address():
             return f"{host}:{next(ports)}"
 
         values = {
-            "name": f"gateway-{number}",
+            "name": f"gateway-{len(self.gateways)}",
             "zone": "zone-a",
             "public_address": address(),
             "readiness_address": address(),
@@ -386,20 +395,14 @@
             "first_start": True,
             "load_multiple": 2,
         }
-        values["seeds"] = [
-            f"127.0.8.1:{values['control_address'].split(':')[1]}"
-        ]
+        if self.gateways:
+            values["seeds"] = [self.gateways[0].config["control_address"]]
         data = json.dumps(values | self._overrides).encode()
         gateway = process.Gateway(settings.parse(data, "test"), main.PORTS)
         self.gateways.append(gateway)
         self.tasks.append(asyncio.create_task(gateway.run()))
         return gateway
 
-    def _ports(self):
-        if not hasattr(self, "_first_port"):
-            self._first_port = int(free_address().split(":")[1])
-        return self._first_port, self._first_port + 20
-
     async def until(self, condition):
         async with asyncio.timeout(WAIT_S):
             while not condition():
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -395,7 +395,7 @@
     async def scenario():
         async with standin.Fleet(_plain("p1")) as fleet:
             fleet.store.is_down = True
-            late = fleet.start_gateway(1)
+            late = fleet.start_gateway()
             await fleet.until(lambda: late.ready)
             assert (await fleet.ask("/look/1", "id-1", number=1)).status == 200
 
