Find out at once whether an endpoint went down with a request

Cause: the new test of a request that crashes endpoints through two gateways failed with 5 crashes (3 allowed): a charge needed a refused connection, and nobody connected again before the request was sent on; and charges stayed with one gateway. Now a broken answer makes the gateway connect to the endpoint, and endpoints that are down and charged requests are told to the peers at once.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -114,7 +114,7 @@
     "{request} attempt {attempt} of {route} goes to {endpoint}: running "
     "{running} of {bound}, cached {cached} tokens, {fetched} fetched, {reread} "
     "read again, cost {cost_ms} ms, left {left_ms} ms, loads {loads_age_ms} "
-    "ms old, endpoints at {endpoints_revision}",
+    "ms old, endpoints at {endpoints_revision}, configuration {configuration}",
 )
 REQUEST_ANSWERED = Event(
     411,
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -17,11 +17,13 @@
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import patience
+from nutmegpost_core import roster
 from nutmegpost_core import sse
 from nutmegpost_core import vms
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
+from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import state
@@ -40,6 +42,8 @@
 _IDLE_ONCE_S = 0.5
 # Time between two looks at whether a prompt was read meanwhile.
 _READING_POLL_S = 0.02
+# Longest time that a request waits to learn if its endpoint went down.
+_LOOK_S = 0.05
 _RETRY_AFTER_NO_ENDPOINT_S = 0.5
 _RETRY_AFTER_FULL_S = 0.3
 _RETRY_AFTER_STARTING_S = 0.3
@@ -108,7 +112,7 @@
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
         stop_left_s: Callable[[], float | None],
-        on_down: Callable[[str], None],
+        sharing: loads.LoadSharing,
     ):
         """Prepares to serve.
 
@@ -118,14 +122,15 @@
             client: Connections to endpoints.
             counters: Metrics.
             stop_left_s: Gives the time until this process ends, or None.
-            on_down: Told of each endpoint that refuses connections.
+            sharing: Tells the peers of endpoints that are down.
         """
         self._known = known
         self._port = port
         self._client = client
         self._counters = counters
         self._stop_left_s = stop_left_s
-        self._on_down = on_down
+        self._sharing = sharing
+        self._looks: set[asyncio.Task[None]] = set()
         self._broken: dict[str, list[tuple[float, str]]] = {}
 
     async def handle(self, exchange: http_server.Exchange) -> None:
@@ -200,6 +205,8 @@
             choice = await self._settled_choice(job)
             result = await self._send(job, choice)
             self._note_result(job, choice, result)
+            if result.end is _End.LOST:
+                await self._look_after(job, choice.endpoint)
             if result.end is _End.ANSWERED:
                 return
 
@@ -299,6 +306,9 @@
             left_ms=round((call.deadline - now) * 1000),
             loads_age_ms=round(self._known.loads.age_s(now) * 1000),
             endpoints_revision=self._known.roster.revision,
+            configuration=self._known.catalog.version
+            if self._known.catalog
+            else 0,
         )
         try:
             return await self._exchange(job, choice, load)
@@ -490,15 +500,37 @@
             after_ms=elapsed_ms,
         )
 
+    async def _look_after(self, job: _Job, endpoint: roster.Endpoint) -> None:
+        """Finds out if an endpoint went down with a request.
+
+        Raises:
+            errors.EndpointError: The request crashed endpoints and may not be
+                sent again.
+        """
+        look = asyncio.create_task(self._look_at(endpoint))
+        self._looks.add(look)
+        look.add_done_callback(self._looks.discard)
+        await asyncio.wait([look], timeout=_LOOK_S)
+        if self._known.crashes.is_refused(job.digest, _now()):
+            raise errors.EndpointError("this request crashes endpoints")
+
+    async def _look_at(self, endpoint: roster.Endpoint) -> None:
+        try:
+            await self._client.check(vms.parse_address(endpoint.address))
+        except http_client.ConnectError as caught:
+            if caught.refused:
+                self._endpoint_down(endpoint.name)
+
     def _endpoint_down(self, name: str) -> None:
         """Charges the requests that broke just before with the crash."""
         now = _now()
         self._known.endpoint_down(name)
-        self._on_down(name)
+        self._sharing.found_down(name)
         for at, digest in self._broken.pop(name, []):
             if now - at > _CRASH_WINDOW_S:
                 continue
             if self._known.crashes.charge(digest, name, now):
+                self._sharing.charged(digest, name)
                 log.emit(events.REQUEST_CHARGED, digest=digest, endpoint=name)
 
     def _refuse(
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -42,6 +42,8 @@
 # What an endpoint told of its load with an answer counts no longer than this.
 OBSERVATION_LIFETIME_S = 1.0
 DATAGRAM_BYTES_MAX = 1_200
+# Endpoints, and charges, that fit into a datagram beside placements.
+_TOLD_MAX = 10
 _ENDPOINT_BYTES = 4
 _MAC_BYTES = 8
 _HEADER_BYTES = 28
@@ -166,10 +168,13 @@
     Attributes:
         placements: Prompts that it placed.
         down: Names of endpoints that refuse connections.
+        charges: Requests by digest, each with an endpoint that crashed while
+            it ran the request.
     """
 
     placements: list[Placement]
     down: list[str]
+    charges: list[tuple[str, str]]
 
 
 class LoadSharing:
@@ -206,6 +211,7 @@
         self._budget = budget.Budget(BUDGET_BYTES_S, BUDGET_BURST_BYTES)
         self._placements: list[_Queued] = []
         self._down: list[str] = []
+        self._charges: list[tuple[str, str]] = []
         self._waiting = asyncio.Event()
         self._reported = 0.0
         self._transport: asyncio.DatagramTransport | None = None
@@ -222,6 +228,11 @@
         self._down.append(endpoint)
         self._waiting.set()
 
+    def charged(self, digest: str, endpoint: str) -> None:
+        """Tells the peers of a request that ran as an endpoint crashed."""
+        self._charges.append((digest, endpoint))
+        self._waiting.set()
+
     async def run(self) -> None:
         """Sends reports until it is cancelled.
 
@@ -248,7 +259,7 @@
             self._transport.close()
 
     async def _wait(self, seconds: float) -> None:
-        if self._placements or self._down:
+        if self._placements or self._down or self._charges:
             await asyncio.sleep(GATHERING_S)
             return
         self._waiting.clear()
@@ -262,7 +273,7 @@
     def _report(self, now: float) -> None:
         """Sends the loads, if reports come often enough to be of use."""
         hosts = list(self._peers())
-        datagram = self._datagram(self._encoded_loads(), [], [])
+        datagram = self._datagram([self._encoded_loads(), [], [], []])
         size = (len(datagram) + _HEADER_BYTES) * len(hosts)
         interval_s = size / (REPORTS_SHARE * BUDGET_BYTES_S)
         if interval_s > REPORT_LIFETIME_S or now - self._reported < interval_s:
@@ -275,21 +286,18 @@
         oldest = now - PLACEMENT_LIFETIME_S
         self._placements = [x for x in self._placements if x.at > oldest]
         placements = self._next_placements()
-        if not (placements or self._down):
+        down, charges = self._down[:_TOLD_MAX], self._charges[:_TOLD_MAX]
+        if not (placements or down or charges):
             return
-        datagram = self._datagram(None, placements, self._down)
+        datagram = self._datagram([None, placements, down, charges])
         hosts = list(self._peers())
         if self._transmit(datagram, hosts, budget.Kind.UPDATE, now):
             del self._placements[: len(placements)]
-            self._down.clear()
+            del self._down[: len(down)]
+            del self._charges[: len(charges)]
 
-    def _datagram(
-        self,
-        loads: dict[bytes, list[int]] | None,
-        placements: list[list[object]],
-        down: list[str],
-    ) -> bytes:
-        body = cbor2.dumps([self._name, loads, placements, down])
+    def _datagram(self, content: list[object]) -> bytes:
+        body = cbor2.dumps([self._name, *content])
         return body + self._mac(body)
 
     def _transmit(
@@ -338,7 +346,7 @@
             )
 
     def _take(self, body: bytes) -> None:
-        name, loads, placements, down = cbor2.loads(body)
+        name, loads, placements, down, charges = cbor2.loads(body)
         names = {endpoint_digest(item): item for item in self._endpoints()}
         if loads is not None:
             found = {
@@ -353,8 +361,9 @@
             for digest, read_ms, *fields in placements
             if digest in names
         ]
-        if told or down:
-            self._on_told(Told(told, [str(item) for item in down]))
+        if told or down or charges:
+            charged = [(str(digest), str(item)) for digest, item in charges]
+            self._on_told(Told(told, [str(item) for item in down], charged))
 
     def _mac(self, body: bytes) -> bytes:
         return hmac.digest(self._key, body, "sha256")[:_MAC_BYTES]
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -71,7 +71,7 @@
             self._client,
             self._counters,
             self._stop_left_s,
-            self._sharing.found_down,
+            self._sharing,
         )
         self._handing_on = peers.HandingOn(
             self._known, port, self._client, self._news, self._control_addresses
@@ -104,6 +104,11 @@
         """Settings of this gateway."""
         return self._config
 
+    @property
+    def members(self) -> membership.Membership:
+        """The view of the fleet."""
+        return self._members
+
     @property
     def known(self) -> state.State:
         """What the gateway knows."""
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -116,6 +116,9 @@
             self._touch(placement.endpoint, placement.parts)
         for endpoint in news.down:
             self.endpoint_down(endpoint)
+        now = asyncio.get_running_loop().time()
+        for digest, endpoint in news.charges:
+            self.crashes.charge(digest, endpoint, now)
 
     def endpoint_down(self, endpoint: str) -> None:
         """Notes that an endpoint refuses connections, so its cache is lost."""
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -98,6 +98,11 @@
             and not self._h11.trailing_data[0]
         )
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request was sent yet."""
+        return self.usable and self._h11.our_state is h11.IDLE
+
     @property
     def usable(self) -> bool:
         """Whether the connection still stands."""
@@ -421,12 +426,24 @@
             raise
         return Stream(self, address, connection)
 
+    async def check(self, address: vms.Address) -> None:
+        """Makes sure that a server listens, and keeps the connection.
+
+        Raises:
+            ConnectError: It could not be reached.
+        """
+        self.give_back(address, await self._connect(address))
+
     def give_back(self, address: vms.Address, connection: _Connection) -> None:
         """Keeps a connection for another request if it can take one."""
-        if not connection.reusable or self._idle_count >= IDLE_COUNT_MAX:
+        is_new = connection.is_new
+        if not (is_new or connection.reusable) or (
+            self._idle_count >= IDLE_COUNT_MAX
+        ):
             connection.abort()
             return
-        connection.next_cycle()
+        if not is_new:
+            connection.next_cycle()
         connection.idle_since = asyncio.get_running_loop().time()
         self._idle.setdefault(address, collections.deque()).append(connection)
         self._idle_count += 1
--- a/packages/router/tests/test_log.py
+++ b/packages/router/tests/test_log.py
@@ -1,3 +1,5 @@
+import json
+import os
 import re
 
 import loguru
@@ -85,3 +87,44 @@
     text = capsys.readouterr().err
     assert "ValueError" in text
     assert secret not in text
+
+
+def _structured(count, read_slowly=False):
+    """Returns the lines that come out of a pipe."""
+    reader, writer = os.pipe()
+    output = log._Output(writer)
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"process": "p", "number": 0})
+    loguru.logger.add(output.write, level="INFO")
+    for number in range(count):
+        loguru.logger.bind(number=101, event="E", fields={"n": number}).info(
+            "x" * (2_000 if read_slowly else 1)
+        )
+    loguru.logger.remove()
+    os.close(writer)
+    with os.fdopen(reader, "rb") as pipe:
+        return [json.loads(line) for line in pipe.read().splitlines()]
+
+
+def test_structured_lines_are_objects_with_the_fields_of_the_event():
+    lines = _structured(2)
+    assert [line["n"] for line in lines] == [0, 1]
+    assert lines[0]["process"] == "p"
+    assert lines[0]["event"] == "E"
+    assert lines[0]["number"] == 101
+
+
+def test_an_output_that_is_not_read_never_makes_the_process_wait():
+    reader, writer = os.pipe()
+    output = log._Output(writer)
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"process": "p", "number": 0})
+    loguru.logger.add(output.write, level="INFO")
+    for number in range(20_000):
+        fields = {"n": number, "text": "y" * 100}
+        loguru.logger.bind(number=1, event="E", fields=fields).info("x")
+    assert len(output._waiting) <= log.OUTPUT_BYTES_MAX
+    assert output._dropped > 0
+    loguru.logger.remove()
+    os.close(writer)
+    os.close(reader)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -421,3 +421,29 @@
             assert sum(len(runner.runs) for runner in runners) <= 3
 
     standin.run(scenario)
+
+
+def test_a_request_that_crashed_endpoints_is_refused_by_every_gateway():
+    async def scenario():
+        runners = _engines("e1", "e2", "e3", "e4", "e5")
+        async with standin.Fleet(runners, gateways=2) as fleet:
+            members = fleet.gateways[1].members
+            await fleet.until(lambda: len(members.alive) == 2)
+
+            async def crash(runner, exchange):
+                runner.runs.append(exchange.request.headers["attempt-id"])
+                await runner.server.close()
+
+            for runner in runners:
+                runner.acts = [crash]
+            for attempt in range(8):
+                try:
+                    await fleet.stream(
+                        "/draft/1", f"id-{attempt}", number=attempt % 2
+                    )
+                except standin.http_client.ExchangeError:
+                    continue
+                await asyncio.sleep(0.1)
+            assert sum(len(runner.runs) for runner in runners) <= 3
+
+    standin.run(scenario)
