--- a/packages/core/nutmegpost_core/outliers.py
+++ b/packages/core/nutmegpost_core/outliers.py
@@ -27,7 +27,7 @@
     __slots__ = ("failures", "level", "out_until", "successes")
 
     def __init__(self) -> None:
-        self.failures = 0
+        self.failures = 0.0
         self.successes = 0
         self.level = 0
         self.out_until = -math.inf
@@ -41,6 +41,7 @@
         engines: int = 0,
         eject_after: int = EJECT_AFTER,
         share_max: float = SHARE_MAX,
+        kept_by_success: float = 0.0,
     ):
         """Starts with every engine in.
 
@@ -48,10 +49,14 @@
             engines: Engines of the pool; see `set_engines`.
             eject_after: Failures in a row that eject an engine.
             share_max: Most of the pool that may be out, 0 to 1.
+            kept_by_success: Part of the failures so far that a success
+                leaves; 0 for failures in a row only. An engine that fails
+                part of its requests is ejected when it is above 0.
         """
         self._engines = engines
         self._eject_after = eject_after
         self._share_max = share_max
+        self._kept_by_success = kept_by_success
         self._records: dict[str, _Record] = {}
 
     def set_engines(self, names: set[str]) -> None:
@@ -63,13 +68,16 @@
             if name in names
         }
 
-    def result(self, engine: str, ok: bool, now: float) -> bool:
+    def result(
+        self, engine: str, ok: bool, now: float, weight: float = 1.0
+    ) -> bool:
         """Takes the result of one attempt.
 
         Args:
             engine: Name of the engine.
             ok: Whether the engine did its part.
             now: Monotonic time, seconds.
+            weight: Failures that a failure counts for.
 
         Returns:
             True when this result ejects the engine.
@@ -79,7 +87,7 @@
             self._succeed(record)
             return False
         record.successes = 0
-        record.failures += 1
+        record.failures += weight
         if record.failures < self._eject_after or now < record.out_until:
             return False
         if len(self.ejected(now)) >= self._out_max():
@@ -115,7 +123,7 @@
         return record is not None and now < record.out_until
 
     def _succeed(self, record: _Record) -> None:
-        record.failures = 0
+        record.failures *= self._kept_by_success
         record.successes += 1
         if record.successes >= FORGIVE_AFTER:
             record.successes = 0
--- a/packages/core/tests/test_outliers.py
+++ b/packages/core/tests/test_outliers.py
@@ -39,3 +39,18 @@
     fail(tracker, "e1", 3, 0.0)
     tracker.set_engines({"e2", "e3"})
     assert tracker.ejected(0.0) == set()
+
+
+def test_an_engine_that_breaks_a_part_of_its_answers_is_ejected():
+    found = outliers.Outliers(4, share_max=0.5, kept_by_success=0.7)
+    assert not found.result("a", False, 0.0, weight=2.0)
+    assert not found.result("a", True, 0.1)
+    assert found.result("a", False, 0.2, weight=2.0)
+    assert found.is_out("a", 0.3)
+
+
+def test_an_engine_that_seldom_fails_is_not_ejected():
+    found = outliers.Outliers(4, share_max=0.5, kept_by_success=0.7)
+    for round_number in range(200):
+        ok = round_number % 7 != 0
+        assert not found.result("a", ok, round_number * 0.1)
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -32,6 +32,8 @@
 
 # Sends of one request that may end as rejected, beside those that run.
 _REJECTIONS_MAX = 3
+# A broken answer is never ordinary; an endpoint's own failure often is.
+_LOST_WEIGHT = 2.0
 # Less time than this is not enough for another attempt.
 _LEFT_MIN_S = 0.03
 # The answer must be at the caller by the timeout, so it is given up before.
@@ -485,7 +487,8 @@
         job.reason = f"{name}: {result.reason}"
         if result.response is not None:
             job.failure = result.response
-        if self._known.outliers.result(name, False, now):
+        weight = _LOST_WEIGHT if result.end is _End.LOST else 1.0
+        if self._known.outliers.result(name, False, now, weight):
             log.emit(events.ENGINE_EJECTED, engine=name)
         if result.end is _End.LOST:
             self._broken.setdefault(name, []).append((now, job.digest))
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -21,6 +21,9 @@
 # Failures of an endpoint in a row after which others are preferred.
 _EJECT_AFTER = 3
 _EJECTED_SHARE_MAX = 0.5
+# Part of the failures so far that a success leaves: an endpoint that breaks a
+# part of its answers is avoided, though the others succeed.
+_KEPT_BY_SUCCESS = 0.7
 
 
 class State:
@@ -40,7 +43,9 @@
         self.prefixes = prefixes.Prefixes()
         self.crashes = crashes.Crashes()
         self.outliers = outliers.Outliers(
-            eject_after=_EJECT_AFTER, share_max=_EJECTED_SHARE_MAX
+            eject_after=_EJECT_AFTER,
+            share_max=_EJECTED_SHARE_MAX,
+            kept_by_success=_KEPT_BY_SUCCESS,
         )
         self.budget = retrybudget.RetryBudget(
             retrybudget.Terms(
