End a planned stop only when nothing is taken any more

The gateway decided to end while no request was open, but went on to take connections for 0.1 s until it closed them; a request of that time was passed on and dropped.

Now the socket is closed first, idle connections too, and the process ends when the last request is answered.

--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -433,9 +433,14 @@
             if left <= 0:
                 log.emit(events.STOP_GRACE_OVER, name=self._config["name"])
                 return
-            busy = self._callers.busy if self._callers else 0
-            if not busy and _now() - self._stopping_at >= linger:
+            if self._callers is None:
                 return
+            if _now() - self._stopping_at >= linger:
+                # Nothing new is taken before the last answer is given.
+                self._callers.stop_listening()
+                self._callers.drain()
+                if not self._callers.busy:
+                    return
 
 
 _REACHABLE = (
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -521,6 +521,11 @@
             if connection.idle:
                 connection.close()
 
+    def stop_listening(self) -> None:
+        """Takes no new connections; open ones are served on."""
+        if self._server is not None:
+            self._server.close()
+
     async def close(self) -> None:
         """Stops listening and closes all connections."""
         self._stopping = True
