--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -20,7 +20,15 @@
 from nutmegpost_core import prefixes
 from nutmegpost_core import roster
 
-__all__ = ["Choice", "Load", "Policy", "Source", "choose", "load_bound"]
+__all__ = [
+    "Choice",
+    "Load",
+    "Policy",
+    "Source",
+    "choose",
+    "load_bound",
+    "tie_s",
+]
 
 
 class Load(NamedTuple):
@@ -50,6 +58,8 @@
         running_s: Delay that each running request adds.
         other_zone_s: Cost of an endpoint in another availability zone.
         slow_s: Cost of an endpoint that is still warming up.
+        tie_s: Costs that differ by less are decided by the order of endpoints
+            that all routers share; see `tie_s`.
     """
 
     load_multiple: float = 2.0
@@ -61,6 +71,20 @@
     running_s: float = 0.004
     other_zone_s: float = 0.001
     slow_s: float = 0.5
+    tie_s: float = 0.05
+
+
+# Share of each router in the width of a tie.
+TIE_PER_ROUTER_S = 0.012
+
+
+def tie_s(routers: int) -> float:
+    """Returns how wide a tie is in a fleet of some routers.
+
+    The more routers there are, the less each knows of what the others placed,
+    and the more their shared order must decide.
+    """
+    return TIE_PER_ROUTER_S * routers
 
 
 # A fetch of fewer tokens takes longer than to read them.
@@ -187,7 +211,7 @@
 
     key = shared[-1].identity if shared else ""
     step_s = max(
-        _TIE_S, sum(part.tokens for part in shared) / policy.read_tokens_s
+        policy.tie_s, sum(part.tokens for part in shared) / policy.read_tokens_s
     )
     return min(
         map(rate, candidates),
@@ -217,16 +241,18 @@
     return seconds + (weighed + waiting) / policy.read_tokens_s
 
 
-# Costs that differ by less are decided by the order that all routers share, and
-# so do those that differ by less than it takes to read the prompt: two routers
-# that see other loads shall not have it read at two endpoints.
-_TIE_S = 0.02
-
-
 def _preference(
     choice: Choice, key: str, step_s: float
 ) -> tuple[float, int, int]:
-    """Returns what the best choice has the least of."""
+    """Returns what the best choice has the least of.
+
+    Args:
+        choice: A choice.
+        key: Names the prompt; empty for a plain call.
+        step_s: Costs that differ by less are equal. It is no less than the time
+            to read the prompt: two routers that see other loads shall not have
+            it read at two endpoints.
+    """
     if not key:
         return choice.cost, choice.load.running, 0
     order = xxhash.xxh3_64_intdigest(f"{key}#{choice.endpoint.name}".encode())
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -147,3 +147,20 @@
     before = loads[choice.endpoint.name].running
     assert before + 1 <= POLICY.load_multiple * mean + POLICY.load_extra + 1
     assert before < choice.bound
+
+
+def test_in_a_large_fleet_the_shared_order_decides_over_larger_differences():
+    loads = {name: dispatch.Load(0, 0) for name in "abcd"}
+    small = POLICY._replace(tie_s=dispatch.tie_s(4))
+    large = POLICY._replace(tie_s=dispatch.tie_s(60))
+    hints = calls.PromptHints(
+        "m", (calls.Part("chat", 10), calls.Part("own", 5)), 15
+    )
+    home = _choose("abcd", loads, hints=hints).endpoint.name
+    busy = loads | {home: dispatch.Load(4, 12_000)}
+    assert (
+        _choose("abcd", busy, hints=hints, policy=small).endpoint.name != home
+    )
+    assert (
+        _choose("abcd", busy, hints=hints, policy=large).endpoint.name == home
+    )
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -1,6 +1,8 @@
 """Loads and placements that gateways tell one another.
 
-Each gateway tells every peer its own part of each endpoint's load. The prompts
+Each gateway tells every peer its own part of each endpoint's load. In a large
+fleet these reports would come too seldom; there it hands on what endpoints told
+of their whole load, of which one telling serves all. The prompts
 that it placed where they had not been before go out at once, so that its peers
 know of the caches, and so do endpoints that it found down. A budget of bytes
 bounds all of it; loads wait for room first.
@@ -41,6 +43,8 @@
 REPORT_LIFETIME_S = 2.0
 # What an endpoint told of its load with an answer counts no longer than this.
 OBSERVATION_LIFETIME_S = 1.0
+# Loads of endpoints that one report hands on.
+OBSERVATIONS_TOLD = 12
 DATAGRAM_BYTES_MAX = 1_200
 # Endpoints, and charges, that fit into a datagram beside placements.
 _TOLD_MAX = 10
@@ -76,6 +80,7 @@
         self._own: dict[str, dispatch.Load] = {}
         self._reports: dict[str, _Report] = {}
         self._observed: dict[str, tuple[float, int]] = {}
+        self._fresh: dict[str, tuple[float, int]] = {}
 
     @property
     def own(self) -> Mapping[str, dispatch.Load]:
@@ -103,6 +108,34 @@
         """Takes what an endpoint told of its load over all gateways."""
         own = self._own.get(endpoint, dispatch.Load()).running
         self._observed[endpoint] = now, max(0, running - own)
+        self._fresh[endpoint] = now, running
+
+    def handed_on(self, endpoint: str, running: int, at: float) -> None:
+        """Takes what a peer was told by an endpoint.
+
+        Args:
+            endpoint: Name of the endpoint.
+            running: Its load over all gateways.
+            at: Monotonic time at which it told, seconds.
+        """
+        if at > self._observed.get(endpoint, (0.0, 0))[0]:
+            own = self._own.get(endpoint, dispatch.Load()).running
+            self._observed[endpoint] = at, max(0, running - own)
+
+    def take_fresh(self, now: float) -> list[tuple[str, int, float]]:
+        """Returns what endpoints told since the last call, the highest first.
+
+        Returns:
+            Name, load over all gateways, and age in seconds of each.
+        """
+        found = [
+            (endpoint, running, now - at)
+            for endpoint, (at, running) in self._fresh.items()
+            if now - at <= OBSERVATION_LIFETIME_S
+        ]
+        self._fresh.clear()
+        found.sort(key=lambda item: -item[1])
+        return found[:OBSERVATIONS_TOLD]
 
     def expire(self, now: float) -> None:
         """Forgets the parts of peers that fell silent, and old tellings."""
@@ -213,7 +246,7 @@
         self._down: list[str] = []
         self._charges: list[tuple[str, str]] = []
         self._waiting = asyncio.Event()
-        self._reported = 0.0
+        self._next_report = 0.0
         self._transport: asyncio.DatagramTransport | None = None
 
     def placed(self, placement: Placement) -> None:
@@ -271,15 +304,26 @@
             return
 
     def _report(self, now: float) -> None:
-        """Sends the loads, if reports come often enough to be of use."""
+        """Sends this gateway's loads, or hands on what endpoints told."""
         hosts = list(self._peers())
-        datagram = self._datagram([self._encoded_loads(), [], [], []])
-        size = (len(datagram) + _HEADER_BYTES) * len(hosts)
-        interval_s = size / (REPORTS_SHARE * BUDGET_BYTES_S)
-        if interval_s > REPORT_LIFETIME_S or now - self._reported < interval_s:
+        datagram = self._datagram([self._encoded_loads(), [], [], [], []])
+        if self._interval_s(datagram, hosts) > REPORT_LIFETIME_S:
+            if now < self._next_report:
+                return
+            fresh = [
+                [endpoint_digest(endpoint), running, int(age_s * 1000)]
+                for endpoint, running, age_s in self._loads.take_fresh(now)
+            ]
+            datagram = self._datagram([None, [], [], [], fresh])
+        if now < self._next_report:
             return
         if self._transmit(datagram, hosts, budget.Kind.LINK, now):
-            self._reported = now
+            self._next_report = now + self._interval_s(datagram, hosts)
+
+    def _interval_s(self, datagram: bytes, hosts: list[str]) -> float:
+        """Returns the time in which reports may spend what one costs."""
+        size = (len(datagram) + _HEADER_BYTES) * len(hosts)
+        return size / (REPORTS_SHARE * BUDGET_BYTES_S)
 
     def _tell(self, now: float) -> None:
         """Sends placements and endpoints that are down, if there are any."""
@@ -289,7 +333,7 @@
         down, charges = self._down[:_TOLD_MAX], self._charges[:_TOLD_MAX]
         if not (placements or down or charges):
             return
-        datagram = self._datagram([None, placements, down, charges])
+        datagram = self._datagram([None, placements, down, charges, []])
         hosts = list(self._peers())
         if self._transmit(datagram, hosts, budget.Kind.UPDATE, now):
             del self._placements[: len(placements)]
@@ -346,7 +390,7 @@
             )
 
     def _take(self, body: bytes) -> None:
-        name, loads, placements, down, charges = cbor2.loads(body)
+        name, loads, placements, down, charges, told_loads = cbor2.loads(body)
         names = {endpoint_digest(item): item for item in self._endpoints()}
         if loads is not None:
             found = {
@@ -356,6 +400,10 @@
             }
             now = asyncio.get_running_loop().time()
             self._loads.reported(name, found, now)
+        for digest, running, age_ms in told_loads:
+            if digest in names:
+                at = asyncio.get_running_loop().time() - age_ms / 1000
+                self._loads.handed_on(names[digest], int(running), at)
         told = [
             Placement(names[digest], read_ms / 1000, _parts(fields))
             for digest, read_ms, *fields in placements
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -75,6 +75,7 @@
         policy = dispatch.Policy(
             load_multiple=self._config["load_multiple"],
             fetch_tokens_s=service.fetch_tokens_s if service else 0.0,
+            tie_s=dispatch.tie_s(self.fleet_size),
         )
         return dispatch.choose(
             self.roster.usable(call.service),
