Split sending from forwarding; one reading of settings; drop what nothing uses

No change of behaviour but one status: a lost answer with time left is 502 by the one error class for lost answers (a test allows only that one to leave the outcome unknown, so the second class went). Settings that nothing used (memory_mb, descriptors) and an unused estimate are gone.

--- a/packages/core/nutmegpost_core/calls.py
+++ b/packages/core/nutmegpost_core/calls.py
@@ -4,10 +4,7 @@
 
 from nutmegpost_core import catalog
 
-__all__ = ["Call", "Part", "PromptHints", "expected_tokens"]
-
-# Used where a caller says nothing of the length of its answer.
-OUTPUT_TOKENS_DEFAULT = 256
+__all__ = ["Call", "Part", "PromptHints"]
 
 
 class Part(NamedTuple):
@@ -65,12 +62,3 @@
     received: float
     resume_after: str = ""
     hints: PromptHints | None = None
-
-
-def expected_tokens(hints: PromptHints) -> int:
-    """Returns the number of tokens that an answer will probably have."""
-    if hints.output_tokens_hint:
-        return hints.output_tokens_hint
-    if hints.output_tokens_max:
-        return hints.output_tokens_max // 2
-    return OUTPUT_TOKENS_DEFAULT
--- a/packages/core/nutmegpost_core/errors.py
+++ b/packages/core/nutmegpost_core/errors.py
@@ -12,7 +12,6 @@
     "AttemptLostError",
     "ConfigurationError",
     "DocumentError",
-    "EndpointError",
     "IdempotencyError",
     "InvalidRequestError",
     "NutmegpostError",
@@ -171,16 +170,6 @@
     code = "stopping"
 
 
-class EndpointError(RequestError):
-    """The request may have run, but no endpoint answered it."""
-
-    status = 502
-    code = "endpoint-lost"
-
-    def __init__(self, message: str):
-        super().__init__(message, Outcome.UNKNOWN)
-
-
 class AttemptLostError(RequestError):
     """The request may have run, but its answer is lost."""
 
@@ -192,5 +181,7 @@
         message: str,
         outcome: Outcome = Outcome.UNKNOWN,
         retry_after: float | None = None,
+        status: int = 504,
     ):
         super().__init__(message, outcome, retry_after)
+        self.status = status
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -6,9 +6,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
-import enum
-from typing import NamedTuple
 
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
@@ -18,7 +15,6 @@
 from nutmegpost_core import events
 from nutmegpost_core import patience
 from nutmegpost_core import roster
-from nutmegpost_core import sse
 from nutmegpost_core import vms
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
@@ -26,6 +22,7 @@
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import sending
 from nutmegpost_router.gateway import state
 
 __all__ = ["Forwarder"]
@@ -36,16 +33,17 @@
 _LOST_WEIGHT = 2.0
 # Less time than this is not enough for another attempt.
 _LEFT_MIN_S = 0.03
-# The answer must be at the caller by the timeout, so it is given up before.
-_ANSWER_MARGIN_S = 0.02
-# An idle connection may have been closed by the endpoint without notice; a
-# request that may run once goes on one that was used a moment ago, or a new.
-_IDLE_REPEATABLE_S = 4.0
-_IDLE_ONCE_S = 0.5
 # Time between two looks at whether a prompt was read meanwhile.
 _READING_POLL_S = 0.02
+# Time between a broken answer and a refused connection that counts as one
+# crash; endpoints that crash are back after some seconds.
+_CRASH_WINDOW_S = 3.0
+# Bad Gateway: the endpoint failed, and time is left.
+_STATUS_NO_ANSWER = 502
 # Longest time that a request waits to learn if its endpoint went down.
 _LOOK_S = 0.05
+# When callers are told to come back, by reason. Endpoints and configurations
+# are read twice a second; a full endpoint has room after an answer or two.
 _RETRY_AFTER_NO_ENDPOINT_S = 0.5
 _RETRY_AFTER_FULL_S = 0.3
 _RETRY_AFTER_STARTING_S = 0.3
@@ -54,56 +52,6 @@
 _QUEUED_MULTIPLE = 2.0
 
 
-class _End(enum.StrEnum):
-    """How a send ended.
-
-    ANSWERED: The caller has the whole answer.
-    NOT_RUN: The endpoint did not run the request.
-    FAILED: The endpoint answered with a failure of its own.
-    LOST: The answer did not come, or broke off.
-    """
-
-    ANSWERED = "answered"
-    NOT_RUN = "not-run"
-    FAILED = "failed"
-    LOST = "lost"
-
-
-class _Result(NamedTuple):
-    end: _End
-    reason: str = ""
-    response: http_server.Response | None = None
-
-
-class _Job:
-    """One request on its way."""
-
-    def __init__(
-        self,
-        exchange: http_server.Exchange,
-        call: calls.Call,
-        digest: str,
-    ):
-        self.exchange = exchange
-        self.call = call
-        self.digest = digest
-        self.sends = 0
-        self.runs = 0
-        self.avoid: set[str] = set()
-        self.last_event = call.resume_after
-        self.failure: http_server.Response | None = None
-        self.reason = ""
-        self.has_events = False
-
-    @property
-    def may_run_again(self) -> bool:
-        """Whether another run is allowed."""
-        if not self.runs:
-            return True
-        route = self.call.route
-        return route.repeatable and self.runs < route.endpoints_max
-
-
 class Forwarder:
     """Answers the requests of callers."""
 
@@ -113,7 +61,6 @@
         port: ports.Ports,
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
-        stop_left_s: Callable[[], float | None],
         sharing: loads.LoadSharing,
     ):
         """Prepares to serve.
@@ -123,15 +70,16 @@
             port: The protocols around it.
             client: Connections to endpoints.
             counters: Metrics.
-            stop_left_s: Gives the time until this process ends, or None.
             sharing: Tells the peers of endpoints that are down.
         """
         self._known = known
         self._port = port
         self._client = client
         self._counters = counters
-        self._stop_left_s = stop_left_s
         self._sharing = sharing
+        self._sender = sending.Sender(
+            known, port, client, counters, self._endpoint_down
+        )
         self._looks: set[asyncio.Task[None]] = set()
         self._broken: dict[str, list[tuple[float, str]]] = {}
 
@@ -202,17 +150,17 @@
                 retry_after=_RETRY_AFTER_CRASHING_S,
             )
         self._known.budget.request(call.service, call.received)
-        job = _Job(exchange, call, digest)
+        job = sending.Job(exchange, call, digest)
         while True:
             choice = await self._settled_choice(job)
-            result = await self._send(job, choice)
+            result = await self._sender.send(job, choice)
             self._note_result(job, choice, result)
-            if result.end is _End.LOST:
+            if result.end is sending.End.LOST:
                 await self._look_after(job, choice.endpoint)
-            if result.end is _End.ANSWERED:
+            if result.end is sending.End.ANSWERED:
                 return
 
-    async def _settled_choice(self, job: _Job) -> dispatch.Choice:
+    async def _settled_choice(self, job: sending.Job) -> dispatch.Choice:
         """Returns where to send next, once no prompt is read twice for it."""
         call = job.call
         choice = self._next_choice(job)
@@ -225,7 +173,7 @@
                 break
         return self._known.choose(call, job.avoid) or choice
 
-    def _next_choice(self, job: _Job) -> dispatch.Choice:
+    def _next_choice(self, job: sending.Job) -> dispatch.Choice:
         """Returns where to send next; raises when the request must end."""
         call = job.call
         now = _now()
@@ -252,7 +200,7 @@
             self._give_up(job)
         return choice
 
-    def _is_over(self, job: _Job, now: float) -> bool:
+    def _is_over(self, job: sending.Job, now: float) -> bool:
         call = job.call
         sends_max = call.route.endpoints_max + _REJECTIONS_MAX
         return (
@@ -265,7 +213,7 @@
         slots = choice.endpoint.slots
         return slots > 0 and choice.load.running >= slots * _QUEUED_MULTIPLE
 
-    def _give_up(self, job: _Job) -> None:
+    def _give_up(self, job: sending.Job) -> None:
         """Ends a request that was sent and has no answer.
 
         Raises:
@@ -281,196 +229,19 @@
             )
         if job.call.deadline - _now() < _LEFT_MIN_S:
             raise errors.AttemptLostError(job.reason)
-        raise errors.EndpointError(job.reason)
-
-    async def _send(self, job: _Job, choice: dispatch.Choice) -> _Result:
-        call = job.call
-        now = _now()
-        endpoint = choice.endpoint
-        unread = 0
-        if call.hints is not None:
-            unread = max(0, call.hints.prompt_tokens - choice.ready_tokens)
-        job.sends += 1
-        self._known.placed(call, choice)
-        load = _HeldLoad(self._known, endpoint.name, unread)
-        log.emit(
-            events.REQUEST_SENT,
-            request=call.identity,
-            attempt=job.sends,
-            route=call.route.name,
-            endpoint=endpoint.name,
-            running=choice.load.running,
-            bound=choice.bound,
-            cached=choice.cached_tokens,
-            reread=choice.reread_tokens,
-            fetched=choice.source.tokens if choice.source else 0,
-            cost_ms=round(choice.cost * 1000),
-            left_ms=round((call.deadline - now) * 1000),
-            loads_age_ms=round(self._known.loads.age_s(now) * 1000),
-            endpoints_revision=self._known.roster.revision,
-            configuration=self._known.catalog.version
-            if self._known.catalog
-            else 0,
-        )
-        try:
-            return await self._exchange(job, choice, load)
-        finally:
-            load.release()
-
-    async def _exchange(
-        self, job: _Job, choice: dispatch.Choice, load: "_HeldLoad"
-    ) -> _Result:
-        call = job.call
-        left_s = call.deadline - _now()
-        request = job.exchange.request
-        fields = self._port.dialect.request_fields(
-            ports.Forward(
-                call,
-                request.fields,
-                choice.endpoint.name,
-                left_s,
-                job.last_event,
-                choice.source.endpoint.address if choice.source else "",
-            )
-        )
-        can_retry = self._can_retry(job)
-        repeatable = call.route.repeatable
-        try:
-            stream = await self._client.stream(
-                vms.parse_address(choice.endpoint.address),
-                request.method,
-                request.target,
-                fields,
-                request.body,
-                patience.first_byte_s(call, left_s, can_retry),
-                idle_limit_s=_IDLE_REPEATABLE_S if repeatable else _IDLE_ONCE_S,
-            )
-        except http_client.ConnectError as caught:
-            if caught.refused:
-                self._endpoint_down(choice.endpoint.name)
-            return _Result(_End.NOT_RUN, str(caught))
-        except http_client.ExchangeError as caught:
-            return _Result(_End.LOST, str(caught))
-        try:
-            return await self._read(job, stream, load)
-        except BaseException:
-            stream.abort()
-            raise
-
-    def _can_retry(self, job: _Job) -> bool:
-        """Returns whether another run could follow the one that begins."""
-        call = job.call
-        now = _now()
-        left = self._known.budget.remaining(
-            call.service, self._known.fleet_size, now
-        )
-        return (
-            call.route.repeatable
-            and job.runs + 1 < call.route.endpoints_max
-            and left >= 1
-        )
-
-    async def _read(
-        self, job: _Job, stream: http_client.Stream, load: "_HeldLoad"
-    ) -> _Result:
-        call = job.call
-        answer = self._port.dialect.read_answer(
-            call, stream.status, stream.fields
-        )
-        if answer.load is not None:
-            self._known.loads.observed(load.endpoint, answer.load, _now())
-        if answer.verdict is ports.Verdict.FOREIGN:
-            stream.abort()
-            return _Result(_End.LOST, "answer to another request")
-        if call.route.kind is catalog.Kind.STREAM and stream.status == 200:
-            return await self._relay(job, stream, answer, load)
-        try:
-            body = await stream.read_all(max(0.0, call.deadline - _now()))
-        except http_client.ExchangeError as caught:
-            stream.abort()
-            if answer.verdict is ports.Verdict.NOT_RUN:
-                return _Result(_End.NOT_RUN, f"rejected with {stream.status}")
-            return _Result(_End.LOST, str(caught))
-        stream.keep(answer.idle_s)
-        response = http_server.Response(stream.status, answer.fields, body)
-        if answer.verdict is ports.Verdict.NOT_RUN:
-            return _Result(_End.NOT_RUN, f"rejected with {stream.status}")
-        if stream.status >= 500:
-            return _Result(
-                _End.FAILED, f"failed with {stream.status}", response
-            )
-        if job.exchange.started:
-            return _Result(_End.LOST, f"status {stream.status} after a resume")
-        job.exchange.send(response)
-        return _Result(_End.ANSWERED)
-
-    async def _relay(
-        self,
-        job: _Job,
-        stream: http_client.Stream,
-        answer: ports.Answer,
-        load: "_HeldLoad",
-    ) -> _Result:
-        call = job.call
-        exchange = job.exchange
-        splitter = sse.Splitter()
-        first = True
-        while True:
-            left_s = max(0.0, call.deadline - _now())
-            can_retry = self._can_retry(job)
-            wait = patience.first_byte_s if first else patience.next_event_s
-            try:
-                data = await stream.read(wait(call, left_s, can_retry))
-                blocks = splitter.feed(data)
-            except errors.PeerError as caught:
-                stream.abort()
-                return _Result(_End.LOST, str(caught))
-            if not data:
-                break
-            out = b"".join(self._new_events(job, blocks))
-            if not out:
-                continue
-            if first:
-                first = False
-                load.read()
-                self._known.was_read(call, load.endpoint)
-                self._counters.first_event(
-                    call.route.name, _now() - call.received
-                )
-            if not exchange.started:
-                exchange.start(stream.status, answer.fields)
-            exchange.write(out)
-            await exchange.drain()
-        if splitter.rest or not exchange.started:
-            stream.abort()
-            return _Result(_End.LOST, "the stream ended within an event")
-        exchange.finish()
-        stream.keep(answer.idle_s)
-        return _Result(_End.ANSWERED)
-
-    def _new_events(self, job: _Job, blocks: list[sse.Block]) -> list[bytes]:
-        """Returns the events that the caller does not have yet."""
-        found = []
-        for block in blocks:
-            identity = block.identity.decode("latin-1")
-            if identity:
-                if job.last_event and int(identity) <= int(job.last_event):
-                    continue
-                job.last_event = identity
-            found.append(block.data)
-        return found
+        raise errors.AttemptLostError(job.reason, status=_STATUS_NO_ANSWER)
 
     def _note_result(
-        self, job: _Job, choice: dispatch.Choice, result: _Result
+        self, job: sending.Job, choice: dispatch.Choice, result: sending.Result
     ) -> None:
         name = choice.endpoint.name
         now = _now()
         call = job.call
         elapsed_ms = round((now - call.received) * 1000)
-        if result.end is not _End.NOT_RUN:
+        if result.end is not sending.End.NOT_RUN:
             job.runs += 1
         job.avoid.add(name)
-        if result.end is _End.ANSWERED:
+        if result.end is sending.End.ANSWERED:
             self._known.outliers.result(name, True, now)
             self._known.crashes.clear(job.digest)
             self._counters.ended(call.route.name, "answered")
@@ -487,10 +258,10 @@
         job.reason = f"{name}: {result.reason}"
         if result.response is not None:
             job.failure = result.response
-        weight = _LOST_WEIGHT if result.end is _End.LOST else 1.0
+        weight = _LOST_WEIGHT if result.end is sending.End.LOST else 1.0
         if self._known.outliers.result(name, False, now, weight):
             log.emit(events.ENGINE_EJECTED, engine=name)
-        if result.end is _End.LOST:
+        if result.end is sending.End.LOST:
             self._broken.setdefault(name, []).append((now, job.digest))
         self._counters.attempt_failed(result.end)
         log.emit(
@@ -503,11 +274,13 @@
             after_ms=elapsed_ms,
         )
 
-    async def _look_after(self, job: _Job, endpoint: roster.Endpoint) -> None:
+    async def _look_after(
+        self, job: sending.Job, endpoint: roster.Endpoint
+    ) -> None:
         """Finds out if an endpoint went down with a request.
 
         Raises:
-            errors.EndpointError: The request crashed endpoints and may not be
+            errors.AttemptLostError: The request crashed endpoints and is not
                 sent again.
         """
         look = asyncio.create_task(self._look_at(endpoint))
@@ -515,7 +288,9 @@
         look.add_done_callback(self._looks.discard)
         await asyncio.wait([look], timeout=_LOOK_S)
         if self._known.crashes.is_refused(job.digest, _now()):
-            raise errors.EndpointError("this request crashes endpoints")
+            raise errors.AttemptLostError(
+                "this request crashes endpoints", status=_STATUS_NO_ANSWER
+            )
 
     async def _look_at(self, endpoint: roster.Endpoint) -> None:
         try:
@@ -564,11 +339,6 @@
             exchange.send(self._port.door.refuse(error))
 
 
-# Time between a broken answer and a refused connection that counts as one
-# crash; endpoints that crash are back after some seconds.
-_CRASH_WINDOW_S = 3.0
-
-
 class _Relayed(errors.RequestError):
     """The failure that an endpoint answered with is passed on."""
 
@@ -583,29 +353,5 @@
         self.response = response
 
 
-class _HeldLoad:
-    """The part of an endpoint's load that one send makes up."""
-
-    def __init__(self, known: state.State, endpoint: str, unread: int):
-        self._known = known
-        self._endpoint = endpoint
-        self._unread = unread
-        known.loads.add(endpoint, 1, unread)
-
-    @property
-    def endpoint(self) -> str:
-        """Name of the endpoint."""
-        return self._endpoint
-
-    def read(self) -> None:
-        """Notes that the prompt was read."""
-        self._known.loads.add(self._endpoint, 0, -self._unread)
-        self._unread = 0
-
-    def release(self) -> None:
-        """Takes the send out of the load."""
-        self._known.loads.add(self._endpoint, -1, -self._unread)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -70,7 +70,6 @@
             port,
             self._client,
             self._counters,
-            self._stop_left_s,
             self._sharing,
         )
         self._handing_on = peers.HandingOn(
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -0,0 +1,329 @@
+"""One send of a request: to an endpoint, and its answer back to the caller."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+from typing import NamedTuple
+
+from nutmegpost_core import calls
+from nutmegpost_core import catalog
+from nutmegpost_core import dispatch
+from nutmegpost_core import errors
+from nutmegpost_core import events
+from nutmegpost_core import patience
+from nutmegpost_core import sse
+from nutmegpost_core import vms
+from nutmegpost_router import http_client
+from nutmegpost_router import http_server
+from nutmegpost_router import log
+from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import state
+
+__all__ = ["End", "Job", "Result", "Sender"]
+
+# An idle connection may have been closed by the endpoint without notice; a
+# request that may run once goes on one that was used a moment ago, or a new.
+_IDLE_REPEATABLE_S = 4.0
+_IDLE_ONCE_S = 0.5
+
+
+class End(enum.StrEnum):
+    """How a send ended.
+
+    ANSWERED: The caller has the whole answer.
+    NOT_RUN: The endpoint did not run the request.
+    FAILED: The endpoint answered with a failure of its own.
+    LOST: The answer did not come, or broke off.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+class Result(NamedTuple):
+    """How a send ended, why, and the failure that the endpoint answered."""
+
+    end: End
+    reason: str = ""
+    response: http_server.Response | None = None
+
+
+class Job:
+    """One request on its way.
+
+    Attributes:
+        exchange: The caller's request and the way to answer it.
+        call: The request as decisions see it.
+        digest: What names it when it comes again.
+        sends: Times that it was sent.
+        runs: Endpoints that may have run it.
+        avoid: Endpoints that had it.
+        last_event: Id of the last event that the caller has.
+        failure: The last failure that an endpoint answered, or None.
+        reason: Why the last send failed.
+    """
+
+    def __init__(
+        self,
+        exchange: http_server.Exchange,
+        call: calls.Call,
+        digest: str,
+    ):
+        """Begins with nothing sent.
+
+        Args:
+            exchange: The caller's request and the way to answer it.
+            call: The request as decisions see it.
+            digest: What names it when it comes again.
+        """
+        self.exchange = exchange
+        self.call = call
+        self.digest = digest
+        self.sends = 0
+        self.runs = 0
+        self.avoid: set[str] = set()
+        self.last_event = call.resume_after
+        self.failure: http_server.Response | None = None
+        self.reason = ""
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another run is allowed."""
+        if not self.runs:
+            return True
+        route = self.call.route
+        return route.repeatable and self.runs < route.endpoints_max
+
+
+class Sender:
+    """Sends requests to endpoints."""
+
+    def __init__(
+        self,
+        known: state.State,
+        port: ports.Ports,
+        client: http_client.Client,
+        counters: metrics.GatewayMetrics,
+        on_down: Callable[[str], None],
+    ):
+        """Prepares to send.
+
+        Args:
+            known: What the gateway knows.
+            port: The protocols around it.
+            client: Connections to endpoints.
+            counters: Metrics.
+            on_down: Told of each endpoint that refuses connections.
+        """
+        self._known = known
+        self._port = port
+        self._client = client
+        self._counters = counters
+        self._on_down = on_down
+
+    async def send(self, job: Job, choice: dispatch.Choice) -> Result:
+        """Sends a request to an endpoint and passes its answer on."""
+        call = job.call
+        now = _now()
+        endpoint = choice.endpoint
+        unread = 0
+        if call.hints is not None:
+            unread = max(0, call.hints.prompt_tokens - choice.ready_tokens)
+        job.sends += 1
+        self._known.placed(call, choice)
+        load = _HeldLoad(self._known, endpoint.name, unread)
+        log.emit(
+            events.REQUEST_SENT,
+            request=call.identity,
+            attempt=job.sends,
+            route=call.route.name,
+            endpoint=endpoint.name,
+            running=choice.load.running,
+            bound=choice.bound,
+            cached=choice.cached_tokens,
+            reread=choice.reread_tokens,
+            fetched=choice.source.tokens if choice.source else 0,
+            cost_ms=round(choice.cost * 1000),
+            left_ms=round((call.deadline - now) * 1000),
+            loads_age_ms=round(self._known.loads.age_s(now) * 1000),
+            endpoints_revision=self._known.roster.revision,
+            configuration=self._known.catalog.version
+            if self._known.catalog
+            else 0,
+        )
+        try:
+            return await self._exchange(job, choice, load)
+        finally:
+            load.release()
+
+    async def _exchange(
+        self, job: Job, choice: dispatch.Choice, load: "_HeldLoad"
+    ) -> Result:
+        call = job.call
+        left_s = call.deadline - _now()
+        request = job.exchange.request
+        fields = self._port.dialect.request_fields(
+            ports.Forward(
+                call,
+                request.fields,
+                choice.endpoint.name,
+                left_s,
+                job.last_event,
+                choice.source.endpoint.address if choice.source else "",
+            )
+        )
+        can_retry = self._can_retry(job)
+        repeatable = call.route.repeatable
+        try:
+            stream = await self._client.stream(
+                vms.parse_address(choice.endpoint.address),
+                request.method,
+                request.target,
+                fields,
+                request.body,
+                patience.first_byte_s(call, left_s, can_retry),
+                idle_limit_s=_IDLE_REPEATABLE_S if repeatable else _IDLE_ONCE_S,
+            )
+        except http_client.ConnectError as caught:
+            if caught.refused:
+                self._on_down(choice.endpoint.name)
+            return Result(End.NOT_RUN, str(caught))
+        except http_client.ExchangeError as caught:
+            return Result(End.LOST, str(caught))
+        try:
+            return await self._read(job, stream, load)
+        except BaseException:
+            stream.abort()
+            raise
+
+    def _can_retry(self, job: Job) -> bool:
+        """Returns whether another run could follow the one that begins."""
+        call = job.call
+        now = _now()
+        left = self._known.budget.remaining(
+            call.service, self._known.fleet_size, now
+        )
+        return (
+            call.route.repeatable
+            and job.runs + 1 < call.route.endpoints_max
+            and left >= 1
+        )
+
+    async def _read(
+        self, job: Job, stream: http_client.Stream, load: "_HeldLoad"
+    ) -> Result:
+        call = job.call
+        answer = self._port.dialect.read_answer(
+            call, stream.status, stream.fields
+        )
+        if answer.load is not None:
+            self._known.loads.observed(load.endpoint, answer.load, _now())
+        if answer.verdict is ports.Verdict.FOREIGN:
+            stream.abort()
+            return Result(End.LOST, "answer to another request")
+        if call.route.kind is catalog.Kind.STREAM and stream.status == 200:
+            return await self._relay(job, stream, answer, load)
+        try:
+            body = await stream.read_all(max(0.0, call.deadline - _now()))
+        except http_client.ExchangeError as caught:
+            stream.abort()
+            if answer.verdict is ports.Verdict.NOT_RUN:
+                return Result(End.NOT_RUN, f"rejected with {stream.status}")
+            return Result(End.LOST, str(caught))
+        stream.keep(answer.idle_s)
+        response = http_server.Response(stream.status, answer.fields, body)
+        if answer.verdict is ports.Verdict.NOT_RUN:
+            return Result(End.NOT_RUN, f"rejected with {stream.status}")
+        if stream.status >= 500:
+            return Result(End.FAILED, f"failed with {stream.status}", response)
+        if job.exchange.started:
+            return Result(End.LOST, f"status {stream.status} after a resume")
+        job.exchange.send(response)
+        return Result(End.ANSWERED)
+
+    async def _relay(
+        self,
+        job: Job,
+        stream: http_client.Stream,
+        answer: ports.Answer,
+        load: "_HeldLoad",
+    ) -> Result:
+        call = job.call
+        exchange = job.exchange
+        splitter = sse.Splitter()
+        first = True
+        while True:
+            left_s = max(0.0, call.deadline - _now())
+            can_retry = self._can_retry(job)
+            wait = patience.first_byte_s if first else patience.next_event_s
+            try:
+                data = await stream.read(wait(call, left_s, can_retry))
+                blocks = splitter.feed(data)
+            except errors.PeerError as caught:
+                stream.abort()
+                return Result(End.LOST, str(caught))
+            if not data:
+                break
+            out = b"".join(self._new_events(job, blocks))
+            if not out:
+                continue
+            if first:
+                first = False
+                load.read()
+                self._known.was_read(call, load.endpoint)
+                self._counters.first_event(
+                    call.route.name, _now() - call.received
+                )
+            if not exchange.started:
+                exchange.start(stream.status, answer.fields)
+            exchange.write(out)
+            await exchange.drain()
+        if splitter.rest or not exchange.started:
+            stream.abort()
+            return Result(End.LOST, "the stream ended within an event")
+        exchange.finish()
+        stream.keep(answer.idle_s)
+        return Result(End.ANSWERED)
+
+    def _new_events(self, job: Job, blocks: list[sse.Block]) -> list[bytes]:
+        """Returns the events that the caller does not have yet."""
+        found = []
+        for block in blocks:
+            identity = block.identity.decode("latin-1")
+            if identity:
+                if job.last_event and int(identity) <= int(job.last_event):
+                    continue
+                job.last_event = identity
+            found.append(block.data)
+        return found
+
+
+class _HeldLoad:
+    """The part of an endpoint's load that one send makes up."""
+
+    def __init__(self, known: state.State, endpoint: str, unread: int):
+        self._known = known
+        self._endpoint = endpoint
+        self._unread = unread
+        known.loads.add(endpoint, 1, unread)
+
+    @property
+    def endpoint(self) -> str:
+        """Name of the endpoint."""
+        return self._endpoint
+
+    def read(self) -> None:
+        """Notes that the prompt was read."""
+        self._known.loads.add(self._endpoint, 0, -self._unread)
+        self._unread = 0
+
+    def release(self) -> None:
+        """Takes the send out of the load."""
+        self._known.loads.add(self._endpoint, -1, -self._unread)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/gateway/settings.py
+++ b/packages/router/nutmegpost_router/gateway/settings.py
@@ -3,14 +3,10 @@
 docs/SETTINGS.md explains each field.
 """
 
-import pathlib
 from typing import Annotated, TypedDict
 
 import msgspec
 
-from nutmegpost_core import documents
-from nutmegpost_core import errors
-from nutmegpost_core import vms
 from nutmegpost_router import settings
 
 __all__ = ["GatewaySettings", "load", "parse"]
@@ -45,8 +41,6 @@
         platform_address: Where the platform publishes.
         seeds: Control addresses of a few gateways, which may be down.
         peer_key: Secret shared by the gateways.
-        memory_mb: Memory of the process, megabytes.
-        descriptors: Descriptors of the process.
         stop_grace_s: Time from the signal to stop until the process ends.
         address_ttl_s: Longest time that callers keep an address answer.
         entry_grace_s: Time for which endpoints that went missing while the
@@ -70,8 +64,6 @@
     platform_address: settings.HostPort
     seeds: list[settings.HostPort]
     peer_key: settings.Secret
-    memory_mb: Annotated[int, msgspec.Meta(ge=16)]
-    descriptors: Annotated[int, msgspec.Meta(ge=256)]
     stop_grace_s: Seconds
     address_ttl_s: Seconds
     entry_grace_s: Seconds
@@ -95,32 +87,13 @@
     Raises:
         errors.SettingsError: A value is missing or wrong.
     """
-    if len(data) > settings.SETTINGS_BYTES_MAX:
-        raise errors.SettingsError(
-            source, "$", f"at most {settings.SETTINGS_BYTES_MAX} bytes"
-        )
-    found = documents.decode(
-        data, GatewaySettings, source, errors.SettingsError
-    )
-    for key in _ADDRESSES:
-        text = str(found[key])  # type: ignore[literal-required]
-        try:
-            vms.parse_address(text)
-        except ValueError:
-            raise errors.SettingsError(
-                source, f"$.{key}", f"an IPv4 address and port, got {text!r}"
-            ) from None
-    return found
+    return settings.decode(data, GatewaySettings, source, _ADDRESSES)
 
 
 def load(path: str) -> GatewaySettings:
-    """Reads a settings file.
+    """Reads and checks a settings file.
 
     Raises:
         errors.SettingsError: The file cannot be read or a value is wrong.
     """
-    try:
-        data = pathlib.Path(path).read_bytes()
-    except (OSError, ValueError) as caught:
-        raise errors.SettingsError(path, "$", str(caught)) from caught
-    return parse(data, path)
+    return parse(settings.read(path), path)
--- a/packages/router/nutmegpost_router/settings.py
+++ b/packages/router/nutmegpost_router/settings.py
@@ -4,8 +4,9 @@
 """
 
 import collections
+from collections.abc import Iterable
 import pathlib
-from typing import Annotated, NotRequired, TypedDict
+from typing import Annotated, Any, NotRequired, TypedDict, TypeVar
 
 import msgspec
 
@@ -19,8 +20,10 @@
     "PeerSettings",
     "Secret",
     "Settings",
+    "decode",
     "load",
     "parse",
+    "read",
 ]
 
 SETTINGS_BYTES_MAX = 100_000
@@ -33,6 +36,8 @@
     str, msgspec.Meta(pattern=r"^[!-~]+\Z", min_length=16, max_length=256)
 ]
 
+T = TypeVar("T")
+
 _ADDRESSES = (
     "public_address",
     "peer_address",
@@ -96,12 +101,8 @@
     Raises:
         errors.SettingsError: A value is missing or wrong.
     """
-    if len(data) > SETTINGS_BYTES_MAX:
-        raise errors.SettingsError(
-            source, "$", f"at most {SETTINGS_BYTES_MAX} bytes"
-        )
-    found = documents.decode(data, Settings, source, errors.SettingsError)
-    _check_addresses(found, source)
+    found = decode(data, Settings, source, _ADDRESSES)
+    _check_distinct(found, source)
     if found["peer_key"] == found["admin_key"]:
         raise errors.SettingsError(
             source, "$.admin_key", "another secret than peer_key"
@@ -109,34 +110,63 @@
     return found
 
 
-def load(path: str) -> Settings:
-    """Reads a settings file.
+def decode(
+    data: bytes, kind: type[T], source: str, addresses: Iterable[str]
+) -> T:
+    """Decodes settings and checks their addresses.
 
     Args:
-        path: The file.
+        data: The settings, JSON in UTF-8.
+        kind: The TypedDict to decode into.
+        source: File they came from, for the error.
+        addresses: Keys whose values are addresses.
 
     Returns:
-        The checked settings.
+        The settings.
 
     Raises:
-        errors.SettingsError: The file cannot be read or a value is wrong.
+        errors.SettingsError: A value is missing or wrong.
+    """
+    if len(data) > SETTINGS_BYTES_MAX:
+        raise errors.SettingsError(
+            source, "$", f"at most {SETTINGS_BYTES_MAX} bytes"
+        )
+    found: Any = documents.decode(data, kind, source, errors.SettingsError)
+    for key in addresses:
+        try:
+            vms.parse_address(found[key])
+        except ValueError:
+            raise errors.SettingsError(
+                source,
+                f"$.{key}",
+                f"an IPv4 address and port, got {found[key]!r}",
+            ) from None
+    return found
+
+
+def read(path: str) -> bytes:
+    """Reads a settings file.
+
+    Raises:
+        errors.SettingsError: The file cannot be read.
     """
     try:
-        data = pathlib.Path(path).read_bytes()
+        return pathlib.Path(path).read_bytes()
     except (OSError, ValueError) as caught:
         raise errors.SettingsError(path, "$", str(caught)) from caught
-    return parse(data, path)
 
 
-def _check_addresses(found: Settings, source: str) -> None:
+def load(path: str) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises:
+        errors.SettingsError: The file cannot be read or a value is wrong.
+    """
+    return parse(read(path), path)
+
+
+def _check_distinct(found: Settings, source: str) -> None:
     texts = [(key, str(found[key])) for key in _ADDRESSES]  # type: ignore[literal-required]
-    for key, text in texts:
-        try:
-            vms.parse_address(text)
-        except ValueError:
-            raise errors.SettingsError(
-                source, f"$.{key}", f"an IPv4 address and port, got {text!r}"
-            ) from None
     counts = collections.Counter(text for _, text in texts)
     for key, text in texts:
         if counts[text] > 1:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -384,8 +384,6 @@
             "platform_address": self.store.address,
             "seeds": [],
             "peer_key": "k" * 16,
-            "memory_mb": 400,
-            "descriptors": 4000,
             "stop_grace_s": 4,
             "address_ttl_s": 0.1,
             "entry_grace_s": 2,
