Check event ids where they are read

Cause: reading the diff: an id that is no number, of a caller or an endpoint, ended in an unexpected error.

--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -27,6 +27,8 @@
 # is a part of the 2 s within which changes must be in force.
 _POLL_S = 0.5
 _TIMEOUT_S = 0.4
+# Peers that are asked in one round.
+_ASKED_MAX = 3
 _PATH = "/published"
 # Asks for what endpoints have in their caches, too.
 _CACHES = "caches"
@@ -170,7 +172,3 @@
                     }
                 )
             )
-
-
-# Peers that are asked in one round.
-_ASKED_MAX = 3
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -35,6 +35,15 @@
 # Part of the grace period that is left for the end of the process itself.
 _STOP_MARGIN_S = 0.4
 _RESTART_DELAY_S = 0.2
+_REACHABLE = (
+    membership.State.ALIVE,
+    membership.State.LEAVING,
+    membership.State.SUSPECT,
+)
+# A gateway that was away for this time may have spent retries of its own.
+_FLEET_MEMORY_S = 20.0
+# Time for the body of a request beside that for its head.
+_BODY_TIMEOUT_S = 10.0
 
 
 class Gateway:
@@ -442,16 +451,5 @@
                     return
 
 
-_REACHABLE = (
-    membership.State.ALIVE,
-    membership.State.LEAVING,
-    membership.State.SUSPECT,
-)
-# A gateway that was away for this time may have spent retries of its own.
-_FLEET_MEMORY_S = 20.0
-# Time for the body of a request beside that for its head.
-_BODY_TIMEOUT_S = 10.0
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -261,13 +261,12 @@
             wait = patience.first_byte_s if first else patience.next_event_s
             try:
                 data = await stream.read(wait(call, left_s, can_retry))
-                blocks = splitter.feed(data)
+                out = b"".join(self._new_events(job, splitter.feed(data)))
             except errors.PeerError as caught:
                 stream.abort()
                 return Result(End.LOST, str(caught))
             if not data:
                 break
-            out = b"".join(self._new_events(job, blocks))
             if not out:
                 continue
             if first:
@@ -289,11 +288,19 @@
         return Result(End.ANSWERED)
 
     def _new_events(self, job: Job, blocks: list[sse.Block]) -> list[bytes]:
-        """Returns the events that the caller does not have yet."""
+        """Returns the events that the caller does not have yet.
+
+        Raises:
+            errors.PeerError: The id of an event is not a number.
+        """
         found = []
         for block in blocks:
             identity = block.identity.decode("latin-1")
             if identity:
+                if not identity.isdecimal():
+                    raise errors.PeerError(
+                        f"event id is not a number: {identity[:40]!r}"
+                    )
                 if job.last_event and int(identity) <= int(job.last_event):
                     continue
                 job.last_event = identity
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -475,3 +475,24 @@
             assert sum(len(runner.runs) for runner in runners) <= 3
 
     standin.run(scenario)
+
+
+def test_event_ids_that_are_no_numbers_end_the_request_with_a_known_error():
+    async def scenario():
+        async with standin.Fleet(_engines("e1")) as fleet:
+            bad = await fleet.stream("/draft/1", "id-1", Last_Event_Id="x")
+            assert bad.status == 400
+
+            async def unnumbered(runner, exchange):
+                request = exchange.request
+                runner.runs.append(request.headers["attempt-id"])
+                exchange.start(200, runner.head(request))
+                exchange.write(b"id: one\ndata: 1\n\n")
+                exchange.finish()
+
+            fleet.runners["e1"].acts = [unnumbered]
+            answer = await fleet.stream("/ask/1", "id-2")
+            assert answer.status == 502
+            assert b"not a number" in answer.body
+
+    standin.run(scenario)
