Forget broken requests that no crash can explain any more

Cause: read in the diff: requests whose answer broke were kept for each endpoint until it went down, so the list grew for as long as the endpoint lived. Now those older than the crash window, which were passed over anyway, are dropped. No decision changes. Checks: formatter, linter, types, tests/platform and tests/test_conventions.py pass.

--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -262,7 +262,7 @@
         if self._known.outliers.result(name, False, now, weight):
             log.emit(events.ENGINE_EJECTED, engine=name)
         if result.end is sending.End.LOST:
-            self._broken.setdefault(name, []).append((now, job.digest))
+            self._note_broken(name, job.digest, now)
         self._counters.attempt_failed(result.end)
         log.emit(
             events.ATTEMPT_FAILED,
@@ -274,6 +274,16 @@
             after_ms=elapsed_ms,
         )
 
+    def _note_broken(self, name: str, digest: str, now: float) -> None:
+        """Remembers a broken request for as long as a crash may explain it."""
+        oldest = now - _CRASH_WINDOW_S
+        self._broken = {
+            endpoint: recent
+            for endpoint, items in self._broken.items()
+            if (recent := [item for item in items if item[0] >= oldest])
+        }
+        self._broken.setdefault(name, []).append((now, digest))
+
     async def _look_after(
         self, job: sending.Job, endpoint: roster.Endpoint
     ) -> None:
