--- a/Makefile
+++ b/Makefile
@@ -3,15 +3,16 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := core router ctl standins
+PACKAGES := packages/core packages/router packages/ctl packages/standins platform
 
-.PHONY: demo test format lint types unit soak bench measure capacity clean
+.PHONY: demo test format lint types unit soak bench measure capacity quiet \
+  clean
 
-$(STAMP): requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps \
-	  --no-build-isolation $(PACKAGES:%=-e packages/%)
+	  --no-build-isolation $(PACKAGES:%=-e ./%)
 	touch $@
 
 demo: $(STAMP)
@@ -27,7 +28,8 @@
 
 types: $(STAMP)
 	$(BIN)/mypy packages/core/nutmegpost_core packages/router/nutmegpost_router \
-	  packages/ctl/nutmegpost_ctl packages/standins/nutmegpost_standins
+	  packages/ctl/nutmegpost_ctl packages/standins/nutmegpost_standins \
+	  platform/nutmegpost_platform
 
 unit: $(STAMP)
 	$(BIN)/python -m pytest -n 4 --dist loadgroup
@@ -45,5 +47,11 @@
 capacity: $(STAMP)
 	$(BIN)/python -m nutmegpost_standins.capacity
 
+# The users' bench and its site files are named on the command line.
+quiet:
+	for site in $(SITES); do \
+	  $(FLEETBENCH) run $$site quiet-1 --why "$(or $(WHY),quiet day)" || exit 1; \
+	done
+
 clean:
 	rm -rf $(VENV) .hypothesis .mypy_cache .ruff_cache
--- a/packages/core/nutmegpost_core/errors.py
+++ b/packages/core/nutmegpost_core/errors.py
@@ -12,6 +12,7 @@
     "AttemptLostError",
     "ConfigurationError",
     "DocumentError",
+    "EndpointError",
     "IdempotencyError",
     "InvalidRequestError",
     "NutmegpostError",
@@ -170,6 +171,16 @@
     code = "stopping"
 
 
+class EndpointError(RequestError):
+    """The request may have run, but no endpoint answered it."""
+
+    status = 502
+    code = "endpoint-lost"
+
+    def __init__(self, message: str):
+        super().__init__(message, Outcome.UNKNOWN)
+
+
 class AttemptLostError(RequestError):
     """The request may have run, but its answer is lost."""
 
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -42,6 +42,10 @@
 )
 TASK_FAILED = Event(106, "ERROR", "task {task} failed and restarts: {reason}")
 
+SETTINGS_RELOADED = Event(
+    109, "INFO", "gateway {name} was told of changed settings"
+)
+
 # 2xx platform and configuration
 CONFIGURATION_ACCEPTED = Event(
     201, "INFO", "configuration {version} {digest} of {source} is in force"
@@ -63,6 +67,13 @@
     209, "WARNING", "no configuration from peer {peer}: {reason}"
 )
 
+ENDPOINTS_CHANGED = Event(
+    211, "INFO", "endpoints at {revision}: usable {usable}; leaving {leaving}"
+)
+ENTRY_REFUSED = Event(
+    212, "WARNING", "entry {name} of revision {revision} refused: {reason}"
+)
+
 # 3xx members and peers
 MEMBER_CHANGED = Event(301, "INFO", "member {name} is {state}, was {previous}")
 DATAGRAM_FORGED = Event(
@@ -78,6 +89,8 @@
 LINK_LOST = Event(351, "INFO", "link with {peer} is lost: {reason}")
 PEER_REFUSED = Event(352, "WARNING", "peer refused: {reason}")
 
+PEERS_ASKED = Event(305, "INFO", "peers are asked for news: {reason}")
+
 # 4xx requests
 REQUEST_REFUSED = Event(401, "INFO", "request refused, {code}: {reason}")
 REQUEST_FAILED = Event(
@@ -95,6 +108,39 @@
     407, "INFO", "request {request} cancelled, nobody reads it"
 )
 
+REQUEST_SENT = Event(
+    410,
+    "INFO",
+    "{request} attempt {attempt} of {route} goes to {endpoint}: running "
+    "{running} of {bound}, cached {cached} tokens, cost {cost_ms} ms, left "
+    "{left_ms} ms, loads {loads_age_ms} ms old, endpoints at "
+    "{endpoints_revision}",
+)
+REQUEST_ANSWERED = Event(
+    411,
+    "INFO",
+    "{request} of {route} answered with {status} by {endpoint} after "
+    "{after_ms} ms and {attempts} attempts",
+)
+ATTEMPT_FAILED = Event(
+    412,
+    "INFO",
+    "{request} attempt {attempt} at {endpoint} ended {end} after {after_ms} "
+    "ms: {reason}",
+)
+REQUEST_ENDED = Event(
+    413,
+    "INFO",
+    "{request} of {route} ends with {status}, {outcome}, begun {begun}, "
+    "configuration {configuration}: {reason}",
+)
+CALLER_GONE = Event(
+    414, "INFO", "{request} cancelled by its caller after {after_ms} ms"
+)
+REQUEST_UNREADABLE = Event(
+    415, "INFO", "request refused with {status}: {reason}"
+)
+
 # 5xx endpoints and placement
 ENGINE_OWNED = Event(501, "INFO", "endpoint {engine} is owned by this router")
 ENGINE_RELEASED = Event(502, "INFO", "endpoint {engine} has another owner")
@@ -105,6 +151,7 @@
 ENGINE_LEAVING = Event(505, "INFO", "endpoint {engine} is leaving")
 ENGINE_EJECTED = Event(506, "WARNING", "endpoint {engine} is ejected")
 
+
 # 7xx rollouts
 ROLLOUT_DRAINS = Event(
     701, "INFO", "engine {engine} is drained for configuration {version}"
@@ -123,6 +170,10 @@
 )
 REQUEST_CLEARED = Event(803, "INFO", "request {digest} is no suspect any more")
 
+REQUEST_CHARGED = Event(
+    804, "WARNING", "request {digest} charged with the crash of {endpoint}"
+)
+
 # 6xx services and permits
 CALL_FAULTED = Event(
     601, "ERROR", "call of a service ended by a fault: {reason}"
--- /dev/null
+++ b/packages/core/nutmegpost_core/patience.py
@@ -0,0 +1,36 @@
+"""How long a gateway waits for an endpoint before it tries another."""
+
+from nutmegpost_core import calls
+from nutmegpost_core import catalog
+
+__all__ = ["FIRST_BYTE_TARGETS", "first_byte_s", "next_event_s"]
+
+# An answer that took this many targets to begin will probably not come.
+FIRST_BYTE_TARGETS = 2.0
+FIRST_BYTE_MIN_S = 0.4
+# Silence within a stream after which it is resumed elsewhere, in pauses that
+# are on time.
+SILENT_PAUSES = 2.0
+SILENCE_MIN_S = 1.0
+
+
+def first_byte_s(call: calls.Call, left_s: float, can_retry: bool) -> float:
+    """Returns how long to wait for the start of an answer.
+
+    Args:
+        call: The request.
+        left_s: Time until the answer is of no use.
+        can_retry: Whether another endpoint may be tried afterwards.
+    """
+    if not can_retry:
+        return left_s
+    wait = max(FIRST_BYTE_MIN_S, FIRST_BYTE_TARGETS * call.route.target_s)
+    return min(left_s, max(wait, left_s / 3))
+
+
+def next_event_s(call: calls.Call, left_s: float, can_retry: bool) -> float:
+    """Returns how long to wait for the next event of a stream."""
+    route: catalog.Route = call.route
+    if not can_retry:
+        return left_s
+    return min(left_s, max(SILENCE_MIN_S, SILENT_PAUSES * route.pause_s))
--- a/packages/core/nutmegpost_core/sse.py
+++ b/packages/core/nutmegpost_core/sse.py
@@ -4,7 +4,16 @@
 
 from nutmegpost_core import errors
 
-__all__ = ["DONE", "Event", "EventId", "Parser", "error_event", "format_event"]
+__all__ = [
+    "DONE",
+    "Block",
+    "Event",
+    "EventId",
+    "Parser",
+    "Splitter",
+    "error_event",
+    "format_event",
+]
 
 DONE = b"[DONE]"
 EVENT_BYTES_MAX = 1_000_000
@@ -59,6 +68,49 @@
         return found
 
 
+class Block(NamedTuple):
+    """One event as it came.
+
+    Attributes:
+        data: Its bytes with the blank line behind them.
+        identity: Value of the id field; empty when it has none.
+    """
+
+    data: bytes
+    identity: bytes
+
+
+class Splitter:
+    """Cuts the bytes of a stream into events and leaves them as they are."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes of an event that is not complete."""
+        return self._rest
+
+    def feed(self, data: bytes) -> list[Block]:
+        """Takes more bytes and returns the events that are complete.
+
+        Raises:
+            errors.PeerError: An event is too large.
+        """
+        *blocks, self._rest = (self._rest + data).split(b"\n\n")
+        if len(self._rest) > EVENT_BYTES_MAX:
+            raise errors.PeerError("event too large")
+        return [Block(block + b"\n\n", _identity(block)) for block in blocks]
+
+
+def _identity(block: bytes) -> bytes:
+    for line in block.split(b"\n"):
+        name, _, value = line.rstrip(b"\r").partition(b":")
+        if name == b"id":
+            return value.strip()
+    return b""
+
+
 class Parser:
     """Turns the bytes of a stream into events."""
 
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""A router whose entry dispatches each request itself."""
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -0,0 +1,545 @@
+"""The way of one request: checks, attempts at endpoints, and its answer.
+
+A request that may not be repeated is sent on only while it is certain that it
+has not run. One that may be repeated is retried, and a stream that may be
+resumed goes on at another endpoint, within the budget that all gateways share.
+"""
+
+import asyncio
+from collections.abc import Callable
+import enum
+from typing import NamedTuple
+
+from nutmegpost_core import calls
+from nutmegpost_core import catalog
+from nutmegpost_core import crashes
+from nutmegpost_core import dispatch
+from nutmegpost_core import errors
+from nutmegpost_core import events
+from nutmegpost_core import patience
+from nutmegpost_core import sse
+from nutmegpost_core import vms
+from nutmegpost_router import http_client
+from nutmegpost_router import http_server
+from nutmegpost_router import log
+from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import state
+
+__all__ = ["Forwarder"]
+
+# Sends of one request that may end as rejected, beside those that run.
+_REJECTIONS_MAX = 3
+# Less time than this is not enough for another attempt.
+_LEFT_MIN_S = 0.03
+# The answer must be at the caller by the timeout, so it is given up before.
+_ANSWER_MARGIN_S = 0.02
+# An idle connection may have been closed by the endpoint without notice; a
+# request that may run once goes on one that was used a moment ago, or a new.
+_IDLE_REPEATABLE_S = 4.0
+_IDLE_ONCE_S = 0.5
+_RETRY_AFTER_NO_ENDPOINT_S = 0.5
+_RETRY_AFTER_FULL_S = 0.3
+_RETRY_AFTER_STARTING_S = 0.3
+_RETRY_AFTER_CRASHING_S = 30.0
+# A request waits in an endpoint's own queue up to this multiple of its slots.
+_QUEUED_MULTIPLE = 2.0
+
+
+class _End(enum.StrEnum):
+    """How a send ended.
+
+    ANSWERED: The caller has the whole answer.
+    NOT_RUN: The endpoint did not run the request.
+    FAILED: The endpoint answered with a failure of its own.
+    LOST: The answer did not come, or broke off.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+class _Result(NamedTuple):
+    end: _End
+    reason: str = ""
+    response: http_server.Response | None = None
+
+
+class _Job:
+    """One request on its way."""
+
+    def __init__(
+        self,
+        exchange: http_server.Exchange,
+        call: calls.Call,
+        digest: str,
+    ):
+        self.exchange = exchange
+        self.call = call
+        self.digest = digest
+        self.sends = 0
+        self.runs = 0
+        self.avoid: set[str] = set()
+        self.last_event = call.resume_after
+        self.failure: http_server.Response | None = None
+        self.reason = ""
+        self.has_events = False
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another run is allowed."""
+        if not self.runs:
+            return True
+        route = self.call.route
+        return route.repeatable and self.runs < route.endpoints_max
+
+
+class Forwarder:
+    """Answers the requests of callers."""
+
+    def __init__(
+        self,
+        known: state.State,
+        port: ports.Ports,
+        client: http_client.Client,
+        counters: metrics.GatewayMetrics,
+        stop_left_s: Callable[[], float | None],
+    ):
+        """Prepares to serve.
+
+        Args:
+            known: What the gateway knows.
+            port: The protocols around it.
+            client: Connections to endpoints.
+            counters: Metrics.
+            stop_left_s: Gives the time until this process ends, or None.
+        """
+        self._known = known
+        self._port = port
+        self._client = client
+        self._counters = counters
+        self._stop_left_s = stop_left_s
+        self._broken: dict[str, list[tuple[float, str]]] = {}
+
+    async def handle(self, exchange: http_server.Exchange) -> None:
+        """Answers one request."""
+        exchange.cancel_when_gone()
+        now = _now()
+        opening: ports.Opening | None = None
+        call: calls.Call | None = None
+        try:
+            opening = self._port.door.open(exchange.request)
+            call = self._admit(opening, exchange.request, now)
+            await self._forward(exchange, call)
+        except errors.RequestError as caught:
+            identity = opening.identity if opening else ""
+            self._refuse(exchange, identity, call, caught)
+        except asyncio.CancelledError:
+            log.emit(
+                events.CALLER_GONE,
+                request=opening.identity if opening else "",
+                after_ms=round((_now() - now) * 1000),
+            )
+            raise
+
+    def _admit(
+        self, opening: ports.Opening, request: http_server.Request, now: float
+    ) -> calls.Call:
+        found = self._known.catalog
+        if found is None:
+            raise errors.UnavailableError(
+                "no configuration is known yet",
+                retry_after=_RETRY_AFTER_STARTING_S,
+            )
+        route = found.route(opening.host, request.target)
+        if route is None:
+            raise errors.UnknownNameError("no route for this host and path")
+        account: catalog.Account | None = None
+        if found.needs_key and not route.is_public:
+            account = found.account(opening.key)
+            if account is None:
+                raise errors.AccountError("unknown key")
+        patience_s = route.timeout_s
+        if opening.patience_s is not None:
+            patience_s = min(patience_s, opening.patience_s)
+        rank = route.rank
+        if account is not None and account.rank is not None:
+            rank = account.rank
+        return calls.Call(
+            opening.identity,
+            route,
+            catalog.choose_service(route, opening.identity),
+            account.name if account else "",
+            rank,
+            now + patience_s,
+            now,
+            opening.resume_after,
+            opening.hints,
+        )
+
+    async def _forward(
+        self, exchange: http_server.Exchange, call: calls.Call
+    ) -> None:
+        request = exchange.request
+        digest = crashes.digest(call.account, request.target, request.body)
+        if self._known.crashes.is_refused(digest, call.received):
+            raise errors.UnavailableError(
+                "this request crashed endpoints before",
+                retry_after=_RETRY_AFTER_CRASHING_S,
+            )
+        self._known.budget.request(call.service, call.received)
+        job = _Job(exchange, call, digest)
+        while True:
+            choice = self._next_choice(job)
+            result = await self._send(job, choice)
+            self._note_result(job, choice, result)
+            if result.end is _End.ANSWERED:
+                return
+
+    def _next_choice(self, job: _Job) -> dispatch.Choice:
+        """Returns where to send next; raises when the request must end."""
+        call = job.call
+        now = _now()
+        if job.sends and self._is_over(job, now):
+            self._give_up(job)
+        choice = self._known.choose(call, job.avoid)
+        if choice is None:
+            if job.sends:
+                self._give_up(job)
+            raise errors.UnavailableError(
+                "no endpoint may take the request",
+                retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
+            )
+        if self._is_full(choice):
+            if job.runs or job.exchange.started:
+                self._give_up(job)
+            raise errors.UnavailableError(
+                "all endpoints are full", retry_after=_RETRY_AFTER_FULL_S
+            )
+        if job.sends and not self._known.budget.spend(
+            call.service, self._known.fleet_size, now
+        ):
+            job.reason += "; no retry is left in the budget"
+            self._give_up(job)
+        return choice
+
+    def _is_over(self, job: _Job, now: float) -> bool:
+        call = job.call
+        sends_max = call.route.endpoints_max + _REJECTIONS_MAX
+        return (
+            not job.may_run_again
+            or job.sends >= sends_max
+            or call.deadline - now < _LEFT_MIN_S
+        )
+
+    def _is_full(self, choice: dispatch.Choice) -> bool:
+        slots = choice.endpoint.slots
+        return slots > 0 and choice.load.running >= slots * _QUEUED_MULTIPLE
+
+    def _give_up(self, job: _Job) -> None:
+        """Ends a request that was sent and has no answer.
+
+        Raises:
+            errors.RequestError: Always, unless an answer was sent.
+        """
+        if job.exchange.started:
+            raise errors.AttemptLostError(job.reason)
+        if job.failure is not None:
+            raise _Relayed(job.failure)
+        if not job.runs:
+            raise errors.UnavailableError(
+                job.reason, retry_after=_RETRY_AFTER_FULL_S
+            )
+        if job.call.deadline - _now() < _LEFT_MIN_S:
+            raise errors.AttemptLostError(job.reason)
+        raise errors.EndpointError(job.reason)
+
+    async def _send(self, job: _Job, choice: dispatch.Choice) -> _Result:
+        call = job.call
+        now = _now()
+        endpoint = choice.endpoint
+        unread = 0
+        if call.hints is not None:
+            unread = max(0, call.hints.prompt_tokens - choice.cached_tokens)
+        job.sends += 1
+        self._known.placed(call, choice)
+        load = _HeldLoad(self._known, endpoint.name, unread)
+        log.emit(
+            events.REQUEST_SENT,
+            request=call.identity,
+            attempt=job.sends,
+            route=call.route.name,
+            endpoint=endpoint.name,
+            running=choice.load.running,
+            bound=choice.bound,
+            cached=choice.cached_tokens,
+            cost_ms=round(choice.cost * 1000),
+            left_ms=round((call.deadline - now) * 1000),
+            loads_age_ms=round(self._known.loads.age_s(now) * 1000),
+            endpoints_revision=self._known.roster.revision,
+        )
+        try:
+            return await self._exchange(job, choice, load)
+        finally:
+            load.release()
+
+    async def _exchange(
+        self, job: _Job, choice: dispatch.Choice, load: "_HeldLoad"
+    ) -> _Result:
+        call = job.call
+        left_s = call.deadline - _now()
+        request = job.exchange.request
+        fields = self._port.dialect.request_fields(
+            ports.Forward(
+                call,
+                request.fields,
+                choice.endpoint.name,
+                left_s,
+                job.last_event,
+            )
+        )
+        can_retry = self._can_retry(job)
+        repeatable = call.route.repeatable
+        try:
+            stream = await self._client.stream(
+                vms.parse_address(choice.endpoint.address),
+                request.method,
+                request.target,
+                fields,
+                request.body,
+                patience.first_byte_s(call, left_s, can_retry),
+                idle_limit_s=_IDLE_REPEATABLE_S if repeatable else _IDLE_ONCE_S,
+            )
+        except http_client.ConnectError as caught:
+            if caught.refused:
+                self._endpoint_down(choice.endpoint.name)
+            return _Result(_End.NOT_RUN, str(caught))
+        except http_client.ExchangeError as caught:
+            return _Result(_End.LOST, str(caught))
+        try:
+            return await self._read(job, stream, load)
+        except BaseException:
+            stream.abort()
+            raise
+
+    def _can_retry(self, job: _Job) -> bool:
+        """Returns whether another run could follow the one that begins."""
+        call = job.call
+        now = _now()
+        left = self._known.budget.remaining(
+            call.service, self._known.fleet_size, now
+        )
+        return (
+            call.route.repeatable
+            and job.runs + 1 < call.route.endpoints_max
+            and left >= 1
+        )
+
+    async def _read(
+        self, job: _Job, stream: http_client.Stream, load: "_HeldLoad"
+    ) -> _Result:
+        call = job.call
+        answer = self._port.dialect.read_answer(
+            call, stream.status, stream.fields
+        )
+        if answer.verdict is ports.Verdict.FOREIGN:
+            stream.abort()
+            return _Result(_End.LOST, "answer to another request")
+        if call.route.kind is catalog.Kind.STREAM and stream.status == 200:
+            return await self._relay(job, stream, answer, load)
+        try:
+            body = await stream.read_all(max(0.0, call.deadline - _now()))
+        except http_client.ExchangeError as caught:
+            stream.abort()
+            if answer.verdict is ports.Verdict.NOT_RUN:
+                return _Result(_End.NOT_RUN, f"rejected with {stream.status}")
+            return _Result(_End.LOST, str(caught))
+        stream.keep(answer.idle_s)
+        response = http_server.Response(stream.status, answer.fields, body)
+        if answer.verdict is ports.Verdict.NOT_RUN:
+            return _Result(_End.NOT_RUN, f"rejected with {stream.status}")
+        if stream.status >= 500:
+            return _Result(
+                _End.FAILED, f"failed with {stream.status}", response
+            )
+        if job.exchange.started:
+            return _Result(_End.LOST, f"status {stream.status} after a resume")
+        job.exchange.send(response)
+        return _Result(_End.ANSWERED)
+
+    async def _relay(
+        self,
+        job: _Job,
+        stream: http_client.Stream,
+        answer: ports.Answer,
+        load: "_HeldLoad",
+    ) -> _Result:
+        call = job.call
+        exchange = job.exchange
+        splitter = sse.Splitter()
+        first = True
+        while True:
+            left_s = max(0.0, call.deadline - _now())
+            can_retry = self._can_retry(job)
+            wait = patience.first_byte_s if first else patience.next_event_s
+            try:
+                data = await stream.read(wait(call, left_s, can_retry))
+                blocks = splitter.feed(data)
+            except errors.PeerError as caught:
+                stream.abort()
+                return _Result(_End.LOST, str(caught))
+            if not data:
+                break
+            out = b"".join(self._new_events(job, blocks))
+            if not out:
+                continue
+            if first:
+                first = False
+                load.read()
+                self._counters.first_event(
+                    call.route.name, _now() - call.received
+                )
+            if not exchange.started:
+                exchange.start(stream.status, answer.fields)
+            exchange.write(out)
+            await exchange.drain()
+        if splitter.rest or not exchange.started:
+            stream.abort()
+            return _Result(_End.LOST, "the stream ended within an event")
+        exchange.finish()
+        stream.keep(answer.idle_s)
+        return _Result(_End.ANSWERED)
+
+    def _new_events(self, job: _Job, blocks: list[sse.Block]) -> list[bytes]:
+        """Returns the events that the caller does not have yet."""
+        found = []
+        for block in blocks:
+            identity = block.identity.decode("latin-1")
+            if identity:
+                if job.last_event and int(identity) <= int(job.last_event):
+                    continue
+                job.last_event = identity
+            found.append(block.data)
+        return found
+
+    def _note_result(
+        self, job: _Job, choice: dispatch.Choice, result: _Result
+    ) -> None:
+        name = choice.endpoint.name
+        now = _now()
+        call = job.call
+        elapsed_ms = round((now - call.received) * 1000)
+        if result.end is not _End.NOT_RUN:
+            job.runs += 1
+        job.avoid.add(name)
+        if result.end is _End.ANSWERED:
+            self._known.outliers.result(name, True, now)
+            self._known.crashes.clear(job.digest)
+            self._counters.ended(call.route.name, "answered")
+            log.emit(
+                events.REQUEST_ANSWERED,
+                request=call.identity,
+                route=call.route.name,
+                endpoint=name,
+                status=job.exchange.status,
+                attempts=job.sends,
+                after_ms=elapsed_ms,
+            )
+            return
+        job.reason = f"{name}: {result.reason}"
+        if result.response is not None:
+            job.failure = result.response
+        if self._known.outliers.result(name, False, now):
+            log.emit(events.ENGINE_EJECTED, engine=name)
+        if result.end is _End.LOST:
+            self._broken.setdefault(name, []).append((now, job.digest))
+        self._counters.attempt_failed(result.end)
+        log.emit(
+            events.ATTEMPT_FAILED,
+            request=call.identity,
+            attempt=job.sends,
+            endpoint=name,
+            end=result.end,
+            reason=result.reason,
+            after_ms=elapsed_ms,
+        )
+
+    def _endpoint_down(self, name: str) -> None:
+        """Charges the requests that broke just before with the crash."""
+        now = _now()
+        for at, digest in self._broken.pop(name, []):
+            if now - at > _CRASH_WINDOW_S:
+                continue
+            if self._known.crashes.charge(digest, name, now):
+                log.emit(events.REQUEST_CHARGED, digest=digest, endpoint=name)
+
+    def _refuse(
+        self,
+        exchange: http_server.Exchange,
+        identity: str,
+        call: calls.Call | None,
+        error: errors.RequestError,
+    ) -> None:
+        route = call.route.name if call else ""
+        version = self._known.catalog.version if self._known.catalog else 0
+        log.emit(
+            events.REQUEST_ENDED,
+            request=identity,
+            route=route,
+            status=error.status,
+            outcome=error.outcome,
+            reason=str(error),
+            configuration=version,
+            begun=exchange.started,
+        )
+        self._counters.ended(route, error.code)
+        if exchange.started:
+            exchange.abort()
+        elif isinstance(error, _Relayed):
+            exchange.send(error.response)
+        else:
+            exchange.send(self._port.door.refuse(error))
+
+
+# Time between a broken answer and a refused connection that counts as one
+# crash; endpoints that crash are back after some seconds.
+_CRASH_WINDOW_S = 3.0
+
+
+class _Relayed(errors.RequestError):
+    """The failure that an endpoint answered with is passed on."""
+
+    code = "endpoint-failed"
+
+    def __init__(self, response: http_server.Response):
+        super().__init__(
+            f"the endpoint failed with {response.status}",
+            errors.Outcome.UNKNOWN,
+        )
+        self.status = response.status
+        self.response = response
+
+
+class _HeldLoad:
+    """The part of an endpoint's load that one send makes up."""
+
+    def __init__(self, known: state.State, endpoint: str, unread: int):
+        self._known = known
+        self._endpoint = endpoint
+        self._unread = unread
+        known.loads.add(endpoint, 1, unread)
+
+    def read(self) -> None:
+        """Notes that the prompt was read."""
+        self._known.loads.add(self._endpoint, 0, -self._unread)
+        self._unread = 0
+
+    def release(self) -> None:
+        """Takes the send out of the load."""
+        self._known.loads.add(self._endpoint, -1, -self._unread)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -0,0 +1,77 @@
+"""Metrics of a gateway, in a Prometheus registry of its own.
+
+docs/METRICS.md explains each metric.
+"""
+
+import prometheus_client
+
+__all__ = ["CONTENT_TYPE", "GatewayMetrics"]
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.5, 0.8, 1.0, 2.5, 5.0, 10.0)
+
+
+class GatewayMetrics:
+    """The counters, histograms and gauges of one gateway."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        prometheus_client.ProcessCollector(registry=self._registry)
+        self._requests = prometheus_client.Counter(
+            "nutmegpost_gateway_requests",
+            "Requests that ended.",
+            ["route", "code"],
+            registry=self._registry,
+        )
+        self._attempts = prometheus_client.Counter(
+            "nutmegpost_gateway_attempts_failed",
+            "Sends to endpoints that did not bring an answer.",
+            ["end"],
+            registry=self._registry,
+        )
+        self._first_event = prometheus_client.Histogram(
+            "nutmegpost_gateway_first_event_seconds",
+            "Time from the receipt of a request to its first event.",
+            ["route"],
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._configuration = prometheus_client.Gauge(
+            "nutmegpost_gateway_configuration_version",
+            "Version of the configuration in force.",
+            registry=self._registry,
+        )
+        self._endpoints = prometheus_client.Gauge(
+            "nutmegpost_gateway_endpoints",
+            "Endpoints known, those that leave included.",
+            registry=self._registry,
+        )
+
+    @property
+    def registry(self) -> prometheus_client.CollectorRegistry:
+        """The registry that holds the metrics."""
+        return self._registry
+
+    def ended(self, route: str, code: str) -> None:
+        """Counts a request by its route and the code of its end."""
+        self._requests.labels(route, code).inc()
+
+    def attempt_failed(self, end: str) -> None:
+        """Counts a send that brought no answer."""
+        self._attempts.labels(end).inc()
+
+    def first_event(self, route: str, seconds: float) -> None:
+        """Records the time to the first event of a stream."""
+        self._first_event.labels(route).observe(seconds)
+
+    def configuration(self, version: int) -> None:
+        """Sets the version of the configuration in force."""
+        self._configuration.set(version)
+
+    def endpoints(self, count: int) -> None:
+        """Sets the number of known endpoints."""
+        self._endpoints.set(count)
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -0,0 +1,154 @@
+"""Handing on between gateways what the platform told one of them.
+
+A gateway that the platform does not answer asks its peers for the newest
+configuration and list of endpoints. One that hears of a newer configuration
+asks at once.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import cbor2
+
+from nutmegpost_core import errors
+from nutmegpost_core import events
+from nutmegpost_core import roster
+from nutmegpost_core import vms
+from nutmegpost_router import http_client
+from nutmegpost_router import http_server
+from nutmegpost_router import log
+from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import state
+
+__all__ = ["HandingOn"]
+
+# Time between two rounds of questions while the platform does not answer; it
+# is a part of the 2 s within which changes must be in force.
+_POLL_S = 0.5
+_TIMEOUT_S = 0.4
+_PATH = "/published"
+
+
+class HandingOn:
+    """Both sides of handing on."""
+
+    def __init__(
+        self,
+        known: state.State,
+        port: ports.Ports,
+        client: http_client.Client,
+        news: "asyncio.Queue[ports.SourceNews]",
+        addresses: Callable[[], list[vms.Address]],
+    ):
+        """Prepares the task.
+
+        Args:
+            known: What this gateway knows.
+            port: The protocols around it.
+            client: Connections to peers.
+            news: Where what peers tell goes.
+            addresses: Gives the control addresses of the peers.
+        """
+        self._known = known
+        self._port = port
+        self._client = client
+        self._news = news
+        self._addresses = addresses
+        self._wanted = asyncio.Event()
+        self._lost = True
+
+    def ask(self, name: str, version: int) -> None:
+        """Asks the peers at once.
+
+        Args:
+            name: The peer that told of something newer, for the log.
+            version: The version that it told of.
+        """
+        log.emit(events.PEERS_ASKED, reason=f"{name} has {version}")
+        self._wanted.set()
+
+    def source_lost(self) -> None:
+        """Asks the peers until the platform answers again."""
+        self._lost = True
+        self._wanted.set()
+
+    def source_returned(self) -> None:
+        """Stops to ask the peers."""
+        self._lost = False
+
+    async def run(self) -> None:
+        """Asks the peers when there is a reason, for ever."""
+        while True:
+            if not self._lost:
+                await self._wanted.wait()
+            self._wanted.clear()
+            await self._ask_all()
+            await asyncio.sleep(_POLL_S)
+
+    async def handle(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        """Answers the question of a peer."""
+        path, _, version = request.target.partition("?")
+        found = self._known.catalog
+        if path != _PATH or found is None:
+            return http_server.Response(404, [], b"")
+        known = int(version) if version.isdecimal() else 0
+        document = self._known.document if found.version > known else b""
+        now = asyncio.get_running_loop().time()
+        listed = [
+            list(item._replace(slow_until=item.slow_until - now))
+            for item in self._known.roster.endpoints.values()
+        ]
+        body = cbor2.dumps([document, self._known.roster.revision, listed])
+        return http_server.Response(200, [], body)
+
+    async def _ask_all(self) -> None:
+        addresses = self._addresses()
+        self._known.rng.shuffle(addresses)
+        for address in addresses[:_ASKED_MAX]:
+            await self._ask(address)
+
+    async def _ask(self, address: vms.Address) -> None:
+        found = self._known.catalog
+        version = found.version if found else 0
+        try:
+            answer = await self._client.request(
+                address, "GET", f"{_PATH}?{version}", {}, timeout_s=_TIMEOUT_S
+            )
+            if answer.status == 200:
+                self._take(answer.body)
+        except errors.PeerError as caught:
+            log.emit(
+                events.PEER_READ_FAILED, peer=str(address), reason=str(caught)
+            )
+        except (cbor2.CBORDecodeError, TypeError, ValueError) as caught:
+            log.emit(
+                events.DATAGRAM_MALFORMED,
+                source=str(address),
+                reason=str(caught),
+            )
+        except errors.ConfigurationError as caught:
+            log.emit(
+                events.CONFIGURATION_REFUSED,
+                source=str(address),
+                reason=str(caught),
+            )
+
+    def _take(self, body: bytes) -> None:
+        document, revision, listed = cbor2.loads(body)
+        if document:
+            decoded = self._port.publications.decode_configuration(document)
+            self._news.put_nowait(ports.CatalogPublished(decoded, document))
+        if revision > self._known.roster.revision:
+            now = asyncio.get_running_loop().time()
+            endpoints = [roster.Endpoint(*fields) for fields in listed]
+            endpoints = [
+                item._replace(slow_until=item.slow_until + now)
+                for item in endpoints
+            ]
+            self._news.put_nowait(ports.EndpointsListed(endpoints, revision))
+
+
+# Peers that are asked in one round.
+_ASKED_MAX = 3
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -0,0 +1,411 @@
+"""The gateway process: its servers, its tasks, its start and its stop."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+import random
+import secrets
+import time
+
+from nutmegpost_core import errors
+from nutmegpost_core import events
+from nutmegpost_core import membership
+from nutmegpost_core import rumours
+from nutmegpost_core import vms
+from nutmegpost_router import gossip
+from nutmegpost_router import http_client
+from nutmegpost_router import http_server
+from nutmegpost_router import log
+from nutmegpost_router.gateway import forwarding
+from nutmegpost_router.gateway import loads
+from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import peers
+from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import settings
+from nutmegpost_router.gateway import state
+
+__all__ = ["Gateway"]
+
+_TICK_S = 0.1
+# A tick that comes this much too late means that the process stood still.
+_PAUSE_S = 0.5
+# Time from the signal to stop during which new connections are still taken;
+# callers keep addresses for the time that the settings say.
+_LINGER_TTLS = 2.0
+# Part of the grace period that is left for the end of the process itself.
+_STOP_MARGIN_S = 0.4
+_RESTART_DELAY_S = 0.2
+
+
+class Gateway:
+    """One gateway."""
+
+    def __init__(self, config: settings.GatewaySettings, port: ports.Ports):
+        """Prepares the process.
+
+        Args:
+            config: Its settings.
+            port: The protocols around it.
+        """
+        self._config = config
+        self._port = port
+        self._known = state.State(config)
+        self._counters = metrics.GatewayMetrics()
+        self._client = http_client.Client()
+        self._news: asyncio.Queue[ports.SourceNews] = asyncio.Queue()
+        self._notices: asyncio.Queue[gossip.Notice] = asyncio.Queue()
+        self._forwarder = forwarding.Forwarder(
+            self._known, port, self._client, self._counters, self._stop_left_s
+        )
+        self._members = self._membership()
+        self._sharing = loads.LoadSharing(
+            config["name"],
+            config["loads_address"],
+            config["peer_key"],
+            self._known.loads,
+            self._peer_hosts,
+            self._known.placed_by_peer,
+        )
+        self._known.on_placement = self._sharing.placed
+        self._handing_on = peers.HandingOn(
+            self._known, port, self._client, self._news, self._control_addresses
+        )
+        self._callers: http_server.HttpServer | None = None
+        self._has_endpoints = False
+        self._stopping_at: float | None = None
+        self._stopped = asyncio.Event()
+        self._fleet_seen: dict[str, float] = {}
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return (
+            self._known.catalog is not None
+            and self._has_endpoints
+            and self._stopping_at is None
+        )
+
+    def stop(self) -> None:
+        """Begins the planned stop."""
+        if self._stopping_at is not None:
+            return
+        self._stopping_at = _now()
+        log.emit(events.PROCESS_STOPPING, name=self._config["name"])
+        self._gossip.send(gossip.Leave())
+        if self._callers is not None:
+            self._callers.retire()
+        self._stopped.set()
+
+    def reload(self) -> None:
+        """Notes that the settings file changed; addresses are kept."""
+        log.emit(events.SETTINGS_RELOADED, name=self._config["name"])
+
+    async def run(self) -> None:
+        """Serves until it is stopped.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        tasks = [
+            asyncio.create_task(self._supervise(name, run))
+            for name, run in self._tasks()
+        ]
+        await self._listen()
+        log.emit(
+            events.PROCESS_STARTED,
+            name=self._config["name"],
+            incarnation=self._members.me.incarnation,
+        )
+        await self._stopped.wait()
+        await self._finish()
+        self._gossip.send(gossip.Stop())
+        await asyncio.sleep(_TICK_S)
+        for task in tasks:
+            task.cancel()
+        log.emit(events.PROCESS_STOPPED, name=self._config["name"])
+
+    def _tasks(
+        self,
+    ) -> list[tuple[str, Callable[[], Coroutine[None, None, None]]]]:
+        return [
+            ("publications", self._read_publications),
+            ("news", self._take_news),
+            ("gossip", self._gossip.run),
+            ("notices", self._take_notices),
+            ("loads", self._sharing.run),
+            ("peers", self._handing_on.run),
+            ("clock", self._tick),
+        ]
+
+    async def _supervise(
+        self, name: str, run: Callable[[], Coroutine[None, None, None]]
+    ) -> None:
+        while True:
+            try:
+                await run()
+                return
+            except Exception as caught:  # A fault of one task ends only it.
+                reason = f"{type(caught).__name__}: {caught}"
+                log.emit(events.TASK_FAILED, task=name, reason=reason)
+                await asyncio.sleep(_RESTART_DELAY_S)
+
+    async def _listen(self) -> None:
+        for key, handler in (
+            ("control_address", self._handing_on.handle),
+            ("directory_address", self._answer_directory),
+            ("readiness_address", self._answer_directory),
+            ("metrics_address", self._answer_metrics),
+        ):
+            address = vms.parse_address(self._config[key])  # type: ignore[literal-required]
+            await http_server.serve(address, http_server.responder(handler))
+        self._callers = await http_server.serve(
+            vms.parse_address(self._config["public_address"]),
+            self._forwarder.handle,
+            limits=self._limits,
+            on_refused=self._refused,
+            on_failed=self._failed,
+        )
+
+    def _limits(self) -> http_server.Limits:
+        found = self._known.catalog
+        if found is None:
+            return http_server.Limits()
+        limits = found.limits
+        return http_server.Limits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s + _BODY_TIMEOUT_S,
+            limits.idle_timeout_s,
+        )
+
+    def _refused(self, error: errors.RequestError) -> None:
+        log.emit(
+            events.REQUEST_UNREADABLE, status=error.status, reason=str(error)
+        )
+
+    def _failed(self, error: Exception) -> None:
+        reason = f"{type(error).__name__}: {error}"
+        log.emit(events.TASK_FAILED, task="request", reason=reason)
+
+    # Directory, readiness and metrics.
+
+    async def _answer_directory(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        directory = self._port.directory
+        if directory.is_readiness(request):
+            return http_server.Response(200 if self.ready else 503, [], b"")
+        if directory.is_resolution(request):
+            addresses = self._public_addresses()
+            if not addresses:
+                return http_server.Response(503, [], b"")
+            return directory.answer(addresses, self._config["address_ttl_s"])
+        return http_server.Response(404, [], b"")
+
+    async def _answer_metrics(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        self._counters.endpoints(len(self._known.roster.endpoints))
+        headers = [("Content-Type", metrics.CONTENT_TYPE)]
+        return http_server.Response(200, headers, self._counters.render())
+
+    def _public_addresses(self) -> list[str]:
+        found = []
+        members = self._members.members
+        for name in self._members.alive:
+            if name == self._config["name"] and not self.ready:
+                continue
+            found.append(members[name].public_address)
+        return found
+
+    # Peers.
+
+    def _membership(self) -> membership.Membership:
+        rng = random.Random(secrets.randbits(64))
+        me = membership.Member(
+            self._config["name"],
+            secrets.randbits(48),
+            self._config["public_address"],
+            self._config["peer_address"],
+            self._config["zone"],
+        )
+        riders = rumours.Rumours(rng)
+        members = membership.Membership(me, rng, riders=riders)
+        self._gossip = gossip.Gossip(
+            {
+                "peer_address": self._config["peer_address"],
+                "peer_key": self._config["peer_key"],
+            },
+            members,
+            riders,
+            self._notices,
+        )
+        port = vms.parse_address(self._config["peer_address"]).port
+        contacts = [
+            f"{vms.parse_address(seed).host}:{port}"
+            for seed in self._config["seeds"]
+        ]
+        self._gossip.send(gossip.Seed(contacts))
+        return members
+
+    def _peer_hosts(self) -> list[str]:
+        members = self._members.members
+        return [
+            vms.parse_address(members[name].peer_address).host
+            for name in members
+            if name != self._config["name"]
+            and members[name].state in _REACHABLE
+        ]
+
+    def _control_addresses(self) -> list[vms.Address]:
+        port = vms.parse_address(self._config["control_address"]).port
+        hosts = self._peer_hosts()
+        hosts += [
+            vms.parse_address(seed).host for seed in self._config["seeds"]
+        ]
+        own = vms.parse_address(self._config["control_address"]).host
+        return [vms.Address(host, port) for host in sorted(set(hosts) - {own})]
+
+    async def _take_notices(self) -> None:
+        while True:
+            notice = await self._notices.get()
+            match notice:
+                case gossip.PeerConfiguration(name, version, _):
+                    found = self._known.catalog
+                    if found is None or version > found.version:
+                        self._handing_on.ask(name, version)
+                case gossip.Paused():
+                    self._handing_on.ask("all", 0)
+
+    # What the platform publishes.
+
+    async def _read_publications(self) -> None:
+        await self._port.publications.run(
+            self._config["platform_address"], self._news
+        )
+
+    async def _take_news(self) -> None:
+        while True:
+            self._take(await self._news.get())
+
+    def _take(self, news: ports.SourceNews) -> None:
+        now = _now()
+        known = self._known
+        match news:
+            case ports.CatalogPublished():
+                self._accept(news)
+            case ports.EndpointsListed(endpoints, revision):
+                known.roster.replace(endpoints, revision, now)
+                self._has_endpoints = True
+                self._log_endpoints()
+            case ports.EndpointsChanged(endpoints, removed, revision):
+                before = known.roster.endpoints
+                leaving = {n for n, item in before.items() if item.is_leaving}
+                names = set(before)
+                known.roster.update(endpoints, removed, revision, now)
+                after = known.roster.endpoints
+                if set(after) != names or leaving != {
+                    n for n, item in after.items() if item.is_leaving
+                }:
+                    self._log_endpoints()
+            case ports.SourceLost(reason):
+                known.roster.directory_lost()
+                self._handing_on.source_lost()
+                log.emit(events.PLATFORM_FAILED, reason=reason)
+            case ports.SourceReturned():
+                known.roster.directory_returned(now)
+                self._handing_on.source_returned()
+                log.emit(events.PLATFORM_RECOVERED)
+
+    def _accept(self, news: ports.CatalogPublished) -> None:
+        known = self._known
+        version = news.catalog.version
+        if known.catalog is not None and version <= known.catalog.version:
+            if version < known.catalog.version:
+                log.emit(
+                    events.CONFIGURATION_OLD, source="platform", version=version
+                )
+            return
+        known.catalog = news.catalog
+        known.document = news.document
+        self._counters.configuration(version)
+        self._gossip.send(gossip.SetConfiguration(version, ""))
+        log.emit(
+            events.CONFIGURATION_ACCEPTED,
+            version=version,
+            digest="",
+            source="platform",
+        )
+
+    def _log_endpoints(self) -> None:
+        self._known.endpoints_changed()
+        found = self._known.roster.endpoints.values()
+        log.emit(
+            events.ENDPOINTS_CHANGED,
+            revision=self._known.roster.revision,
+            usable=" ".join(x.name for x in found if not x.is_leaving),
+            leaving=" ".join(x.name for x in found if x.is_leaving),
+        )
+
+    # The clock and the stop.
+
+    async def _tick(self) -> None:
+        last = time.clock_gettime(time.CLOCK_BOOTTIME)
+        while True:
+            await asyncio.sleep(_TICK_S)
+            boot = time.clock_gettime(time.CLOCK_BOOTTIME)
+            if boot - last > _TICK_S + _PAUSE_S:
+                log.emit(events.CLOCK_GAP, seconds=boot - last)
+                self._handing_on.ask("all", 0)
+            last = boot
+            now = _now()
+            gone = self._known.roster.expire(now)
+            if gone:
+                self._log_endpoints()
+            self._count_fleet(now)
+
+    def _count_fleet(self, now: float) -> None:
+        """Counts each gateway that was there within the retry window."""
+        for name in self._members.alive:
+            self._fleet_seen[name] = now
+        oldest = now - self._config["retry_window_s"] - _FLEET_MEMORY_S
+        self._fleet_seen = {
+            name: at for name, at in self._fleet_seen.items() if at > oldest
+        }
+        listed = len(set(self._config["seeds"]))
+        self._known.fleet_size = max(listed, len(self._fleet_seen))
+
+    def _stop_left_s(self) -> float | None:
+        if self._stopping_at is None:
+            return None
+        end = self._stopping_at + self._config["stop_grace_s"] - _STOP_MARGIN_S
+        return end - _now()
+
+    async def _finish(self) -> None:
+        """Waits until callers have gone elsewhere and no request is open."""
+        assert self._stopping_at is not None
+        linger = _LINGER_TTLS * self._config["address_ttl_s"]
+        while True:
+            await asyncio.sleep(_TICK_S)
+            left = self._stop_left_s()
+            assert left is not None
+            if left <= 0:
+                log.emit(events.STOP_GRACE_OVER, name=self._config["name"])
+                return
+            busy = self._callers.busy if self._callers else 0
+            if not busy and _now() - self._stopping_at >= linger:
+                return
+
+
+_REACHABLE = (
+    membership.State.ALIVE,
+    membership.State.LEAVING,
+    membership.State.SUSPECT,
+)
+# A gateway that was away for this time may have spent retries of its own.
+_FLEET_MEMORY_S = 20.0
+# Time for the body of a request beside that for its head.
+_BODY_TIMEOUT_S = 10.0
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/settings.py
@@ -0,0 +1,124 @@
+"""The settings of a gateway process: a JSON file, checked when it is read.
+
+docs/SETTINGS.md explains each field.
+"""
+
+import pathlib
+from typing import Annotated, TypedDict
+
+import msgspec
+
+from nutmegpost_core import documents
+from nutmegpost_core import errors
+from nutmegpost_core import vms
+from nutmegpost_router import settings
+
+__all__ = ["GatewaySettings", "load", "parse"]
+
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+
+_ADDRESSES = (
+    "public_address",
+    "readiness_address",
+    "directory_address",
+    "control_address",
+    "peer_address",
+    "loads_address",
+    "metrics_address",
+    "platform_address",
+)
+
+
+class GatewaySettings(TypedDict):
+    """Settings of a gateway.
+
+    Attributes:
+        name: Name of this gateway.
+        zone: Availability zone.
+        public_address: Where callers connect.
+        readiness_address: Where the platform asks whether it is ready.
+        directory_address: Where callers ask for addresses.
+        control_address: Where peers ask for what the platform published.
+        peer_address: Where membership datagrams arrive, UDP.
+        loads_address: Where datagrams on loads arrive, UDP.
+        metrics_address: Where metrics are served.
+        platform_address: Where the platform publishes.
+        seeds: Control addresses of a few gateways, which may be down.
+        peer_key: Secret shared by the gateways.
+        memory_mb: Memory of the process, megabytes.
+        descriptors: Descriptors of the process.
+        stop_grace_s: Time from the signal to stop until the process ends.
+        address_ttl_s: Longest time that callers keep an address answer.
+        entry_grace_s: Time for which endpoints that went missing while the
+            platform was away are kept after its return.
+        retry_ratio: Retries for each request, over all gateways.
+        retry_extra: Retries in a window beyond the ratio, over all gateways.
+        retry_window_s: Length of that window.
+        load_multiple: Bound of an endpoint's load as a multiple of the mean.
+    """
+
+    name: str
+    zone: str
+    public_address: settings.HostPort
+    readiness_address: settings.HostPort
+    directory_address: settings.HostPort
+    control_address: settings.HostPort
+    peer_address: settings.HostPort
+    loads_address: settings.HostPort
+    metrics_address: settings.HostPort
+    platform_address: settings.HostPort
+    seeds: list[settings.HostPort]
+    peer_key: settings.Secret
+    memory_mb: Annotated[int, msgspec.Meta(ge=16)]
+    descriptors: Annotated[int, msgspec.Meta(ge=256)]
+    stop_grace_s: Seconds
+    address_ttl_s: Seconds
+    entry_grace_s: Seconds
+    retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=10)]
+    retry_extra: Annotated[float, msgspec.Meta(ge=0)]
+    retry_window_s: Annotated[float, msgspec.Meta(gt=0)]
+    load_multiple: Annotated[float, msgspec.Meta(ge=1)]
+
+
+def parse(data: bytes, source: str) -> GatewaySettings:
+    """Checks settings.
+
+    Args:
+        data: The settings, JSON in UTF-8.
+        source: File they came from, for the error.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        errors.SettingsError: A value is missing or wrong.
+    """
+    if len(data) > settings.SETTINGS_BYTES_MAX:
+        raise errors.SettingsError(
+            source, "$", f"at most {settings.SETTINGS_BYTES_MAX} bytes"
+        )
+    found = documents.decode(
+        data, GatewaySettings, source, errors.SettingsError
+    )
+    for key in _ADDRESSES:
+        text = str(found[key])  # type: ignore[literal-required]
+        try:
+            vms.parse_address(text)
+        except ValueError:
+            raise errors.SettingsError(
+                source, f"$.{key}", f"an IPv4 address and port, got {text!r}"
+            ) from None
+    return found
+
+
+def load(path: str) -> GatewaySettings:
+    """Reads a settings file.
+
+    Raises:
+        errors.SettingsError: The file cannot be read or a value is wrong.
+    """
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except (OSError, ValueError) as caught:
+        raise errors.SettingsError(path, "$", str(caught)) from caught
+    return parse(data, path)
--- a/packages/router/nutmegpost_router/gossip.py
+++ b/packages/router/nutmegpost_router/gossip.py
@@ -155,7 +155,7 @@
 
     def __init__(
         self,
-        config: settings.Settings,
+        config: settings.PeerSettings,
         members: membership.Membership,
         riders: rumours.Rumours,
         outbox: "asyncio.Queue[Notice]",
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -6,18 +6,30 @@
 
 import asyncio
 import collections
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 import h11
 
 from nutmegpost_core import errors
 from nutmegpost_core import vms
+from nutmegpost_router import sockets
 
-__all__ = ["Client", "ConnectError", "ExchangeError", "Response", "Stream"]
+__all__ = [
+    "Client",
+    "ConnectError",
+    "ExchangeError",
+    "Headers",
+    "Response",
+    "Stream",
+]
+
+Headers = Mapping[str, str] | Sequence[tuple[str, str]]
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_LIMIT_S = 4.0
+# A server may close an idle connection a little before the time it told.
+IDLE_MARGIN_S = 0.5
 IDLE_COUNT_MAX = 256
 HEADER_BYTES_MAX = 65_536
 BODY_BYTES_MAX = 8_000_000
@@ -66,6 +78,9 @@
         self._deadline = 0.0
         self._body = bytearray()
         self._error: str | None = None
+        self._at_eof = False
+        self.uses = 0
+        self.idle_max_s: float | None = None
         self.head: h11.Response | None = None
         self.ended = False
         self.idle_since = 0.0
@@ -79,6 +94,8 @@
             and not self._transport.is_closing()
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
+            # Bytes behind an answer belong to no request.
+            and not self._h11.trailing_data[0]
         )
 
     @property
@@ -94,18 +111,27 @@
         """Takes the new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        sockets.detect_silence(transport)
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Tells the reader that no more will come."""
+    def eof_received(self) -> bool:
+        """Ends a body that has no length."""
+        self._at_eof = True
         if self._error is None and not self.ended:
-            # A body without a length ends with the connection.
             self._feed(b"")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the reader that no more will come."""
         self._error = self._error or f"connection lost: {exc}"
         self._stop_timer()
         self._wake()
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser."""
+        if self.idle_since:
+            self._error = "data without a request"
+            self.close()
+            return
         self._feed(data)
         self._wake()
 
@@ -113,6 +139,7 @@
         """Prepares for another request."""
         self._stop_timer()
         self._h11.start_next_cycle()
+        self.uses += 1
         self.head = None
         self.ended = False
         self._body.clear()
@@ -122,12 +149,17 @@
         host: str,
         method: str,
         path: str,
-        headers: Mapping[str, str],
+        headers: Headers,
         body: bytes,
     ) -> None:
         """Sends a request."""
-        lines = [("Host", host), ("Content-Length", str(len(body)))]
-        lines.extend(headers.items())
+        self.idle_since = 0.0
+        pairs = headers.items() if isinstance(headers, Mapping) else headers
+        lines = [*pairs]
+        if not any(name.lower() == "host" for name, _ in lines):
+            lines.insert(0, ("Host", host))
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            lines.append(("Content-Length", str(len(body))))
         parts = [
             self._h11.send(
                 h11.Request(method=method, target=path, headers=lines)
@@ -222,6 +254,13 @@
             self._timer = None
 
 
+def _oldest_kept(connection: _Connection) -> float:
+    if connection.idle_max_s is None:
+        return 0.0
+    limit_s = connection.idle_max_s - IDLE_MARGIN_S
+    return asyncio.get_running_loop().time() - limit_s
+
+
 def _deadline(timeout_s: float) -> float:
     return asyncio.get_running_loop().time() + timeout_s
 
@@ -232,26 +271,21 @@
     def __init__(
         self, client: "Client", address: vms.Address, connection: _Connection
     ):
+        assert connection.head is not None
         self._client = client
         self._address = address
         self._connection = connection
+        self._head = connection.head
 
     @property
     def status(self) -> int:
         """HTTP status."""
-        head = self._connection.head
-        assert head is not None
-        return head.status_code
+        return self._head.status_code
 
     @property
     def headers(self) -> dict[str, str]:
         """Header values by lower-case name."""
-        head = self._connection.head
-        assert head is not None
-        return {
-            name.decode("ascii"): value.decode("latin-1")
-            for name, value in head.headers
-        }
+        return dict(self.fields)
 
     async def read(self, timeout_s: float) -> bytes:
         """Returns all data that waits.
@@ -284,10 +318,36 @@
                 raise ExchangeError("body too large")
         return bytes(body)
 
+    @property
+    def fields(self) -> list[tuple[str, str]]:
+        """All header lines in order, names in lower case."""
+        return [
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in self._head.headers
+        ]
+
+    @property
+    def reused(self) -> bool:
+        """Whether the connection had served a request before."""
+        return self._connection.uses > 0
+
     def close(self) -> None:
         """Gives the connection back, or closes it if the body is not read."""
         self._client.give_back(self._address, self._connection)
 
+    def keep(self, idle_s: float | None) -> None:
+        """Gives the connection back for at most some idle seconds.
+
+        Args:
+            idle_s: Time after which the server closes it; None when unknown.
+        """
+        self._connection.idle_max_s = idle_s
+        self.close()
+
+    def abort(self) -> None:
+        """Breaks the connection, which cancels what the server does."""
+        self._connection.abort()
+
 
 class Client:
     """A client with a pool of idle connections."""
@@ -301,7 +361,7 @@
         address: vms.Address,
         method: str,
         path: str,
-        headers: Mapping[str, str],
+        headers: Headers,
         body: bytes = b"",
         timeout_s: float = 5.0,
         fresh: bool = False,
@@ -338,17 +398,19 @@
         address: vms.Address,
         method: str,
         path: str,
-        headers: Mapping[str, str],
+        headers: Headers,
         body: bytes = b"",
         timeout_s: float = 5.0,
         fresh: bool = False,
+        idle_limit_s: float = IDLE_LIMIT_S,
     ) -> Stream:
         """Sends a request and waits for the head of its response.
 
         Args and errors are those of `request`; `timeout_s` bounds the wait
-        for the head.
+        for the head, and `idle_limit_s` the time for which a connection that
+        is used again may have been idle.
         """
-        connection = None if fresh else self._take(address)
+        connection = None if fresh else self._take(address, idle_limit_s)
         if connection is None:
             connection = await self._connect(address)
         connection.send(str(address), method, path, headers, body)
@@ -377,13 +439,17 @@
         self._idle.clear()
         self._idle_count = 0
 
-    def _take(self, address: vms.Address) -> _Connection | None:
+    def _take(
+        self, address: vms.Address, idle_limit_s: float
+    ) -> _Connection | None:
         connections = self._idle.get(address)
-        oldest = asyncio.get_running_loop().time() - IDLE_LIMIT_S
+        oldest = asyncio.get_running_loop().time() - idle_limit_s
         while connections:
             connection = connections.pop()
             self._idle_count -= 1
-            if connection.usable and connection.idle_since > oldest:
+            if connection.usable and connection.idle_since > max(
+                oldest, _oldest_kept(connection)
+            ):
                 return connection
             connection.close()
         return None
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -7,18 +7,21 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import json
+import re
 from typing import NamedTuple
 
 import h11
 
 from nutmegpost_core import errors
 from nutmegpost_core import vms
+from nutmegpost_router import sockets
 
 __all__ = [
     "BODY_BYTES_MAX",
     "Exchange",
     "Handler",
     "HttpServer",
+    "Limits",
     "Request",
     "Response",
     "error_response",
@@ -36,6 +39,26 @@
 WRITE_BUFFER_BYTES = 262_144
 
 
+# A line feed without its carriage return, or a folded header line.
+_ODD_LINE = re.compile(rb"(?<!\r)\n|\n[ \t]")
+
+
+class Limits(NamedTuple):
+    """Bounds on what a caller sends, and on how long it takes.
+
+    Attributes:
+        header_bytes: Most bytes of the head of a request.
+        body_bytes: Most bytes of its body.
+        request_timeout_s: Longest time from its first byte to its last.
+        idle_timeout_s: Longest time between two requests.
+    """
+
+    header_bytes: int = HEADER_BYTES_MAX
+    body_bytes: int = BODY_BYTES_MAX
+    request_timeout_s: float = REQUEST_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
 class Request(NamedTuple):
     """A complete request.
 
@@ -44,12 +67,14 @@
         target: Path with query.
         headers: Header values by lower-case name.
         body: The body.
+        fields: All header lines in order, names in lower case.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 class Response(NamedTuple):
@@ -90,6 +115,12 @@
         self._connection = connection
         self._request = request
         self._started = False
+        self._status = 0
+
+    @property
+    def status(self) -> int:
+        """Status of the response; 0 before it is begun."""
+        return self._status
 
     @property
     def request(self) -> Request:
@@ -109,9 +140,10 @@
     def send(self, response: Response) -> None:
         """Sends a complete response."""
         self._started = True
+        self._status = response.status
         headers = [*response.headers, ("Content-Length", _length(response))]
         connection = self._connection
-        connection.send(_head(response.status, headers))
+        connection.send_head(response.status, headers)
         if response.body and self._request.method != "HEAD":
             connection.send(h11.Data(data=response.body))
         connection.send(h11.EndOfMessage())
@@ -119,7 +151,8 @@
     def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begins a response that is sent in pieces."""
         self._started = True
-        self._connection.send(_head(status, headers))
+        self._status = status
+        self._connection.send_head(status, headers)
 
     def write(self, data: bytes) -> None:
         """Sends a piece of the response."""
@@ -137,6 +170,14 @@
         """Waits while the caller takes its data too slowly."""
         await self._connection.drain()
 
+    def cancel_when_gone(self) -> None:
+        """Makes the loss of the caller's connection cancel the handler."""
+        self._connection.cancels_handler = True
+
+    def abort(self) -> None:
+        """Breaks the connection, so that the answer is not taken as whole."""
+        self._connection.abort()
+
 
 def responder(
     handle: Callable[[Request], Awaitable[Response]],
@@ -162,8 +203,9 @@
 
     def __init__(self, server: "HttpServer"):
         self._server = server
+        self._limits = server.limits
         self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=HEADER_BYTES_MAX
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
@@ -173,6 +215,7 @@
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
         self.lost = asyncio.Event()
+        self.cancels_handler = False
 
     @property
     def idle(self) -> bool:
@@ -184,10 +227,11 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        sockets.detect_silence(transport)
         if not self._server.add(self):
             transport.close()
             return
-        self._arm(IDLE_TIMEOUT_S)
+        self._arm(self._limits.idle_timeout_s, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Lets the handler know that its caller is gone."""
@@ -195,6 +239,8 @@
         self._server.remove(self)
         self._writable.set()
         self.lost.set()
+        if self.cancels_handler and self._task is not None:
+            self._task.cancel()
 
     def pause_writing(self) -> None:
         """Holds the handler back."""
@@ -208,6 +254,8 @@
         """Feeds the parser."""
         self._h11.receive_data(data)
         if self._task is None:
+            if self._h11.their_state is h11.IDLE and self._head is None:
+                self._arm(self._limits.request_timeout_s, self._time_out)
             self._advance()
 
     def eof_received(self) -> bool:
@@ -222,6 +270,12 @@
         if data and self._transport is not None:
             self._transport.write(data)
 
+    def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begins a response."""
+        if self._server.stopping:
+            headers = [*headers, ("Connection", "close")]
+        self.send(_head(status, headers))
+
     async def drain(self) -> None:
         """Waits until the transport takes more."""
         if not self._writable.is_set():
@@ -232,10 +286,20 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _arm(self, seconds: float) -> None:
+    def abort(self) -> None:
+        """Resets the connection without sending what waits."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _arm(self, seconds: float, call: Callable[[], None]) -> None:
         self._disarm()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self.close)
+        self._timer = loop.call_later(seconds, call)
+
+    def _time_out(self) -> None:
+        self._refuse(
+            errors.InvalidRequestError("request was not received in time", 408)
+        )
 
     def _disarm(self) -> None:
         if self._timer is not None:
@@ -253,6 +317,8 @@
 
     def _parse(self) -> None:
         while True:
+            if self._h11.their_state is h11.IDLE:
+                self._check_lines()
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
                 self._continue_expected()
@@ -274,8 +340,17 @@
         if self._h11.they_are_waiting_for_100_continue:
             self.send(h11.InformationalResponse(status_code=100, headers=[]))
 
+    def _check_lines(self) -> None:
+        # The parser takes bare line feeds and folded lines; what another
+        # parser makes of them may be another request.
+        head, _, _ = self._h11.trailing_data[0].partition(b"\r\n\r\n")
+        if _ODD_LINE.search(head):
+            raise errors.InvalidRequestError("line ends out of protocol")
+
     def _begin(self, event: h11.Request) -> None:
-        self._arm(REQUEST_TIMEOUT_S)
+        names = {name for name, _ in event.headers}
+        if {b"content-length", b"transfer-encoding"} <= names:
+            raise errors.InvalidRequestError("both a length and chunks")
         if len(event.headers) > HEADER_COUNT_MAX:
             raise errors.InvalidRequestError(
                 f"more than {HEADER_COUNT_MAX} headers", 431
@@ -284,18 +359,18 @@
         size = len(event.target) + sum(
             len(name) + len(value) for name, value in event.headers
         )
-        if size > HEADER_BYTES_MAX:
+        if size > self._limits.header_bytes:
             raise errors.InvalidRequestError(
-                f"head over {HEADER_BYTES_MAX} bytes", 431
+                f"head over {self._limits.header_bytes} bytes", 431
             )
         self._head = event
         self._body.clear()
 
     def _add_body(self, data: bytes) -> None:
         self._body += data
-        if len(self._body) > self._server.body_bytes_max:
+        if len(self._body) > self._limits.body_bytes:
             raise errors.InvalidRequestError(
-                f"body over {self._server.body_bytes_max} bytes", 413
+                f"body over {self._limits.body_bytes} bytes", 413
             )
 
     def _refuse(self, error: errors.InvalidRequestError) -> None:
@@ -316,14 +391,16 @@
         self._disarm()
         head = self._head
         assert head is not None
+        fields = tuple(
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in head.headers
+        )
         request = Request(
             head.method.decode("ascii"),
             head.target.decode("ascii"),
-            {
-                name.decode("ascii"): value.decode("latin-1")
-                for name, value in head.headers
-            },
+            dict(fields),
             bytes(self._body),
+            fields,
         )
         self._body.clear()
         exchange = Exchange(self, request)
@@ -345,7 +422,7 @@
 
     def _fail(self, exchange: Exchange, error: errors.RequestError) -> None:
         if exchange.started:
-            self.close()
+            self.abort()
         else:
             exchange.send(error_response(error))
 
@@ -360,7 +437,8 @@
             self.close()
             return
         self._h11.start_next_cycle()
-        self._arm(IDLE_TIMEOUT_S)
+        self._limits = self._server.limits
+        self._arm(self._limits.idle_timeout_s, self.close)
         self._advance()
 
 
@@ -370,12 +448,12 @@
     def __init__(
         self,
         handler: Handler,
-        body_bytes_max: int,
+        limits: Callable[[], Limits],
         on_refused: Callable[[errors.RequestError], None],
         on_failed: Callable[[Exception], None],
     ):
         self._handler = handler
-        self._body_bytes_max = body_bytes_max
+        self._limits = limits
         self._on_refused = on_refused
         self._on_failed = on_failed
         self._connections: set[_Connection] = set()
@@ -388,9 +466,14 @@
         return self._handler
 
     @property
-    def body_bytes_max(self) -> int:
-        """Most bytes of a body."""
-        return self._body_bytes_max
+    def limits(self) -> Limits:
+        """Bounds on the next request."""
+        return self._limits()
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request that is received or answered."""
+        return sum(not connection.idle for connection in self._connections)
 
     @property
     def stopping(self) -> bool:
@@ -427,6 +510,10 @@
             reuse_address=True,
         )
 
+    def retire(self) -> None:
+        """Closes each connection after its next answer, and none before."""
+        self._stopping = True
+
     def drain(self) -> None:
         """Closes idle connections now and others after their request."""
         self._stopping = True
@@ -454,15 +541,17 @@
     body_bytes_max: int = BODY_BYTES_MAX,
     on_refused: Callable[[errors.RequestError], None] = _ignore,
     on_failed: Callable[[Exception], None] = _ignore,
+    limits: Callable[[], Limits] | None = None,
 ) -> HttpServer:
     """Starts a server.
 
     Args:
         address: Where to listen.
         handler: Answers each request; a RequestError it raises is sent.
-        body_bytes_max: Most bytes of a request body.
+        body_bytes_max: Most bytes of a request body, without `limits`.
         on_refused: Told of each request that could not be read.
         on_failed: Told of each fault of the handler.
+        limits: Gives the bounds for the next request of a connection.
 
     Returns:
         The server.
@@ -470,6 +559,9 @@
     Raises:
         OSError: The address cannot be used.
     """
-    server = HttpServer(handler, body_bytes_max, on_refused, on_failed)
+    fixed = Limits(body_bytes=body_bytes_max)
+    server = HttpServer(
+        handler, limits or (lambda: fixed), on_refused, on_failed
+    )
     await server.listen(address)
     return server
--- a/packages/router/nutmegpost_router/log.py
+++ b/packages/router/nutmegpost_router/log.py
@@ -56,19 +56,20 @@
 _throttles: dict[int, _Throttle] = {}
 
 
-def set_up(process: str, level: str = "INFO") -> None:
-    """Sends the log to standard error.
+def set_up(process: str, level: str = "INFO", to_stdout: bool = False) -> None:
+    """Sends the log to standard error or output.
 
     Args:
         process: Name of this process in each line.
         level: Least level that is written.
+        to_stdout: Whether lines go to standard output.
     """
     loguru.logger.remove()
     loguru.logger.configure(extra={"process": process, "number": 0})
     # Without diagnose=False a traceback would show the values of variables,
     # and keys are among them.
     loguru.logger.add(
-        sys.stderr,
+        sys.stdout if to_stdout else sys.stderr,
         level=level,
         format=_FORMAT,
         diagnose=False,
--- a/packages/router/nutmegpost_router/settings.py
+++ b/packages/router/nutmegpost_router/settings.py
@@ -13,7 +13,15 @@
 from nutmegpost_core import errors
 from nutmegpost_core import vms
 
-__all__ = ["SETTINGS_BYTES_MAX", "Settings", "load", "parse"]
+__all__ = [
+    "SETTINGS_BYTES_MAX",
+    "HostPort",
+    "PeerSettings",
+    "Secret",
+    "Settings",
+    "load",
+    "parse",
+]
 
 SETTINGS_BYTES_MAX = 100_000
 
@@ -33,6 +41,18 @@
 )
 
 
+class PeerSettings(TypedDict):
+    """What membership needs of the settings.
+
+    Attributes:
+        peer_address: Where peers connect, UDP and TCP.
+        peer_key: Secret shared by the routers.
+    """
+
+    peer_address: HostPort
+    peer_key: Secret
+
+
 class Settings(TypedDict):
     """Settings of a router.
 
--- a/tests/test_conventions.py
+++ b/tests/test_conventions.py
@@ -18,10 +18,17 @@
 from nutmegpost_ctl import main as ctl_main
 from nutmegpost_router import metrics
 from nutmegpost_router import settings
+from nutmegpost_router.gateway import metrics as gateway_metrics
+from nutmegpost_router.gateway import settings as gateway_settings
 
 _ROOT = pathlib.Path(__file__).parents[1]
-_SHIPPED = ("core", "router", "ctl")
-_SOURCES = sorted(_ROOT.glob("packages/*/nutmegpost_*/**/*.py"))
+_SHIPPED = ("core", "router", "ctl", "platform")
+_SOURCES = sorted(
+    [
+        *_ROOT.glob("packages/*/nutmegpost_*/**/*.py"),
+        *_ROOT.glob("platform/nutmegpost_*/**/*.py"),
+    ]
+)
 _NAME_IMPORTS = ("typing", "collections.abc")
 # A process starts no other process and shares no memory.
 _FORBIDDEN_MODULES = {
@@ -60,7 +67,8 @@
 
 
 def _package(path):
-    return path.relative_to(_ROOT).parts[1]
+    parts = path.relative_to(_ROOT).parts
+    return parts[1] if parts[0] == "packages" else parts[0]
 
 
 @functools.cache
@@ -69,8 +77,9 @@
 
 
 def _module(path):
-    parts = path.relative_to(_ROOT).with_suffix("").parts[2:]
-    return ".".join(parts).removesuffix(".__init__")
+    parts = path.relative_to(_ROOT).with_suffix("").parts
+    first = next(i for i, x in enumerate(parts) if x.startswith("nutmegpost_"))
+    return ".".join(parts[first:]).removesuffix(".__init__")
 
 
 def _exports(tree):
@@ -370,7 +379,9 @@
 
 
 def test_every_setting_is_documented_and_nothing_else():
-    assert _documented_keys(_doc("SETTINGS.md")) == _keys(settings.Settings)
+    expected = _keys(settings.Settings)
+    expected |= _keys(gateway_settings.GatewaySettings)
+    assert _documented_keys(_doc("SETTINGS.md")) == expected
 
 
 def test_every_key_of_the_configuration_is_documented_and_nothing_else():
@@ -381,7 +392,11 @@
 def test_every_metric_is_documented_and_nothing_else():
     names = {
         family.name
-        for family in metrics.Metrics().registry.collect()
+        for registry in (
+            metrics.Metrics().registry,
+            gateway_metrics.GatewayMetrics().registry,
+        )
+        for family in registry.collect()
         if family.name.startswith("nutmegpost_")
     }
     documented = {
