Keep the copies of a request at one engine until it answers

Cause: copies of a crashing request that came through all four routers in the same moment met at one router, but went to several engines: each was placed by load, and one that waited at an engine over its load bound was moved to another. A suspect was also passed on to the owner of another engine, which had not heard of the crash yet.

Ruled out: copies that do not meet. With a line printed at each placing all four were placed by one router; three of the launches came from moves.

Change: core copies.py remembers the engine of a digest for 5 s, the time within which reports of a crash spread. Copies follow the first one and are not moved while a copy without an event runs there; once one was answered they go anywhere again. A suspect waits at the router that knows of the crash.

The tests of the owner gave all requests one body, so they were copies; each request has a digest of its own there now, the checks are as they were.

--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from nutmegpost_core import chat
+from nutmegpost_core import copies
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import placement
@@ -53,6 +54,8 @@
 # Redirections of a suspect after which it waits for the views to agree.
 TRIAL_HOPS_MAX = 2
 TRIAL_HOLD_S = 1.0
+# Reports of a crash reach every router in this time: quarantine.Limits.
+COPIES_TOGETHER_S = 5.0
 # The verdict on a suspect changes when a report of another router arrives.
 HOLD_VERDICT_S = 1.0
 
@@ -126,6 +129,7 @@
         self._placed: collections.OrderedDict[runs.Key, str] = (
             collections.OrderedDict()
         )
+        self._copies = copies.Copies(COPIES_TOGETHER_S)
         self._retries = retry.RetryBudget(RETRY_SHARE, RETRY_BURST)
         self._chooser = chooser.Chooser(the_view, self._tasks)
         self._hooks = engines.Hooks(
@@ -135,7 +139,7 @@
             again=self._again,
             hold=self._hold,
             move=self._move,
-            answered=self._chooser.answered,
+            answered=self._answered,
             refuse=self._refuse,
             lost=self._lost,
             state_changed=self._state_changed,
@@ -323,7 +327,9 @@
             return run.subscribe(position)
         place = self._place(key, submit, last)
         owner = self._view.owner(place.engine)
-        if owner != self._view.name and submit.hops < HOPS_MAX:
+        # A suspect waits here for its verdict; the next owner may not know yet.
+        is_passed_on = owner != self._view.name and submit.hops < HOPS_MAX
+        if is_passed_on and not self._is_suspect(submit):
             self._note_placed(key, place.engine)
             self._note_elsewhere(submit, place.engine)
             return wire.Redirected(
@@ -355,11 +361,12 @@
         run.wait_until = self._now() + place.wait_s
         run.fire("place")
         self._retries.attempted(self._now())
-        # A request that passed too many routers runs where it is.
-        task = self._task(place.engine)
+        if not self._is_suspect(submit):
+            # A request that passed too many routers runs where it is.
+            self._task(place.engine)
         if place.is_resumed:
             # It is running there already, so there is nothing to decide.
-            task.offer(run, self._chooser.job(run), True)
+            self._tasks[place.engine].offer(run, self._chooser.job(run), True)
         else:
             self._guarded(run, lambda: self._launch(run, place.engine))
         return subscription
@@ -378,22 +385,33 @@
         model = self._view.directory.model(submit.model)
         engine = submit.engine or self._placed.get(key, "")
         found = self._view.find(engine)
-        if found is not None and found.pool == model["name"]:
-            # A stream goes on where it runs, even while the engine leaves.
-            is_there = last is not None and last.engine == engine
-            if is_there and not submit.fresh and not self._is_suspect(submit):
-                return _Place(engine, 0.0, True)
-            task = self._tasks.get(engine)
-            is_taken = engine in self._view.endpoints
-            if is_taken and (task is None or task.takes_work):
-                return _Place(engine, 0.0, False)
-        is_patient = not submit.hops and not submit.engine
-        choice = self._chooser.choose_for(submit, is_patient)
-        if not choice.engine:
+        is_known = found is not None and found.pool == model["name"]
+        # A stream goes on where it runs, even while the engine leaves.
+        is_there = is_known and last is not None and last.engine == engine
+        if is_there and not submit.fresh and not self._is_suspect(submit):
+            return _Place(engine, 0.0, True)
+        digest, now = _digest(submit), self._now()
+        copied = self._copies.engine(digest, now)
+        # Routers that know other copies would pass a request on and on.
+        if self._takes_work(copied) and (copied in self._tasks or not engine):
+            self._copies.placed(digest, copied, now)
+            return _Place(copied, 0.0, False)
+        wait_s = 0.0
+        if not is_known or not self._takes_work(engine):
+            is_patient = not submit.hops and not submit.engine
+            choice = self._chooser.choose_for(submit, is_patient)
+            engine, wait_s = choice.engine, choice.wait_s
+        if not engine:
             raise errors.UnavailableError(
                 f"no engine of {submit.model!r}", retry_after=RETRY_AFTER_S
             )
-        return _Place(choice.engine, choice.wait_s, False)
+        self._copies.placed(digest, engine, now)
+        return _Place(engine, wait_s, False)
+
+    def _takes_work(self, engine: str) -> bool:
+        task = self._tasks.get(engine)
+        is_taken = engine in self._view.endpoints
+        return is_taken and (task is None or task.takes_work)
 
     def _is_suspect(self, submit: wire.Submit) -> bool:
         """Whether an engine crashed with the request, so no stream is left.
@@ -582,6 +600,8 @@
 
     def _move(self, run: runs.Run) -> bool:
         """Moves a waiting run to another engine that is free."""
+        if self._awaits_copy(run):
+            return False
         choice = self._chooser.choose_for(run.submit)
         waits = choice.reason == placement.REASON_QUEUE
         if waits or not choice.engine or choice.engine == run.engine:
@@ -596,6 +616,22 @@
         self._send_to(run, choice.engine)
         return True
 
+    def _answered(self, run: runs.Run) -> None:
+        self._copies.proved(run.digest, self._now())
+        self._chooser.answered(run)
+
+    def _awaits_copy(self, run: runs.Run) -> bool:
+        """Whether a copy of it is being tried that may yet crash its engine."""
+        if not self._copies.is_followed(run.digest, self._now()):
+            return False
+        return any(
+            other.digest == run.digest
+            and other.state == "dispatched"
+            and not other.last_event
+            for other in self._runs.values()
+            if other is not run
+        )
+
     def _refuse(self, run: runs.Run, wait_s: float) -> None:
         retry_after = wait_s if math.isfinite(wait_s) else RETRY_AFTER_S
         error = errors.OverloadError(
--- a/packages/router/tests/test_owner.py
+++ b/packages/router/tests/test_owner.py
@@ -1,6 +1,7 @@
 """The owner of two engines, against small engines in the same process."""
 
 import asyncio
+import hashlib
 import json
 
 import pytest
@@ -155,8 +156,15 @@
             await asyncio.sleep(0.01)
 
     def ask(self, request_id, **changes):
+        # Requests of one digest are copies, which go to one engine.
         submit = wire.Submit(
-            request_id, "press", "quick", "m", "c1", BODY
+            request_id,
+            "press",
+            "quick",
+            "m",
+            "c1",
+            BODY,
+            digest=hashlib.sha256(request_id.encode()).digest()[:8],
         )._replace(**changes)
         inbox = asyncio.Queue()
         task = asyncio.create_task(self.owner.serve(submit, inbox.put_nowait))
@@ -225,7 +233,7 @@
 def test_a_name_cannot_be_used_for_another_request():
     async def use(fixture):
         fixture.ask("r1")
-        other, _ = fixture.ask("r1", body=BODY + b" ")
+        other, _ = fixture.ask("r1", digest=b"another.")
         answer = await other.get()
         assert answer.code == "idempotency-mismatch"
         assert answer.outcome == "not-run"
@@ -245,6 +253,29 @@
     _run(use)
 
 
+def test_copies_wait_at_one_engine_until_one_has_an_event():
+    async def use(fixture):
+        asked = [
+            fixture.ask(f"r{n}", chat=f"c{n}", digest=b"the same")[0]
+            for n in range(8)
+        ]
+        await fixture.until(fixture.asked)
+        await asyncio.sleep(0.3)
+        assert [e.most for e in fixture.engines.values()].count(0) == 1
+        fixture.let_go()
+        for inbox in asked:
+            assert await _events(inbox) == TOKENS
+        later = [
+            fixture.ask(f"s{n}", chat=f"d{n}", digest=b"the same")[0]
+            for n in range(8)
+        ]
+        for inbox in later:
+            assert await _events(inbox) == TOKENS
+        assert all(e.most for e in fixture.engines.values())
+
+    _run(use)
+
+
 def test_a_leaving_engine_gets_nothing_and_its_requests_move():
     async def use(fixture):
         home = fixture.view.placement.home("m", "press/c1")
