--- a/packages/core/nutmegpost_core/copies.py
+++ b/packages/core/nutmegpost_core/copies.py
@@ -18,7 +18,7 @@
 class _Placed(NamedTuple):
     engine: str
     until: float
-    count: int
+    copies: int
 
 
 class Copies:
@@ -50,7 +50,7 @@
             if not first.engine:
                 return
             if first.engine == engine:
-                until, count = first.until, first.count + 1
+                until, count = first.until, first.copies + 1
         self._placed[digest] = _Placed(engine, until, count)
         self._placed.move_to_end(digest)
         if len(self._placed) > _COUNT_MAX:
@@ -68,7 +68,7 @@
 
     def is_followed(self, digest: bytes, now: float) -> bool:
         """Returns whether more than one copy went to the same engine."""
-        return bool(self.engine(digest, now)) and self._placed[digest].count > 1
+        return bool(self.engine(digest, now)) and self._placed[digest].copies > 1
 
     def engine(self, digest: bytes, now: float) -> str:
         """Returns the engine of the first copy; empty when there is none."""
