Send callers to gateways that answer, and find prompts after a start of all

Ruled out: the hold on members that flap (a new process has none); reads of wrong lists (endpoints gave 93 to 345 parts each, all taken).

Changes: suspicion and refutation are announced at once; a joiner asks three contacts; addresses leave out suspects and peers whose reports stopped for three intervals, unless nobody is heard; caches are read after 0.1 s by each gateway itself where the endpoints are at most 16, long prompts wait for it within their time, and a gateway that stood still learns anew; a prompt that no known cache has carries a fetch from the endpoint that others would choose first, which takes next to nothing when it is not there.

--- a/packages/core/nutmegpost_core/copies.py
+++ b/packages/core/nutmegpost_core/copies.py
@@ -68,7 +68,9 @@
 
     def is_followed(self, digest: bytes, now: float) -> bool:
         """Returns whether more than one copy went to the same engine."""
-        return bool(self.engine(digest, now)) and self._placed[digest].copies > 1
+        return (
+            bool(self.engine(digest, now)) and self._placed[digest].copies > 1
+        )
 
     def engine(self, digest: bytes, now: float) -> str:
         """Returns the engine of the first copy; empty when there is none."""
--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -114,6 +114,9 @@
         reread_tokens: Prompt tokens that another endpoint has in its cache
             and this one must read.
         source: Where the prompt is fetched from, or None.
+        guess: Where it may be as well, when no cache is known to have it: the
+            endpoint that other routers would choose first. A fetch of what is
+            not there takes next to nothing.
         cost: Estimated cost in seconds.
         bound: Load beyond which no endpoint gets more.
         load: Its load before this request.
@@ -126,6 +129,7 @@
     cost: float
     bound: int
     load: Load
+    guess: roster.Endpoint | None = None
 
     @property
     def ready_tokens(self) -> int:
@@ -213,10 +217,21 @@
     step_s = max(
         policy.tie_s, sum(part.tokens for part in shared) / policy.read_tokens_s
     )
-    return min(
+    best = min(
         map(rate, candidates),
         key=lambda item: _preference(item, key, step_s),
     )
+    lacking = sum(part.tokens for part in shared) - best.ready_tokens
+    if best.source or not policy.fetch_tokens_s or lacking < FETCH_TOKENS_MIN:
+        return best
+    others = [item for item in everywhere if item != best.endpoint]
+    guess = min(others, key=lambda item: _order(item, key), default=None)
+    return best._replace(guess=guess)
+
+
+def _order(endpoint: roster.Endpoint, key: str) -> int:
+    """Returns the place of an endpoint among those of a prompt."""
+    return xxhash.xxh3_64_intdigest(f"{key}#{endpoint.name}".encode())
 
 
 def _cost(
@@ -255,5 +270,5 @@
     """
     if not key:
         return choice.cost, choice.load.running, 0
-    order = xxhash.xxh3_64_intdigest(f"{key}#{choice.endpoint.name}".encode())
+    order = _order(choice.endpoint, key)
     return round(choice.cost / step_s), order, choice.load.running
--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -36,6 +36,8 @@
 _SHORT_OVERHEAD_BYTES = 14
 _RELAY_LIFETIME_S = 5.0
 _SHARE_OF_RUMOURS = 2
+# Contacts that a router which knows nobody asks at once; some may be down.
+_JOIN_CONTACTS = 3
 
 
 class Timing(NamedTuple):
@@ -47,6 +49,7 @@
         suspicion_s: Seconds from suspicion to death in a fleet of ten; grows
             with the logarithm of the fleet.
         sync_s: Mean seconds between two comparisons of tables.
+        join_s: Seconds between two of them while no other member is known.
         doubt_s: Longest time for which a process that was paused gives no
             verdict of death.
         forget_s: Seconds for which a dead member is remembered.
@@ -58,6 +61,7 @@
     ack_timeout_s: float = 0.35
     suspicion_s: float = 2.5
     sync_s: float = 3.0
+    join_s: float = 0.25
     doubt_s: float = 15.0
     forget_s: float = 600.0
     relays: int = 2
@@ -157,6 +161,12 @@
                 names.append(name)
         return names
 
+    @property
+    def reachable(self) -> list[str]:
+        """Sorted names of those alive that are not under suspicion."""
+        members = self._table.members
+        return [x for x in self.alive if members[x].state is State.ALIVE]
+
     @property
     def spending(self) -> budget.Budget:
         """The byte budget of control traffic."""
@@ -253,7 +263,10 @@
         if packet.sender.name == self._name:
             self._refute(_member(packet.sender), now)
             return []
+        revision = self.me.revision
         urgent = self._merge(packet, now)
+        # Whoever refuted a statement is passed over until others hear of it.
+        urgent = urgent or self.me.revision != revision
         sent = self._answer(packet, source, now)
         return sent + self.announce(now) if urgent else sent
 
@@ -356,10 +369,12 @@
         member = self._table.members.get(name)
         if member is None or not member_table.is_live(member):
             return []
+        sent: list[Datagram] = []
         if member.state is not State.SUSPECT:
             self._put(member._replace(state=State.SUSPECT), now)
+            sent = self.announce(now)
         # The suspect hears of it at once and can refute it.
-        return self._send(datagrams.Kind.PING, name, now)
+        return self._send(datagrams.Kind.PING, name, now) + sent
 
     def _expire(self, now: float) -> None:
         if not self.in_doubt:
@@ -380,7 +395,7 @@
 
     def _sync_delay(self) -> float:
         if self._strangers() and len(self._table.live) == 1:
-            return self._timing.period_s / 2
+            return self._timing.join_s
         return self._timing.sync_s * self._rng.uniform(0.5, 1.5)
 
     def _strangers(self) -> list[str]:
@@ -396,7 +411,10 @@
             for name in self._pick(1, self._name)
         ]
         addresses = others
-        if strangers and (not others or self._rng.random() < 0.5):
+        if not others:
+            count = min(_JOIN_CONTACTS, len(strangers))
+            addresses = self._rng.sample(strangers, count)
+        elif strangers and self._rng.random() < 0.5:
             addresses = [self._rng.choice(strangers)]
         sent: list[Datagram] = []
         for address in addresses:
--- a/packages/core/nutmegpost_core/patience.py
+++ b/packages/core/nutmegpost_core/patience.py
@@ -7,6 +7,7 @@
     "FIRST_BYTE_TARGETS",
     "READING_TOKENS_MIN",
     "first_byte_s",
+    "is_long",
     "next_event_s",
     "reading_s",
 ]
@@ -30,6 +31,12 @@
     return READING_TARGET_SHARE * call.route.target_s
 
 
+def is_long(call: calls.Call) -> bool:
+    """Returns whether it pays to wait for what is known of a prompt."""
+    parts = call.hints.parts[:-1] if call.hints else ()
+    return sum(part.tokens for part in parts) >= READING_TOKENS_MIN
+
+
 def first_byte_s(call: calls.Call, left_s: float, can_retry: bool) -> float:
     """Returns how long to wait for the start of an answer.
 
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -164,3 +164,40 @@
     assert (
         _choose("abcd", busy, hints=hints, policy=large).endpoint.name == home
     )
+
+
+def _order(names):
+    """Returns names in the order that all routers share."""
+    found = []
+    left = list(names)
+    while left:
+        found.append(_choose(left).endpoint.name)
+        left.remove(found[-1])
+    return found
+
+
+def test_a_prompt_of_which_no_cache_is_known_is_asked_of_the_next_in_order():
+    first, second, *_ = _order("abcd")
+    choice = _choose("abcd")
+    assert choice.source is None
+    assert (choice.endpoint.name, choice.guess.name) == (first, second)
+
+
+def test_a_prompt_that_its_first_endpoint_cannot_take_is_asked_of_it():
+    first, second, *_ = _order("abcd")
+    choice = _choose("abcd", avoid=[first])
+    assert (choice.endpoint.name, choice.guess.name) == (second, first)
+
+
+def test_nothing_is_guessed_where_the_cache_is_known():
+    caches = _cached_at("c")
+    assert _choose("abcd", caches=caches).guess is None
+    busy = {"c": dispatch.Load(3, 200_000)}
+    assert _choose("abcd", busy, caches).guess is None
+
+
+def test_nothing_is_guessed_where_nothing_can_be_fetched():
+    assert _choose("abcd", policy=dispatch.Policy()).guess is None
+    assert _choose("a").guess is None
+    short = calls.PromptHints("m", (PARTS[2],), 300, 20)
+    assert _choose("abcd", hints=short._replace(parts=())).guess is None
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -419,3 +419,52 @@
     assert view.tick(0.0) == []
     view.seed(["10.0.0.2:7000"])
     assert view.tick(0.05)
+
+
+def _first_states(net, number, state):
+    name = f"router-{number:04d}"
+    return [
+        node.members.members[name].state is state
+        for node in net.nodes.values()
+        if node.members.me.name != name and name in node.members.members
+    ]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_suspicion_is_told_to_the_others_at_once(seed):
+    net, addresses = _fleet(4, seed)
+    net.kill(addresses[2])
+    assert net.run(
+        DEATH_S, lambda: any(_first_states(net, 2, State.SUSPECT)), 0.01
+    )
+    net.run(0.1)
+    assert all(_first_states(net, 2, State.SUSPECT))
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_restart_is_told_to_the_others_at_once(seed):
+    net, addresses = _fleet(4, seed)
+    net.kill(addresses[1])
+    assert net.run(DEATH_S, lambda: all(_first_states(net, 1, State.DEAD)), 0.1)
+    net.start(1)
+    net.seed_all()
+    assert net.run(
+        DEATH_S, lambda: any(_first_states(net, 1, State.ALIVE)), 0.01
+    )
+    net.run(0.1)
+    assert all(_first_states(net, 1, State.ALIVE))
+
+
+def test_who_is_suspected_is_alive_and_not_reachable():
+    view = membership.Membership(_member(), random.Random(1))
+    suspect = _member(2, "10.0.0.2:7000", state=State.SUSPECT)
+    view.learn([suspect, _member(3, "10.0.0.3:7000")], 0.0)
+    assert view.alive == ["router-0001", "router-0002", "router-0003"]
+    assert view.reachable == ["router-0001", "router-0003"]
+
+
+def test_a_joiner_asks_all_contacts_while_it_knows_nobody():
+    view = membership.Membership(_member(), random.Random(1))
+    contacts = [f"10.0.0.{number}:7000" for number in (2, 3, 4)]
+    view.seed(contacts)
+    assert sorted(item.address for item in view.tick(0.0)) == contacts
--- a/packages/router/nutmegpost_router/gateway/caches.py
+++ b/packages/router/nutmegpost_router/gateway/caches.py
@@ -1,17 +1,19 @@
 """What endpoints have in their caches, learnt by a gateway that starts.
 
-A gateway that starts takes the knowledge of a peer. When all start at once
-nobody knows, and they ask the endpoints, each gateway some of them, and tell
-one another.
+A gateway that starts, or that stood still, takes the knowledge of a peer. When
+all start at once nobody knows, and they ask the endpoints: each gateway all of
+them, or where these are many some of them, and they tell one another.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
 import xxhash
 
+from nutmegpost_core import calls
 from nutmegpost_core import errors
 from nutmegpost_core import events
+from nutmegpost_core import roster
 from nutmegpost_core import vms
 from nutmegpost_router import http_client
 from nutmegpost_router import log
@@ -21,10 +23,13 @@
 
 __all__ = ["CacheLearning"]
 
-# Time for the peers to be known and to answer before endpoints are asked.
-_PEERS_S = 0.4
-_POLL_S = 0.05
+# Time for the peers to answer before endpoints are asked; a peer that knows
+# answers within a round trip, and requests wait meanwhile.
+_PEERS_S = 0.1
+_POLL_S = 0.01
 _TIMEOUT_S = 1.0
+# Endpoints that one gateway asks; each is delayed by every list that it gives.
+_LISTS_MAX = 16
 # Parts that are told with one placement, so that it fits into a datagram.
 _PARTS_TOLD = 8
 
@@ -51,28 +56,51 @@
         self._dialect = dialect
         self._client = client
         self._gateways = gateways
+        self._wanted = asyncio.Event()
+        if not known.caches_known:
+            self._wanted.set()
+
+    def ask_again(self) -> None:
+        """Learns the caches anew, for what was known is old."""
+        self._known.caches_known = False
+        self._wanted.set()
 
     async def run(self) -> None:
+        """Learns the caches whenever they are not known, for ever."""
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            await self._learn()
+
+    async def _learn(self) -> None:
         """Asks the endpoints, unless a peer told what they have."""
         while not self._known.roster.endpoints or not self._known.catalog:
             await asyncio.sleep(_POLL_S)
-        await asyncio.sleep(_PEERS_S)
-        if self._known.caches_known:
-            return
-        await asyncio.gather(*(self._ask(item) for item in self._own_share()))
-        # The other gateways tell what they asked for meanwhile.
-        await asyncio.sleep(_TIMEOUT_S)
+        until = asyncio.get_running_loop().time() + _PEERS_S
+        while asyncio.get_running_loop().time() < until:
+            if self._known.caches_known:
+                return
+            await asyncio.sleep(_POLL_S)
+        endpoints = self._endpoints()
+        if len(endpoints) <= _LISTS_MAX:
+            await asyncio.gather(*(self._ask(item) for item in endpoints))
+        else:
+            share = [item for item in endpoints if self._is_own(item.name)]
+            told = await asyncio.gather(*(self._ask(item) for item in share))
+            self._tell(dict(zip((x.name for x in share), told, strict=True)))
+            # The other gateways tell what they asked for meanwhile.
+            await asyncio.sleep(_TIMEOUT_S)
         self._known.caches_known = True
 
-    def _own_share(self) -> list[tuple[str, vms.Address]]:
+    def _endpoints(self) -> list[roster.Endpoint]:
+        """Returns the endpoints that have a cache."""
         assert self._known.catalog is not None
         services = self._known.catalog.services
         return [
-            (endpoint.name, vms.parse_address(endpoint.address))
+            endpoint
             for endpoint in self._known.roster.listed
             if endpoint.service in services
             and services[endpoint.service].cache_tokens
-            and self._is_own(endpoint.name)
         ]
 
     def _is_own(self, endpoint: str) -> bool:
@@ -82,18 +110,27 @@
         own = self._known.config["name"]
         return max([own, *self._gateways()], key=weight) == own
 
-    async def _ask(self, endpoint: tuple[str, vms.Address]) -> None:
-        name, address = endpoint
+    async def _ask(self, endpoint: roster.Endpoint) -> list[calls.Part]:
+        """Learns one cache, and returns its parts."""
+        address = vms.parse_address(endpoint.address)
         try:
             answer = await self._client.request(
                 address, "GET", self._dialect.cache_path, {}, b"", _TIMEOUT_S
             )
             parts = self._dialect.read_cache(answer.body)
         except errors.PeerError as caught:
-            log.emit(events.CACHE_UNKNOWN, endpoint=name, reason=str(caught))
-            return
-        log.emit(events.CACHE_LEARNT, endpoint=name, count=len(parts))
-        self._known.learn_cache(name, parts)
-        for first in range(0, len(parts), _PARTS_TOLD):
-            told = tuple(parts[first : first + _PARTS_TOLD])
-            self._known.on_placement(loads.Placement(name, 0.0, told))
+            log.emit(
+                events.CACHE_UNKNOWN,
+                endpoint=endpoint.name,
+                reason=str(caught),
+            )
+            return []
+        log.emit(events.CACHE_LEARNT, endpoint=endpoint.name, count=len(parts))
+        self._known.learn_cache(endpoint.name, parts)
+        return parts
+
+    def _tell(self, caches: Mapping[str, Sequence[calls.Part]]) -> None:
+        for endpoint, parts in caches.items():
+            for first in range(0, len(parts), _PARTS_TOLD):
+                told = tuple(parts[first : first + _PARTS_TOLD])
+                self._known.on_placement(loads.Placement(endpoint, 0.0, told))
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -161,10 +161,18 @@
                 return
 
     async def _settled_choice(self, job: sending.Job) -> dispatch.Choice:
-        """Returns where to send next, once no prompt is read twice for it."""
+        """Returns where to send next, once no prompt is read twice for it.
+
+        A long prompt waits until the caches are known, and while another
+        request of the same prompt is being read.
+        """
         call = job.call
-        choice = self._next_choice(job)
         until = _now() + patience.reading_s(call)
+        while patience.is_long(call) and not self._known.caches_known:
+            if _now() >= until:
+                break
+            await asyncio.sleep(_READING_POLL_S)
+        choice = self._next_choice(job)
         if not self._known.is_reading(call, choice.endpoint.name):
             return choice
         while _now() < until:
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -46,6 +46,11 @@
 # Loads of endpoints that one report hands on.
 OBSERVATIONS_TOLD = 12
 DATAGRAM_BYTES_MAX = 1_200
+# A peer that sent nothing for this many of its reports is silent; a link that
+# loses a fifth of its packets loses so many in a row once in 125 times.
+SILENT_REPORTS = 3
+# Slower reports tell nothing of a peer before its membership does.
+_WATCHED_INTERVAL_S = 0.5
 # Endpoints, and charges, that fit into a datagram beside placements.
 _TOLD_MAX = 10
 _ENDPOINT_BYTES = 4
@@ -247,8 +252,22 @@
         self._charges: list[tuple[str, str]] = []
         self._waiting = asyncio.Event()
         self._next_report = 0.0
+        self._report_interval_s = INTERVAL_S
+        self._heard: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
+    def silent(self) -> set[str]:
+        """Returns the peers whose reports stopped coming.
+
+        In a large fleet reports come seldom, and nobody is called silent.
+        """
+        interval_s = self._report_interval_s
+        if interval_s > _WATCHED_INTERVAL_S:
+            return set()
+        now = asyncio.get_running_loop().time()
+        oldest = now - SILENT_REPORTS * interval_s
+        return {name for name, at in self._heard.items() if at < oldest}
+
     def placed(self, placement: Placement) -> None:
         """Tells the peers of a placement soon."""
         now = asyncio.get_running_loop().time()
@@ -307,7 +326,10 @@
         """Sends this gateway's loads, or hands on what endpoints told."""
         hosts = list(self._peers())
         datagram = self._datagram([self._encoded_loads(), [], [], [], []])
-        if self._interval_s(datagram, hosts) > REPORT_LIFETIME_S:
+        self._report_interval_s = max(
+            INTERVAL_S, self._interval_s(datagram, hosts)
+        )
+        if self._report_interval_s > REPORT_LIFETIME_S:
             if now < self._next_report:
                 return
             fresh = [
@@ -391,6 +413,7 @@
 
     def _take(self, body: bytes) -> None:
         name, loads, placements, down, charges, told_loads = cbor2.loads(body)
+        self._heard[str(name)] = asyncio.get_running_loop().time()
         names = {endpoint_digest(item): item for item in self._endpoints()}
         if loads is not None:
             found = {
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -119,8 +119,8 @@
     async def _ask_all(self) -> None:
         addresses = self._addresses()
         self._known.rng.shuffle(addresses)
-        for address in addresses[:_ASKED_MAX]:
-            await self._ask(address)
+        # One that is down must not keep the others waiting.
+        await asyncio.gather(*map(self._ask, addresses[:_ASKED_MAX]))
 
     async def _ask(self, address: vms.Address) -> None:
         found = self._known.catalog
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -97,11 +97,16 @@
         self._stopped = asyncio.Event()
         self._fleet_seen: dict[str, float] = {}
 
+    @property
+    def listening(self) -> bool:
+        """Whether connections of callers are taken."""
+        return self._callers is not None
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
         return (
-            self._callers is not None
+            self.listening
             and self._known.catalog is not None
             and self._has_endpoints
             and self._stopping_at is None
@@ -257,13 +262,19 @@
         return http_server.Response(200, headers, self._counters.render())
 
     def _public_addresses(self) -> list[str]:
-        found = []
+        """Returns the addresses at which callers are probably served.
+
+        A gateway that hears none of its peers may be the one that is cut off,
+        so it leaves none of them out.
+        """
         members = self._members.members
-        for name in self._members.alive:
-            if name == self._config["name"] and not self.ready:
-                continue
-            found.append(members[name].public_address)
-        return found
+        alive = set(self._members.alive)
+        heard = set(self._members.reachable) - self._sharing.silent()
+        peers = alive - {self._config["name"]}
+        names = peers & heard or peers
+        if self.ready:
+            names = names | {self._config["name"]}
+        return [members[name].public_address for name in sorted(names)]
 
     # Peers.
 
@@ -405,6 +416,7 @@
             boot = time.clock_gettime(time.CLOCK_BOOTTIME)
             if boot - last > _TICK_S + _PAUSE_S:
                 log.emit(events.CLOCK_GAP, seconds=boot - last)
+                self._caches.ask_again()
                 self._handing_on.ask("all", 0)
             last = boot
             now = _now()
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -172,7 +172,7 @@
                 choice.endpoint.name,
                 left_s,
                 job.last_event,
-                choice.source.endpoint.address if choice.source else "",
+                _fetch_address(choice),
             )
         )
         can_retry = self._can_retry(job)
@@ -308,6 +308,13 @@
         return found
 
 
+def _fetch_address(choice: dispatch.Choice) -> str:
+    """Returns where the prompt is fetched from; empty for nowhere."""
+    if choice.source is not None:
+        return choice.source.endpoint.address
+    return choice.guess.address if choice.guess else ""
+
+
 class _HeldLoad:
     """The part of an endpoint's load that one send makes up."""
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -195,6 +195,8 @@
         seen: Requests that arrived.
         runs: Ids of the requests that ran.
         cancelled: Ids of the requests whose connection was closed early.
+        held: Parts of prompts in its cache, pairs of id and tokens.
+        lists: Times that it listed its cache.
     """
 
     def __init__(self, name, service, slots=4):
@@ -207,6 +209,8 @@
         self.runs = []
         self.cancelled = []
         self.events = 5
+        self.held = []
+        self.lists = 0
 
     async def start(self):
         self.server = await http_server.serve(
@@ -228,6 +232,11 @@
 
     async def _handle(self, exchange):
         request = exchange.request
+        if request.target == "/api/kv-list":
+            self.lists += 1
+            held = [["", *part, "m"] for part in self.held]
+            exchange.send(_json({"epoch": 1, "next": 1, "held": held}))
+            return
         self.seen.append(request)
         if request.headers.get("expect-instance") != self.name:
             headers = [("Instance-Id", self.name)]
@@ -352,8 +361,9 @@
             self.store.put(f"servers/{runner.name}", runner.entry())
         for _ in range(self._count):
             self.start_gateway()
-        if self.config:
-            for gateway in self.gateways:
+        for gateway in self.gateways:
+            await self.until(lambda gateway=gateway: gateway.listening)
+            if self.config:
                 await self.until(lambda gateway=gateway: gateway.ready)
         return self
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -3,8 +3,11 @@
 import asyncio
 import json
 
+import pytest
 import standin
 
+from nutmegpost_core import membership
+
 PIECES = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
 
@@ -375,6 +378,49 @@
     standin.run(scenario)
 
 
+def test_callers_are_not_sent_to_a_gateway_that_is_suspected():
+    async def scenario():
+        async with standin.Fleet(_plain("p1"), gateways=2) as fleet:
+            members = fleet.gateways[0].members
+            await fleet.until(lambda: "gateway-1" in members.reachable)
+            suspect = members.members["gateway-1"]._replace(
+                name="gateway-9",
+                public_address="127.0.0.9:9",
+                peer_address="127.0.0.9:10",
+                state=membership.State.SUSPECT,
+            )
+            members.learn([suspect], asyncio.get_running_loop().time())
+            assert "gateway-9" in members.alive
+            answer = await fleet.client.request(
+                fleet.address("directory_address"),
+                "GET",
+                f"/api/resolve?name={standin.HOST}&region=r&zone=zone-a",
+                {},
+            )
+            every = {str(fleet.address("public_address", n)) for n in (0, 1)}
+            assert set(json.loads(answer.body)["addresses"]) == every
+
+    standin.run(scenario)
+
+
+@pytest.mark.parametrize("holder", ["e1", "e2", "e3", "e4"])
+def test_a_prompt_goes_to_its_cache_after_all_gateways_started_again(holder):
+    async def scenario():
+        runners = _engines("e1", "e2", "e3", "e4")
+        fleet = standin.Fleet(runners, first_start=False)
+        fleet.runners[holder].held = [["aa", 500], ["bb", 2000]]
+        prompt = {
+            "Token_Count": "2510,40",
+            "Prompt_Prefix": "aa:500,bb:2000,cc:10",
+        }
+        async with fleet:
+            answer = await fleet.stream("/ask/1", "id-1", **prompt)
+            assert answer.headers["server-seal"] == f"seal-of-{holder}"
+            assert [runner.lists for runner in runners] == [1] * 4
+
+    standin.run(scenario)
+
+
 def test_a_planned_stop_finishes_the_requests_that_are_open():
     async def scenario():
         async with standin.Fleet(_engines("e1")) as fleet:
