--- a/packages/core/nutmegpost_core/crashes.py
+++ b/packages/core/nutmegpost_core/crashes.py
@@ -4,6 +4,10 @@
 sends it again under a new id. When an endpoint goes down while it works, every
 request that it was running is charged with one crash. A request that is
 charged with several crashes of different endpoints is not sent any more.
+
+Endpoints also crash for reasons of their own, and requests that were running
+are sent again together. Where several requests share the same two crashes, it
+takes a third one to tell which of them is the cause.
 """
 
 from collections.abc import Mapping
@@ -12,8 +16,10 @@
 
 __all__ = ["Crashes", "digest"]
 
-# Crashes after which a request is refused; the users' bound is three.
-CRASHES_MAX = 2
+# Crashes after which a request is refused, where it shares them with no other.
+CRASHES_ALONE_MAX = 2
+# Crashes after which it is refused in any case: the users' bound.
+CRASHES_MAX = 3
 FORGET_S = 600.0
 DIGESTS_MAX = 10_000
 
@@ -69,4 +75,16 @@
 
     def is_refused(self, name: str, now: float) -> bool:
         """Returns whether a request may not be sent any more."""
-        return self.count(name, now) >= CRASHES_MAX
+        count = self.count(name, now)
+        if count < CRASHES_ALONE_MAX:
+            return False
+        return count >= CRASHES_MAX or not self._is_shared(name)
+
+    def _is_shared(self, name: str) -> bool:
+        """Returns whether another request is charged with the same crashes."""
+        endpoints = self._charged[name].keys()
+        return any(
+            endpoints <= charged.keys()
+            for other, charged in self._charged.items()
+            if other != name
+        )
--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -224,7 +224,11 @@
     lacking = sum(part.tokens for part in shared) - best.ready_tokens
     if best.source or not policy.fetch_tokens_s or lacking < FETCH_TOKENS_MIN:
         return best
-    others = [item for item in everywhere if item != best.endpoint]
+    others = [
+        item
+        for item in everywhere
+        if item != best.endpoint and item.name not in suspects
+    ]
     guess = min(others, key=lambda item: _order(item, key), default=None)
     return best._replace(guess=guess)
 
--- a/packages/core/tests/test_crashes.py
+++ b/packages/core/tests/test_crashes.py
@@ -9,6 +9,26 @@
     assert found.is_refused("d", 1.0)
 
 
+def test_requests_that_share_two_crashes_are_refused_after_a_third():
+    found = crashes.Crashes()
+    for name in ("d", "beside"):
+        found.charge(name, "e1", 0.0)
+        found.charge(name, "e2", 1.0)
+    assert not found.is_refused("d", 1.0)
+    assert not found.is_refused("beside", 1.0)
+    found.charge("d", "e3", 2.0)
+    assert found.is_refused("d", 2.0)
+
+
+def test_a_request_whose_company_ran_well_is_refused_after_two_crashes():
+    found = crashes.Crashes()
+    for name in ("d", "beside"):
+        found.charge(name, "e1", 0.0)
+        found.charge(name, "e2", 1.0)
+    found.clear("beside")
+    assert found.is_refused("d", 1.0)
+
+
 def test_one_crash_is_charged_once():
     found = crashes.Crashes()
     assert found.charge("d", "e1", 0.0)
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -189,6 +189,12 @@
     assert (choice.endpoint.name, choice.guess.name) == (second, first)
 
 
+def test_no_endpoint_that_failed_lately_is_asked():
+    first, second, third, _ = _order("abcd")
+    choice = _choose("abcd", suspects=[second])
+    assert (choice.endpoint.name, choice.guess.name) == (first, third)
+
+
 def test_nothing_is_guessed_where_the_cache_is_known():
     caches = _cached_at("c")
     assert _choose("abcd", caches=caches).guess is None
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -269,7 +269,7 @@
         weight = _LOST_WEIGHT if result.end is sending.End.LOST else 1.0
         if self._known.outliers.result(name, False, now, weight):
             log.emit(events.ENGINE_EJECTED, engine=name)
-        if result.end is sending.End.LOST:
+        if result.end is sending.End.LOST and not job.has_begun:
             self._note_broken(name, job.digest, now)
         self._counters.attempt_failed(result.end)
         log.emit(
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -211,14 +211,16 @@
     """The platform's publications.
 
     Attributes:
-        run: Reads and watches them for ever; takes the platform's address
-            and the queue that news goes into.
+        run: Reads and watches them for ever; takes the platform's address,
+            the seconds within which an endpoint that leaves gets no more
+            work, and the queue that news goes into.
         decode_configuration: Reads a document that a peer handed on; raises
             ConfigurationError.
     """
 
     run: Callable[
-        [str, "asyncio.Queue[SourceNews]"], Coroutine[None, None, None]
+        [str, float, "asyncio.Queue[SourceNews]"],
+        Coroutine[None, None, None],
     ]
     decode_configuration: Callable[[bytes], catalog.Catalog]
 
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -339,7 +339,9 @@
 
     async def _read_publications(self) -> None:
         await self._port.publications.run(
-            self._config["platform_address"], self._news
+            self._config["platform_address"],
+            self._config["leave_limit_ms"] / 1000,
+            self._news,
         )
 
     async def _take_news(self) -> None:
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -89,6 +89,14 @@
         self.failure: http_server.Response | None = None
         self.reason = ""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether an endpoint ran it well enough to give an event.
+
+        A request that crashes its endpoint does so as its run begins.
+        """
+        return self.last_event != self.call.resume_after
+
     @property
     def may_run_again(self) -> bool:
         """Whether another run is allowed."""
--- a/packages/router/nutmegpost_router/gateway/settings.py
+++ b/packages/router/nutmegpost_router/gateway/settings.py
@@ -45,6 +45,8 @@
         address_ttl_s: Longest time that callers keep an address answer.
         entry_grace_s: Time for which endpoints that went missing while the
             platform was away are kept after its return.
+        leave_limit_ms: Time within which an endpoint gets no more work once
+            the platform was told that it leaves.
         retry_ratio: Retries for each request, over all gateways.
         retry_extra: Retries in a window beyond the ratio, over all gateways.
         retry_window_s: Length of that window.
@@ -67,6 +69,7 @@
     stop_grace_s: Seconds
     address_ttl_s: Seconds
     entry_grace_s: Seconds
+    leave_limit_ms: Annotated[int, msgspec.Meta(ge=100, le=60_000)]
     retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=10)]
     retry_extra: Annotated[float, msgspec.Meta(ge=0)]
     retry_window_s: Annotated[float, msgspec.Meta(gt=0)]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -397,6 +397,7 @@
             "stop_grace_s": 4,
             "address_ttl_s": 0.1,
             "entry_grace_s": 2,
+            "leave_limit_ms": 2000,
             "retry_ratio": 0.2,
             "retry_extra": 50,
             "retry_window_s": 10,
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -72,6 +72,25 @@
     standin.run(scenario)
 
 
+def test_a_route_with_a_shorter_target_is_more_urgent_at_the_endpoint():
+    async def scenario():
+        config = standin.configuration(1)
+        for route in config["routes"]:
+            if route["name"] == "draft":
+                route["targetLatencyMs"] = 2500
+        runners = _engines("e1")
+        async with standin.Fleet(runners, config=config) as fleet:
+            await fleet.stream("/draft/1", "id-1")
+            await fleet.stream("/ask/1", "id-2")
+            levels = [
+                int(request.headers["request-urgency"])
+                for request in fleet.runners["e1"].seen
+            ]
+            assert levels[1] < levels[0]
+
+    standin.run(scenario)
+
+
 def test_a_resumable_stream_goes_on_at_another_endpoint_without_a_gap():
     async def scenario():
         async with standin.Fleet(_engines("e1", "e2")) as fleet:
@@ -523,6 +542,26 @@
     standin.run(scenario)
 
 
+def test_requests_that_gave_events_before_a_crash_are_not_charged():
+    async def scenario():
+        runners = _engines("e1", "e2", "e3")
+        async with standin.Fleet(runners) as fleet:
+
+            async def crash(runner, exchange):
+                await standin.cut_after(1)(runner, exchange)
+                await runner.server.close()
+
+            for runner in runners:
+                runner.acts = [crash]
+            for attempt in range(2):
+                with pytest.raises(standin.http_client.ExchangeError):
+                    await fleet.stream("/ask/1", f"id-{attempt}")
+                await asyncio.sleep(0.1)
+            assert not fleet.gateways[0].known.crashes.charged
+
+    standin.run(scenario)
+
+
 def test_event_ids_that_are_no_numbers_end_the_request_with_a_known_error():
     async def scenario():
         async with standin.Fleet(_engines("e1")) as fleet:
