Bound connections and bodies by the process's limits, and reread settings

Cause: a gateway took up to 20,000 connections whatever its descriptors (4,100 to 8,200 on the sites), and bodies of 4 MB without a common bound (300 to 560 MB of memory). At the end of its descriptors accepting pauses for a second and sends fail; a hundred large bodies end the process. A signal for changed settings was logged and nothing was read.

Ruled out: a bound by connection (it would punish callers whatever the load); raising limits, which the users forbid.

Changes: callers get half of the descriptors; over it a new connection takes the place of the one that is idle longest, and is refused when all are busy. Bodies get a quarter of the memory; one that finds no room is answered 503 with a time to come back, before anything is sent on.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -43,7 +43,10 @@
 TASK_FAILED = Event(106, "ERROR", "task {task} failed and restarts: {reason}")
 
 SETTINGS_RELOADED = Event(
-    109, "INFO", "gateway {name} was told of changed settings"
+    109,
+    "INFO",
+    "gateway {name} read its settings again; in force: {changed}; at the"
+    " next start: {kept}",
 )
 
 # 2xx platform and configuration
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import time
+from typing import cast
 
 from nutmegpost_core import errors
 from nutmegpost_core import events
@@ -42,6 +43,10 @@
 )
 # A gateway that was away for this time may have spent retries of its own.
 _FLEET_MEMORY_S = 20.0
+# Parts of the limits of the process that callers may take; the rest is for
+# connections to endpoints and peers, and for the process itself.
+_CALLERS_SHARE = 0.5
+_BODIES_SHARE = 0.25
 # Time for the body of a request beside that for its head.
 _BODY_TIMEOUT_S = 10.0
 
@@ -138,9 +143,19 @@
             self._callers.retire()
         self._stopped.set()
 
-    def reload(self) -> None:
-        """Notes that the settings file changed; addresses are kept."""
-        log.emit(events.SETTINGS_RELOADED, name=self._config["name"])
+    def reload(self, config: settings.GatewaySettings) -> None:
+        """Takes over what can change of new settings while it runs."""
+        own = cast(dict[str, object], self._config)
+        changed = {key: x for key, x in config.items() if x != own.get(key)}
+        in_force = sorted(settings.CHANGEABLE & changed.keys())
+        own.update({key: changed[key] for key in in_force})
+        self._seed()
+        log.emit(
+            events.SETTINGS_RELOADED,
+            name=self._config["name"],
+            changed=" ".join(in_force),
+            kept=" ".join(sorted(changed.keys() - settings.CHANGEABLE)),
+        )
 
     async def run(self) -> None:
         """Serves until it is stopped.
@@ -219,15 +234,19 @@
         self._servers.append(self._callers)
 
     def _limits(self) -> http_server.Limits:
+        own = http_server.Limits(
+            connections=int(self._config["descriptors_max"] * _CALLERS_SHARE),
+            held_bytes=int(self._config["memory_mb"] * 1e6 * _BODIES_SHARE),
+        )
         found = self._known.catalog
         if found is None:
-            return http_server.Limits()
+            return own
         limits = found.limits
-        return http_server.Limits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_s + _BODY_TIMEOUT_S,
-            limits.idle_timeout_s,
+        return own._replace(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            request_timeout_s=limits.header_timeout_s + _BODY_TIMEOUT_S,
+            idle_timeout_s=limits.idle_timeout_s,
         )
 
     def _refused(self, error: errors.RequestError) -> None:
@@ -298,13 +317,16 @@
             riders,
             self._notices,
         )
+        self._seed()
+        return members
+
+    def _seed(self) -> None:
         port = vms.parse_address(self._config["peer_address"]).port
         contacts = [
             f"{vms.parse_address(seed).host}:{port}"
             for seed in self._config["seeds"]
         ]
         self._gossip.send(gossip.Seed(contacts))
-        return members
 
     def _peer_hosts(self) -> list[str]:
         members = self._members.members
--- a/packages/router/nutmegpost_router/gateway/settings.py
+++ b/packages/router/nutmegpost_router/gateway/settings.py
@@ -9,7 +9,7 @@
 
 from nutmegpost_router import settings
 
-__all__ = ["GatewaySettings", "load", "parse"]
+__all__ = ["CHANGEABLE", "GatewaySettings", "load", "parse"]
 
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 
@@ -25,6 +25,19 @@
 )
 
 
+# What a running gateway takes over from a changed file.
+CHANGEABLE = frozenset(
+    [
+        "seeds",
+        "stop_grace_s",
+        "address_ttl_s",
+        "descriptors_max",
+        "memory_mb",
+        "load_multiple",
+    ]
+)
+
+
 class GatewaySettings(TypedDict):
     """Settings of a gateway.
 
@@ -51,6 +64,8 @@
         retry_extra: Retries in a window beyond the ratio, over all gateways.
         retry_window_s: Length of that window.
         first_start: Whether the whole system starts for the first time.
+        descriptors_max: Files and sockets that the process may have open.
+        memory_mb: Memory that the process may take, in units of 1e6 bytes.
         load_multiple: Bound of an endpoint's load as a multiple of the mean.
     """
 
@@ -74,6 +89,8 @@
     retry_extra: Annotated[float, msgspec.Meta(ge=0)]
     retry_window_s: Annotated[float, msgspec.Meta(gt=0)]
     first_start: bool
+    descriptors_max: Annotated[int, msgspec.Meta(ge=64)]
+    memory_mb: Annotated[int, msgspec.Meta(ge=32)]
     load_multiple: Annotated[float, msgspec.Meta(ge=1)]
 
 
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -35,6 +35,9 @@
 REQUEST_TIMEOUT_S = 15.0
 IDLE_TIMEOUT_S = 75.0
 CONNECTION_COUNT_MAX = 20_000
+HELD_BYTES_MAX = 256_000_000
+# A body finds room once another request was answered.
+_RETRY_AFTER_HELD_S = 0.5
 # A handler waits once this much of its answer is not yet taken by the caller.
 WRITE_BUFFER_BYTES = 262_144
 
@@ -51,12 +54,17 @@
         body_bytes: Most bytes of its body.
         request_timeout_s: Longest time from its first byte to its last.
         idle_timeout_s: Longest time between two requests.
+        connections: Most connections at once; over it, one that is idle is
+            closed for a new one.
+        held_bytes: Most bytes of the bodies of all requests at once.
     """
 
     header_bytes: int = HEADER_BYTES_MAX
     body_bytes: int = BODY_BYTES_MAX
     request_timeout_s: float = REQUEST_TIMEOUT_S
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    connections: int = CONNECTION_COUNT_MAX
+    held_bytes: int = HELD_BYTES_MAX
 
 
 class Request(NamedTuple):
@@ -210,6 +218,7 @@
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
+        self._held_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -239,6 +248,8 @@
         self._server.remove(self)
         self._writable.set()
         self.lost.set()
+        if self._task is None:
+            self._release_body()
         if self.cancels_handler and self._task is not None:
             self._task.cancel()
 
@@ -312,7 +323,7 @@
         except h11.RemoteProtocolError as caught:
             hint = caught.error_status_hint
             self._refuse(errors.InvalidRequestError(str(caught), hint))
-        except errors.InvalidRequestError as caught:
+        except errors.RequestError as caught:
             self._refuse(caught)
 
     def _parse(self) -> None:
@@ -367,13 +378,23 @@
         self._body.clear()
 
     def _add_body(self, data: bytes) -> None:
+        if not self._server.hold(len(data)):
+            raise errors.UnavailableError(
+                "no memory is left for the body",
+                retry_after=_RETRY_AFTER_HELD_S,
+            )
+        self._held_bytes += len(data)
         self._body += data
         if len(self._body) > self._limits.body_bytes:
             raise errors.InvalidRequestError(
                 f"body over {self._limits.body_bytes} bytes", 413
             )
 
-    def _refuse(self, error: errors.InvalidRequestError) -> None:
+    def _release_body(self) -> None:
+        self._server.release(self._held_bytes)
+        self._held_bytes = 0
+
+    def _refuse(self, error: errors.RequestError) -> None:
         self._server.refused(error)
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             response = error_response(error)
@@ -418,6 +439,7 @@
         finally:
             self._task = None
             self._head = None
+            self._release_body()
         self._next()
 
     def _fail(self, exchange: Exchange, error: errors.RequestError) -> None:
@@ -437,6 +459,7 @@
             self.close()
             return
         self._h11.start_next_cycle()
+        self._server.became_idle(self)
         self._limits = self._server.limits
         self._arm(self._limits.idle_timeout_s, self.close)
         self._advance()
@@ -456,7 +479,9 @@
         self._limits = limits
         self._on_refused = on_refused
         self._on_failed = on_failed
-        self._connections: set[_Connection] = set()
+        # In the order in which they became idle or were made.
+        self._connections: dict[_Connection, None] = {}
+        self._held_bytes = 0
         self._server: asyncio.Server | None = None
         self._stopping = False
 
@@ -482,14 +507,36 @@
 
     def add(self, connection: _Connection) -> bool:
         """Counts a new connection; False when there are too many."""
-        if len(self._connections) >= CONNECTION_COUNT_MAX:
+        if len(self._connections) >= self.limits.connections:
+            idle = next((x for x in self._connections if x.idle), None)
+            if idle is None:
+                self.refused(errors.UnavailableError("too many connections"))
+                return False
+            self.remove(idle)
+            idle.close()
+        self._connections[connection] = None
+        return True
+
+    def became_idle(self, connection: _Connection) -> None:
+        """Notes that a connection waits for its next request."""
+        if connection in self._connections:
+            del self._connections[connection]
+            self._connections[connection] = None
+
+    def hold(self, size: int) -> bool:
+        """Counts bytes of a body; False when there is no room for them."""
+        if self._held_bytes + size > self.limits.held_bytes:
             return False
-        self._connections.add(connection)
+        self._held_bytes += size
         return True
 
+    def release(self, size: int) -> None:
+        """Counts bytes of a body that is not needed any more."""
+        self._held_bytes -= size
+
     def remove(self, connection: _Connection) -> None:
         """Forgets a connection that was lost."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
 
     def refused(self, error: errors.RequestError) -> None:
         """Reports a request that could not be read."""
--- a/packages/router/tests/test_http.py
+++ b/packages/router/tests/test_http.py
@@ -162,3 +162,112 @@
     assert refused.headers["x-outcome"] == "not-run"
     assert good.status == 200
     assert len(seen) == 1
+
+
+class _Gate:
+    """A handler that answers once it is opened."""
+
+    def __init__(self):
+        self.opened = asyncio.Event()
+        self.entered = 0
+
+    async def handle(self, exchange):
+        self.entered += 1
+        await self.opened.wait()
+        await _echo(exchange)
+
+    async def until_entered(self, count):
+        while self.entered < count:
+            await asyncio.sleep(0.01)
+
+
+def test_a_new_connection_over_the_limit_takes_the_place_of_an_idle_one():
+    async def use(address):
+        idle = [await asyncio.open_connection(*address) for _ in range(2)]
+        client = http_client.Client()
+        answer = await client.request(address, "GET", "/", {}, b"")
+        assert answer.status == 200
+        assert await idle[0][0].read() == b""
+        idle[1][1].write(b"GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await idle[1][0].readline()).startswith(b"HTTP/1.1 200")
+        for _, writer in idle:
+            writer.close()
+        client.close()
+
+    _run(_echo, use, limits=lambda: http_server.Limits(connections=2))
+
+
+def test_a_connection_is_refused_when_all_others_are_busy():
+    gate = _Gate()
+    refused = []
+
+    async def use(address):
+        client = http_client.Client()
+        asked = [
+            asyncio.create_task(
+                client.request(address, "GET", f"/{number}", {}, b"")
+            )
+            for number in range(2)
+        ]
+        await gate.until_entered(2)
+        reader, writer = await asyncio.open_connection(*address)
+        assert await reader.read() == b""
+        writer.close()
+        assert [str(error) for error in refused] == ["too many connections"]
+        gate.opened.set()
+        assert [(await task).status for task in asked] == [200, 200]
+        client.close()
+
+    _run(
+        gate.handle,
+        use,
+        limits=lambda: http_server.Limits(connections=2),
+        on_refused=refused.append,
+    )
+
+
+def test_bodies_of_all_requests_keep_within_their_memory():
+    gate = _Gate()
+
+    async def use(address):
+        client = http_client.Client()
+
+        async def ask(size):
+            answer = await client.request(
+                address, "POST", "/", {}, b"b" * size, fresh=True
+            )
+            return answer.status, answer.headers.get("retry-after")
+
+        assert await ask(101) == (503, "1")
+        first = asyncio.create_task(ask(80))
+        await gate.until_entered(1)
+        assert await ask(50) == (503, "1")
+        gate.opened.set()
+        assert (await first)[0] == 200
+        assert (await ask(100))[0] == 200
+        client.close()
+
+    _run(gate.handle, use, limits=lambda: http_server.Limits(held_bytes=100))
+
+
+def test_a_body_whose_caller_left_takes_no_memory():
+    async def use(address):
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\n\r\n"
+        )
+        writer.write(b"b" * 80)
+        await writer.drain()
+        writer.close()
+        await writer.wait_closed()
+        client = http_client.Client()
+        status = 503
+        while status == 503:
+            answer = await client.request(
+                address, "POST", "/", {}, b"b" * 90, fresh=True
+            )
+            status = answer.status
+        assert status == 200
+        client.close()
+
+    _run(_echo, use, limits=lambda: http_server.Limits(held_bytes=100))
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -398,6 +398,8 @@
             "address_ttl_s": 0.1,
             "entry_grace_s": 2,
             "leave_limit_ms": 2000,
+            "descriptors_max": 4000,
+            "memory_mb": 400,
             "retry_ratio": 0.2,
             "retry_extra": 50,
             "retry_window_s": 10,
