Play the heaviest load on a model of engines, against simple choices

The test plays a burst of long prompts beside short ones while one engine of four is lost, with five fixed seeds, and checks what callers get.

--- /dev/null
+++ b/packages/core/tests/test_dispatch_load.py
@@ -0,0 +1,150 @@
+"""Plays a load on the model of engines and checks what callers get.
+
+The load is that of the users' heaviest day: a burst of long prompts with a
+patient target beside short ones with a short target, all of one rank, while
+an engine of four is lost.
+"""
+
+import functools
+
+import pytest
+import xxhash
+
+from nutmegpost_core import calls
+from nutmegpost_core import catalog
+from nutmegpost_core import dispatch
+from nutmegpost_core import urgency
+from nutmegpost_standins import enginemodel
+from nutmegpost_standins import promptmodel
+
+ROUTERS = 4
+LENGTH_S = 20.0
+CRASH_S = 8.0
+SHORT_S, LONG_S = 0.5, 2.5
+POLICY = dispatch.Policy(tie_s=dispatch.tie_s(ROUTERS))
+
+
+def _ours(router, call, endpoints, now):
+    return dispatch.choose(
+        endpoints,
+        router.load,
+        router.caches,
+        call.hints,
+        "zone-a",
+        now,
+        POLICY,
+    )
+
+
+def _choice(router, endpoint):
+    load = router.load(endpoint.name)
+    return dispatch.Choice(endpoint, 0, 0, None, 0.0, 0, load)
+
+
+def _least_loaded(router, call, endpoints, now):
+    found = min(endpoints, key=lambda item: router.load(item.name))
+    return _choice(router, found)
+
+
+def _hash(router, call, endpoints, now):
+    key = call.hints.parts[1].identity
+    found = min(
+        endpoints,
+        key=lambda item: xxhash.xxh3_64_intdigest(
+            f"{key}#{item.name}".encode()
+        ),
+    )
+    return _choice(router, found)
+
+
+def _by_rank(call):
+    return call.rank
+
+
+def _route(name, target_s):
+    return catalog.Route(
+        name,
+        "shop",
+        f"/{name}/",
+        catalog.Kind.STREAM,
+        (catalog.Share("engines", 1.0),),
+        12.0,
+        target_s,
+        1,
+        1,
+        True,
+        False,
+        0.8,
+    )
+
+
+SHORT = _route("short", SHORT_S)
+LONG = _route("long", LONG_S)
+
+
+def _call(route, number, now, rng):
+    if route is SHORT:
+        parts = (
+            calls.Part(f"s{rng.randrange(40)}", 119),
+            calls.Part(f"c{rng.randrange(65)}", 580),
+            calls.Part(f"own-{number}", 130),
+        )
+    else:
+        parts = (
+            calls.Part(f"l{rng.randrange(3)}", 512),
+            calls.Part(f"d{rng.randrange(24)}", 10_000),
+            calls.Part(f"own-{number}", 1_300),
+        )
+    total = sum(part.tokens for part in parts)
+    hints = calls.PromptHints("m", parts, total, 300)
+    return calls.Call(
+        f"id-{number}", route, "engines", "", 1, now + 10, now, "", hints
+    )
+
+
+@functools.cache
+def _play(way, level=urgency.level, seed=1):
+    """Returns the share on time of each route, and the tokens read again."""
+    clock = enginemodel.Clock(seed)
+    fleet = promptmodel.Fleet(clock, ROUTERS, "abcd", way, level)
+    rng = clock.random
+    number = 0
+    for route, per_s in ((SHORT, 20.0), (LONG, 12.0)):
+        now = rng.expovariate(per_s)
+        while now < LENGTH_S:
+            number += 1
+            call = _call(route, number, now, rng)
+            clock.at(now, functools.partial(fleet.arrive, call))
+            in_burst = route is LONG and CRASH_S - 3 < now < CRASH_S + 4
+            now += rng.expovariate(per_s * (2.4 if in_burst else 1.0))
+    clock.at(CRASH_S, lambda: fleet.crash("d"))
+    clock.run(LENGTH_S + 20)
+    on_time = {}
+    for route in (SHORT, LONG):
+        mine = [item for item in fleet.outcomes if item.call.route is route]
+        good = [item for item in mine if item.first_s <= route.target_s]
+        on_time[route.name] = len(good) / len(mine)
+    return on_time, sum(item.reread_tokens for item in fleet.outcomes)
+
+
+SEEDS = range(1, 6)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_short_targets_are_met_beside_a_burst_of_long_prompts(seed):
+    on_time, _ = _play(_ours, seed=seed)
+    by_rank, _ = _play(_ours, _by_rank, seed)
+    assert on_time["short"] > by_rank["short"]
+    assert on_time["short"] >= 0.95
+    assert on_time["long"] >= 0.95
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("baseline", [_least_loaded, _hash])
+def test_callers_get_more_than_with_a_simple_choice(baseline, seed):
+    ours, reread = _play(_ours, seed=seed)
+    simple, reread_simple = _play(baseline, _by_rank, seed)
+    assert ours["short"] >= simple["short"]
+    assert ours["long"] >= simple["long"]
+    if baseline is _least_loaded:
+        assert reread < reread_simple / 2
