Read what engines tell of themselves in a module of its own

A read of the cache that failed left no trace.

Change: feeds.py has the readers and their types; they are functions of a client, an engine and a closure.

--- a/packages/router/nutmegpost_router/engines.py
+++ b/packages/router/nutmegpost_router/engines.py
@@ -9,13 +9,9 @@
 from collections.abc import Callable
 import contextlib
 import time
-from typing import Annotated, NamedTuple, TypedDict
-import urllib.parse
-
-import msgspec
+from typing import NamedTuple
 
 from nutmegpost_core import charts
-from nutmegpost_core import documents
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import invariants
@@ -24,6 +20,7 @@
 from nutmegpost_core import queueing
 from nutmegpost_core import wire
 from nutmegpost_router import attempt
+from nutmegpost_router import feeds
 from nutmegpost_router import http_client
 from nutmegpost_router import log
 from nutmegpost_router import runs
@@ -31,22 +28,14 @@
 
 __all__ = [
     "AttemptDone",
-    "CacheEvents",
     "Drain",
     "EngineTask",
     "Hooks",
-    "LoadReport",
     "Offer",
-    "Reported",
     "Trial",
     "Wake",
 ]
 
-LOAD_WAIT_S = 0.5
-LOAD_TIMEOUT_S = 2.0
-LOAD_RETRY_S = 0.1
-CACHE_WAIT_S = 2.0
-CACHE_RETRY_S = 1.0
 # Failed reads of the load in a row before the engine counts as gone.
 UNREACHABLE_AFTER = 3
 PUMP_INTERVAL_S = 0.05
@@ -58,30 +47,6 @@
 # Waiting requests that are offered to other engines in one turn.
 MOVES_MAX = 4
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
-
-
-class LoadReport(TypedDict, total=False):
-    """A load report of an endpoint, as docs/PROTOCOLS.md has it."""
-
-    sequence: Count
-    running: Count
-    waiting: Count
-    batch: Count
-    state: Annotated[str, msgspec.Meta(pattern="^(ready|loading|leaving)$")]
-    version: str
-    adapter: str | None
-    role: str
-    fence: list[int]
-    order_error: str | None
-
-
-class CacheEvents(TypedDict):
-    """Cache events of an engine."""
-
-    events: list[tuple[int, str, str, int]]
-    next: int
-
 
 class Offer(NamedTuple):
     """A request to run on this engine."""
@@ -106,14 +71,6 @@
     end: attempt.AttemptEnd
 
 
-class Reported(NamedTuple):
-    """A load report came; None when the engine did not answer."""
-
-    report: LoadReport | None
-    reason: str
-    refused: bool = False
-
-
 class Wake(NamedTuple):
     """Something changed that may let requests go out."""
 
@@ -124,7 +81,7 @@
     draining: bool
 
 
-Message = Offer | Trial | AttemptDone | Reported | Wake | Drain
+Message = Offer | Trial | AttemptDone | feeds.Reported | Wake | Drain
 
 
 class Hooks(NamedTuple):
@@ -159,7 +116,7 @@
     state_changed: Callable[[str, str], None]
     load_changed: Callable[[], None]
     dropped: Callable[[str], None]
-    reported: Callable[[str, LoadReport], None]
+    reported: Callable[[str, feeds.LoadReport], None]
 
 
 class EngineTask:
@@ -174,7 +131,7 @@
         self._trials: dict[str, Trial] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
         self._chart = charts.Chart("endpoint")
-        self._last_report: LoadReport = {}
+        self._last_report: feeds.LoadReport = {}
         self._failures = 0
         self._pending = 0
         self._draining = False
@@ -217,7 +174,7 @@
         return len(self._running)
 
     @property
-    def last_report(self) -> LoadReport:
+    def last_report(self) -> feeds.LoadReport:
         """The last load report."""
         return self._last_report
 
@@ -239,10 +196,15 @@
     def start(self) -> None:
         """Starts the tasks of the engine."""
         log.emit(events.ENGINE_OWNED, engine=self._endpoint.name)
+        client = self._hooks.client
         self._tasks = [
             asyncio.create_task(self._run()),
-            asyncio.create_task(self._watch_load()),
-            asyncio.create_task(self._watch_cache()),
+            asyncio.create_task(
+                feeds.watch_load(client, self._endpoint, self.post)
+            ),
+            asyncio.create_task(
+                feeds.watch_cache(client, self._endpoint, self._cache_event)
+            ),
         ]
 
     def post(self, message: Message) -> None:
@@ -337,7 +299,7 @@
             self._take_trial(message)
         elif isinstance(message, AttemptDone):
             self._attempt_done(message)
-        elif isinstance(message, Reported):
+        elif isinstance(message, feeds.Reported):
             self._take_report(message)
         elif isinstance(message, Drain):
             self._drain(message.draining)
@@ -615,7 +577,7 @@
         for run in self._empty_queue():
             self._hooks.again(run, self._endpoint.name, "engine is gone")
 
-    def _take_report(self, message: Reported) -> None:
+    def _take_report(self, message: feeds.Reported) -> None:
         if message.report is None:
             self._failures += 1
             if self._failures >= UNREACHABLE_AFTER:
@@ -658,70 +620,10 @@
             for run in self._empty_queue():
                 self._hooks.again(run, self._endpoint.name, state)
 
-    async def _watch_load(self) -> None:
-        after = 0
-        while True:
-            path = f"/v1/load?after={after}&wait={LOAD_WAIT_S}"
-            reported = await self._read_load(path)
-            self.post(reported)
-            if reported.report is None:
-                after = 0
-                await asyncio.sleep(LOAD_RETRY_S)
-            else:
-                after = reported.report.get("sequence", 0)
-
-    async def _read_load(self, path: str) -> Reported:
-        try:
-            response = await self._hooks.client.request(
-                self._endpoint.address,
-                "GET",
-                path,
-                {},
-                timeout_s=LOAD_TIMEOUT_S,
-            )
-            if response.status != 200:
-                return Reported(None, f"status {response.status}")
-            report = documents.decode(
-                response.body, LoadReport, self._endpoint.name
-            )
-            return Reported(report, "")
-        except http_client.ConnectError as caught:
-            return Reported(None, str(caught), caught.refused)
-        except errors.NutmegpostError as caught:
-            return Reported(None, str(caught))
-
-    async def _watch_cache(self) -> None:
-        after = 0
-        while True:
-            query = urllib.parse.urlencode(
-                {"after": after, "wait": CACHE_WAIT_S}
-            )
-            found = await self._read_cache(f"/v1/cache-events?{query}")
-            if found is None:
-                await asyncio.sleep(CACHE_RETRY_S)
-                continue
-            after = found["next"]
-            for _, kind, cache_key, tokens in found["events"]:
-                self._hooks.view.placement.cache_event(
-                    self._endpoint.name, kind, cache_key, tokens
-                )
-
-    async def _read_cache(self, path: str) -> CacheEvents | None:
-        try:
-            response = await self._hooks.client.request(
-                self._endpoint.address,
-                "GET",
-                path,
-                {},
-                timeout_s=CACHE_WAIT_S + LOAD_TIMEOUT_S,
-            )
-            if response.status != 200:
-                return None
-            return documents.decode(
-                response.body, CacheEvents, self._endpoint.name
-            )
-        except errors.NutmegpostError:
-            return None
+    def _cache_event(self, event: feeds.CacheEvent) -> None:
+        self._hooks.view.placement.cache_event(
+            self._endpoint.name, event.kind, event.key, event.tokens
+        )
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -24,6 +24,7 @@
 from nutmegpost_core import wire
 from nutmegpost_router import chooser
 from nutmegpost_router import engines
+from nutmegpost_router import feeds
 from nutmegpost_router import http_client
 from nutmegpost_router import log
 from nutmegpost_router import peers
@@ -77,7 +78,7 @@
     lost: Callable[[str], None]
     retried: Callable[[], None]
     dropped: Callable[[str], None]
-    reported: Callable[[str, engines.LoadReport], None]
+    reported: Callable[[str, feeds.LoadReport], None]
 
 
 def failed(
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -22,8 +22,8 @@
 from nutmegpost_core import vms
 from nutmegpost_core import wire
 from nutmegpost_router import admin
-from nutmegpost_router import engines
 from nutmegpost_router import entry
+from nutmegpost_router import feeds
 from nutmegpost_router import gossip
 from nutmegpost_router import handover
 from nutmegpost_router import http_client
@@ -573,7 +573,7 @@
         digest = rumour.key[: quarantine.DIGEST_BYTES]
         self._owner.cancel_exposed(exposed, digest)
 
-    def _engine_reported(self, engine: str, report: engines.LoadReport) -> None:
+    def _engine_reported(self, engine: str, report: feeds.LoadReport) -> None:
         self._lost_times.pop(engine, None)
         fence = report.get("fence") or [0]
         self._acceptance.floor(fence[0])
