Ask one peer with a digest, and name only gateways that are heard

Cause: a gateway asks its peers twice a second while the platform does not answer it, and it began in that state; nothing told it that the platform had answered, as the return of the platform was only news after a loss. Found in reading; no log line shows it, since asking is not logged.

Second: a gateway that hears none of its peers named all of them to callers, also when all others were killed and the platform answered it.

Ruled out: to ask only after a loss. A store that leaves one gateway waiting is found out after half a second or more, and the constant questions covered that; a test of it passes before and after.

Change: the first answer of the platform is news. While it answers, one peer is asked in each round, with a digest of the list without its revisions, and tells the list only where it differs. A gateway names only itself when all peers missed six reports and the platform answers it; after a standstill all count as heard.

--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+import xxhash
+
 __all__ = ["Endpoint", "Roster"]
 
 # Removals that are remembered; the oldest are forgotten first.
@@ -86,6 +88,17 @@
             if name not in self._missing
         ]
 
+    def digest(self) -> str:
+        """Returns what tells this list from one with other endpoints.
+
+        The revisions of entries, which change all the time, are left out.
+        """
+        facts = sorted(
+            (item.name, item.address, item.is_leaving, item.started_ms)
+            for item in self.listed
+        )
+        return xxhash.xxh3_64_hexdigest(repr(facts).encode())
+
     def usable(self, service: str) -> list[Endpoint]:
         """Returns the endpoints of a service that may get work."""
         return self._by_service.get(service, [])
--- a/packages/core/tests/test_roster.py
+++ b/packages/core/tests/test_roster.py
@@ -104,3 +104,21 @@
     found.update([_endpoint("a", 5, is_leaving=True)], {}, 5, 1.0)
     found.update([_endpoint("a", 4)], {}, 6, 1.1)
     assert _usable(found) == []
+
+
+def test_lists_of_the_same_endpoints_have_one_digest():
+    first, second = _roster("a", "b"), _roster("b", "a")
+    second.update([_endpoint("a", 7)], {}, 7, 1.0)
+    assert first.digest() == second.digest()
+
+
+def test_a_list_that_differs_has_another_digest():
+    found = _roster("a", "b")
+    digests = {found.digest()}
+    found.update([_endpoint("a", 2, is_leaving=True)], {}, 2, 1.0)
+    digests.add(found.digest())
+    found.update([_endpoint("b", 3, started_ms=9)], {}, 3, 1.0)
+    digests.add(found.digest())
+    found.update([], {"a": 4}, 4, 1.0)
+    digests.add(found.digest())
+    assert len(digests) == 4
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -24,7 +24,14 @@
 from nutmegpost_core import vms
 from nutmegpost_router import log
 
-__all__ = ["LoadSharing", "Loads", "Placement", "Told", "endpoint_digest"]
+__all__ = [
+    "SILENT_REPORTS",
+    "LoadSharing",
+    "Loads",
+    "Placement",
+    "Told",
+    "endpoint_digest",
+]
 
 # Time between two reports of loads.
 INTERVAL_S = 0.2
@@ -256,16 +263,24 @@
         self._heard: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
-    def silent(self) -> set[str]:
+    def resumed(self) -> None:
+        """Notes that this process stood still, so it missed reports."""
+        now = asyncio.get_running_loop().time()
+        self._heard = dict.fromkeys(self._heard, now)
+
+    def silent(self, reports: int = SILENT_REPORTS) -> set[str]:
         """Returns the peers whose reports stopped coming.
 
         In a large fleet reports come seldom, and nobody is called silent.
+
+        Args:
+            reports: Reports that a peer must have missed.
         """
         interval_s = self._report_interval_s
         if interval_s > _WATCHED_INTERVAL_S:
             return set()
         now = asyncio.get_running_loop().time()
-        oldest = now - SILENT_REPORTS * interval_s
+        oldest = now - reports * interval_s
         return {name for name, at in self._heard.items() if at < oldest}
 
     def placed(self, placement: Placement) -> None:
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -2,7 +2,9 @@
 
 A gateway that the platform does not answer asks its peers for the newest
 configuration and list of endpoints. One that hears of a newer configuration
-asks at once.
+asks at once. Any other asks one peer now and then whether that knows a newer
+configuration or other endpoints, as it may not know yet that the platform has
+fallen silent.
 """
 
 import asyncio
@@ -23,8 +25,8 @@
 
 __all__ = ["HandingOn"]
 
-# Time between two rounds of questions while the platform does not answer; it
-# is a part of the 2 s within which changes must be in force.
+# Time between two rounds of questions; it is a part of the 2 s within which
+# changes must be in force.
 _POLL_S = 0.5
 _TIMEOUT_S = 0.4
 # Peers that are asked in one round.
@@ -72,6 +74,11 @@
         log.emit(events.PEERS_ASKED, reason=f"{name} has {version}")
         self._wanted.set()
 
+    @property
+    def is_source_lost(self) -> bool:
+        """Whether the platform does not answer this gateway."""
+        return self._lost
+
     def source_lost(self) -> None:
         """Asks the peers until the platform answers again."""
         self._lost = True
@@ -82,49 +89,56 @@
         self._lost = False
 
     async def run(self) -> None:
-        """Asks the peers when there is a reason, for ever."""
+        """Asks the peers for ever."""
         while True:
-            if not self._lost:
-                await self._wanted.wait()
+            is_asked_all = self._lost or self._wanted.is_set()
             self._wanted.clear()
-            await self._ask_all()
-            await asyncio.sleep(_POLL_S)
+            await self._ask_some(_ASKED_MAX if is_asked_all else 1)
+            try:
+                async with asyncio.timeout(_POLL_S):
+                    await self._wanted.wait()
+            except TimeoutError:
+                continue
 
     async def handle(
         self, request: http_server.Request
     ) -> http_server.Response:
         """Answers the question of a peer."""
         path, _, query = request.target.partition("?")
-        version, _, asked = query.partition("&")
+        version, digest, asked = [*query.split("&"), "", ""][:3]
         found = self._known.catalog
         if path != _PATH or found is None:
             return http_server.Response(404, [], b"")
         known = int(version) if version.isdecimal() else 0
         document = self._known.document if found.version > known else b""
         now = asyncio.get_running_loop().time()
-        listed = [
-            list(item._replace(slow_until=item.slow_until - now))
-            for item in self._known.roster.listed
-        ]
+        revision, listed = 0, []
+        if digest != self._known.roster.digest():
+            revision = self._known.roster.revision
+            listed = [
+                list(item._replace(slow_until=item.slow_until - now))
+                for item in self._known.roster.listed
+            ]
         caches = {
             name: [list(part) for part in parts]
             for name, parts in self._known.prefixes.listed().items()
             if asked == _CACHES and self._known.caches_known
         }
-        body = cbor2.dumps(
-            [document, self._known.roster.revision, listed, caches]
-        )
+        body = cbor2.dumps([document, revision, listed, caches])
         return http_server.Response(200, [], body)
 
-    async def _ask_all(self) -> None:
+    async def _ask_some(self, count: int) -> None:
         addresses = self._addresses()
         self._known.rng.shuffle(addresses)
         # One that is down must not keep the others waiting.
-        await asyncio.gather(*map(self._ask, addresses[:_ASKED_MAX]))
+        await asyncio.gather(*map(self._ask, addresses[:count]))
 
     async def _ask(self, address: vms.Address) -> None:
         found = self._known.catalog
-        query = str(found.version if found else 0)
+        # A list that is as old as this one's own is of use only when the
+        # platform is gone: then it is a sign of life of the endpoints.
+        digest = "" if self._lost else self._known.roster.digest()
+        query = f"{found.version if found else 0}&{digest}"
         if not self._known.caches_known:
             query = f"{query}&{_CACHES}"
         try:
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -36,6 +36,8 @@
 # Part of the grace period that is left for the end of the process itself.
 _STOP_MARGIN_S = 0.4
 _RESTART_DELAY_S = 0.2
+# Reports that all peers must have missed until they count as gone.
+_ALONE_REPORTS = 2 * loads.SILENT_REPORTS
 _REACHABLE = (
     membership.State.ALIVE,
     membership.State.LEAVING,
@@ -283,18 +285,25 @@
     def _public_addresses(self) -> list[str]:
         """Returns the addresses at which callers are probably served.
 
-        A gateway that hears none of its peers may be the one that is cut off,
-        so it leaves none of them out.
+        A gateway that hears none of its peers may be the one that is cut off.
+        It leaves them out once the platform answers it and they stay silent.
         """
         members = self._members.members
-        alive = set(self._members.alive)
-        heard = set(self._members.reachable) - self._sharing.silent()
-        peers = alive - {self._config["name"]}
-        names = peers & heard or peers
-        if self.ready:
-            names = names | {self._config["name"]}
+        own = self._config["name"]
+        peers = set(self._members.alive) - {own}
+        reachable = peers & set(self._members.reachable)
+        heard = reachable - self._sharing.silent()
+        if not heard and not self._is_alone(reachable):
+            heard = peers
+        names = heard | ({own} if self.ready else set())
         return [members[name].public_address for name in sorted(names)]
 
+    def _is_alone(self, reachable: set[str]) -> bool:
+        gone = self._sharing.silent(_ALONE_REPORTS)
+        return self.ready and not (
+            self._handing_on.is_source_lost or reachable - gone
+        )
+
     # Peers.
 
     def _membership(self) -> membership.Membership:
@@ -440,6 +449,7 @@
             boot = time.clock_gettime(time.CLOCK_BOOTTIME)
             if boot - last > _TICK_S + _PAUSE_S:
                 log.emit(events.CLOCK_GAP, seconds=boot - last)
+                self._sharing.resumed()
                 self._caches.ask_again()
                 self._handing_on.ask("all", 0)
             last = boot
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -349,6 +349,7 @@
         self.client = http_client.Client()
         self._count = gateways
         self._overrides = overrides
+        self._numbers = itertools.count()
         self.gateways = []
         self.tasks = []
 
@@ -374,7 +375,8 @@
         for gateway in self.gateways:
             await gateway.close()
 
-    def start_gateway(self):
+    def settings(self):
+        """Returns settings of one more gateway, with addresses of its own."""
         host = free_host()
         ports = itertools.count(20_001)
 
@@ -382,7 +384,7 @@
             return f"{host}:{next(ports)}"
 
         values = {
-            "name": f"gateway-{len(self.gateways)}",
+            "name": f"gateway-{next(self._numbers)}",
             "zone": "zone-a",
             "public_address": address(),
             "readiness_address": address(),
@@ -408,7 +410,10 @@
         }
         if self.gateways:
             values["seeds"] = [self.gateways[0].config["control_address"]]
-        data = json.dumps(values | self._overrides).encode()
+        return values | self._overrides
+
+    def start_gateway(self, **changes):
+        data = json.dumps(self.settings() | changes).encode()
         gateway = process.Gateway(settings.parse(data, "test"), main.PORTS)
         self.gateways.append(gateway)
         self.tasks.append(asyncio.create_task(gateway.run()))
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -1,9 +1,11 @@
 """Faults of a gateway's own process: tasks, descriptors, settings."""
 
+import asyncio
 import json
 
 import standin
 
+from nutmegpost_core import membership
 from nutmegpost_platform import main
 
 
@@ -23,6 +25,59 @@
     standin.run(with_gateway)
 
 
+def _told(gateway, host, age_s):
+    """Makes a gateway know a peer that it heard some seconds ago."""
+    now = asyncio.get_running_loop().time()
+    name = f"peer-{host}"
+    gateway.members.learn(
+        [
+            membership.Member(
+                name, 1, f"{host}:1", f"{host}:2", "zone-a", revision=1
+            )
+        ],
+        now,
+    )
+    gateway._sharing._heard[name] = now - age_s
+    return f"{host}:1"
+
+
+def test_callers_are_sent_to_the_gateways_that_are_heard():
+    async def scenario():
+        async with standin.Fleet([standin.Runner("p1", "plain")]) as fleet:
+            gateway = fleet.gateways[0]
+            own = gateway.config["public_address"]
+            silent = _told(gateway, "127.0.0.8", 0.9)
+            assert set(gateway._public_addresses()) == {own, silent}
+            heard = _told(gateway, "127.0.0.9", 0.0)
+            assert set(gateway._public_addresses()) == {own, heard}
+
+    standin.run(scenario)
+
+
+def test_a_gateway_whose_peers_stay_silent_names_only_itself():
+    async def scenario():
+        async with standin.Fleet([standin.Runner("p1", "plain")]) as fleet:
+            gateway = fleet.gateways[0]
+            own = gateway.config["public_address"]
+            silent = _told(gateway, "127.0.0.8", 30.0)
+            assert gateway._public_addresses() == [own]
+            gateway._handing_on.source_lost()
+            assert set(gateway._public_addresses()) == {own, silent}
+
+    standin.run(scenario)
+
+
+def test_a_gateway_that_stood_still_takes_no_peer_for_silent():
+    async def scenario():
+        async with standin.Fleet([standin.Runner("p1", "plain")]) as fleet:
+            gateway = fleet.gateways[0]
+            _told(gateway, "127.0.0.8", 30.0)
+            gateway._sharing.resumed()
+            assert gateway._sharing.silent() == set()
+
+    standin.run(scenario)
+
+
 def test_a_task_that_fails_runs_again_and_the_others_go_on():
     async def scenario():
         async with standin.Fleet([standin.Runner("p1", "plain")]) as fleet:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -3,10 +3,13 @@
 import asyncio
 import json
 
+import cbor2
 import pytest
 import standin
 
 from nutmegpost_core import membership
+from nutmegpost_core import vms
+from nutmegpost_router import http_server
 
 PIECES = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -495,6 +498,52 @@
     standin.run(scenario)
 
 
+def test_a_gateway_that_the_store_leaves_waiting_hears_of_it_from_a_peer():
+    async def scenario():
+        async def hold(exchange):
+            await exchange.gone.wait()
+
+        async with standin.Fleet(_plain("p1", "p2")) as fleet:
+            silent = standin.free_address()
+            server = await http_server.serve(vms.parse_address(silent), hold)
+            late = fleet.start_gateway(platform_address=silent)
+            await fleet.until(lambda: late.ready)
+            runner = fleet.runners["p1"]
+            fleet.store.put("servers/p1", runner.entry(state="draining", seq=2))
+            known = late.known.roster
+            await fleet.until(lambda: known.endpoints["p1"].is_leaving)
+            await server.close()
+
+    standin.run(scenario)
+
+
+def test_peers_tell_their_list_only_where_it_differs():
+    async def scenario():
+        async with standin.Fleet(_plain("p1"), gateways=2) as fleet:
+            for gateway in fleet.gateways:
+                await fleet.until(
+                    lambda it=gateway: not it._handing_on.is_source_lost
+                )
+
+            async def told(query):
+                answer = await fleet.client.request(
+                    fleet.address("control_address"),
+                    "GET",
+                    f"/published?{query}",
+                    {},
+                )
+                return cbor2.loads(answer.body)
+
+            digest = fleet.gateways[1].known.roster.digest()
+            assert await told(f"1&{digest}") == [b"", 0, [], {}]
+            document, revision, listed, _ = await told("0&")
+            assert document and revision
+            assert [item[0] for item in listed] == ["p1"]
+            assert len((await told("1&another"))[2]) == 1
+
+    standin.run(scenario)
+
+
 def test_a_request_that_crashes_its_endpoints_is_refused():
     async def scenario():
         runners = _engines("e1", "e2", "e3")
