Soak gateways as processes, with faults from outside

Cause: what holds under faults stood on the bench and on tests of one fault each; nothing in this repository played the gateway program under faults that overlap.

Change: tests/platform/faultsoak.py starts three gateways as processes behind relays to stand-ins of the store and of six runners, and plays kills, pauses, planned stops, rereads, crashes, cut, silent and slow links, bad answers, outages and drains in an order that a seed fixes. It compares what callers got with what runners ran: at most one run, no run after a promise, whole answers with the seal of a runner that ran them, streams without gap or double, service after the faults, no failed task in the logs.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := packages/core packages/router packages/ctl packages/standins platform
 
-.PHONY: demo test format lint types unit soak bench measure capacity quiet \
+.PHONY: demo test format lint types unit soak soak-faults bench measure capacity quiet \
   clean
 
 $(STAMP): requirements.txt $(PACKAGES:%=%/pyproject.toml)
@@ -38,6 +38,12 @@
 	$(BIN)/python -m nutmegpost_standins.soak --seed=$(or $(SEED),0) \
 	  --seconds=$(or $(SECONDS),600)
 
+# Gateways as processes, with faults from outside; see tests/platform.
+soak-faults: $(STAMP)
+	PYTHONPATH=tests:tests/platform $(BIN)/python tests/platform/faultsoak.py \
+	  --seed $(or $(SEED),1) --count $(or $(COUNT),1) \
+	  --seconds $(or $(SECONDS),10)
+
 bench: $(STAMP)
 	$(BIN)/python -m nutmegpost_standins.bench
 
--- a/packages/standins/nutmegpost_standins/relay.py
+++ b/packages/standins/nutmegpost_standins/relay.py
@@ -84,11 +84,23 @@
         if request.path != "/standin/faults":
             return http.error(404, "unknown-name")
         response = await self._faults.handle(request)
+        self._switched()
+        return response
+
+    def switch(self, **values: Any) -> None:
+        """Sets faults.
+
+        Raises:
+            ValueError: There is no fault of that name.
+        """
+        self._faults.set(**values)
+        self._switched()
+
+    def _switched(self) -> None:
         # Waiters look at it in a later turn of the loop.
         self._silent_below = self._number if self._faults["silent"] else 0
         if self._faults["cut"]:
             self._cut()
-        return response
 
     def _cut(self) -> None:
         for writers in self._connections.values():
