Test that a caller with a full pipe cancels its request when it leaves

The test lets an endpoint flood a caller that reads nothing until the pipe is full, breaks the caller's connection, and waits for the endpoint to see its own closed.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -244,6 +244,47 @@
     standin.run(scenario)
 
 
+def test_a_caller_that_reads_nothing_and_leaves_cancels_its_request():
+    async def scenario():
+        async with standin.Fleet(_engines("e1")) as fleet:
+
+            async def flood(runner, exchange):
+                request = exchange.request
+                runner.runs.append(request.headers["attempt-id"])
+                exchange.start(200, runner.head(request))
+                number = 0
+                while not exchange.gone.is_set():
+                    number += 1
+                    exchange.write(b"id: %d\ndata: " % number)
+                    exchange.write(b"x" * 100_000 + b"\n\n")
+                    await exchange.drain()
+                    sent.append(number)
+                    await asyncio.sleep(0)
+
+            sent = []
+            fleet.runners["e1"].acts = [flood]
+            address = fleet.address("public_address")
+            _, writer = await asyncio.open_connection(*address)
+            writer.write(
+                b"POST /ask/1 HTTP/1.1\r\nHost: %b\r\nAttempt-Id: id-1\r\n"
+                b"Authorization: Bearer %b\r\nModel: m\r\n"
+                b"Token-Count: 60,40\r\nPrompt-Prefix: aa:20,cc:40\r\n"
+                b"Content-Length: 2\r\n\r\n{}"
+                % (standin.HOST.encode(), standin.KEY.encode())
+            )
+            # The pipe is full once the endpoint cannot write any more.
+            await fleet.until(lambda: sent)
+            seen = 0
+            while len(sent) > seen:
+                seen = len(sent)
+                await asyncio.sleep(0.2)
+            writer.transport.abort()
+            cancelled = fleet.runners["e1"].cancelled
+            await fleet.until(lambda: cancelled == ["id-1"])
+
+    standin.run(scenario)
+
+
 def test_routes_and_keys_decide_the_status():
     async def scenario():
         async with standin.Fleet(_plain("p1")) as fleet:
