Split the placing of a request from the look for its stream

Cause: `_place` of the owner had grown to two decisions of thirty lines: where a stream already runs, and where a request goes otherwise. The second is a method of its own now; nothing else changes. Tests of the owner pass (16).

--- a/packages/router/nutmegpost_router/owner.py
+++ b/packages/router/nutmegpost_router/owner.py
@@ -391,14 +391,22 @@
         is_there = is_known and last is not None and last.engine == engine
         if is_there and not submit.fresh and not self._is_suspect(submit):
             return _Place(engine, 0.0, True)
+        return self._place_anew(submit, engine if is_known else "")
+
+    def _place_anew(self, submit: wire.Submit, engine: str) -> _Place:
+        """Places a request by its copies, as it was placed before, or anew.
+
+        Args:
+            submit: The request.
+            engine: Where it was placed before; empty for nowhere.
+        """
         digest, now = _digest(submit), self._now()
         copied = self._copies.engine(digest, now)
+        wait_s = 0.0
         # Routers that know other copies would pass a request on and on.
         if self._takes_work(copied) and (copied in self._tasks or not engine):
-            self._copies.placed(digest, copied, now)
-            return _Place(copied, 0.0, False)
-        wait_s = 0.0
-        if not is_known or not self._takes_work(engine):
+            engine = copied
+        elif not self._takes_work(engine):
             is_patient = not submit.hops and not submit.engine
             choice = self._chooser.choose_for(submit, is_patient)
             engine, wait_s = choice.engine, choice.wait_s
