Choose an endpoint without work for each peer and part

Cause: a gateway of a large fleet spent most of a choice on sums. For each endpoint it added the reports of all peers, walked the prompt through the cache three times and built a result that was thrown away; each datagram of a peer hashed the names of all endpoints again, each address was parsed again at every use, and each structured log line was also formatted as text.

Change: the sum of the reports is kept when a report comes or expires; caches are indexed by part, so one look-up tells who holds a prompt; the rendezvous hash is taken of ties only; digests and addresses are cached; text is formatted where text is written.

--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -10,7 +10,7 @@
 service, counted over all routers.
 """
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 import math
 from typing import NamedTuple
 
@@ -198,75 +198,153 @@
     candidates = healthy or allowed
     if not candidates:
         return None
-    prompt_tokens = hints.prompt_tokens if hints else 0
-    parts = hints.parts if hints else ()
-    shared = parts[:-1] if len(parts) > 1 else parts
-    cache_candidates = (*endpoints, *draining)
-    best_cached = max(
-        caches.cached_tokens(endpoint.name, shared)
-        for endpoint in cache_candidates
+    prompt = _locate_prompt((*endpoints, *draining), caches, hints, now, policy)
+    costs = [
+        _cost(policy, loads[endpoint.name], prompt, endpoint, zone, now)
+        for endpoint in candidates
+    ]
+    best = _best_index(candidates, costs, loads, prompt, policy)
+    endpoint = candidates[best]
+    source = prompt.source_for(endpoint.name, policy)
+    cached = prompt.cached_by_endpoint.get(endpoint.name, 0)
+    duplicate_prefill = max(0, prompt.best_cached - cached)
+    if source is not None:
+        duplicate_prefill -= source.tokens
+    choice = Choice(
+        endpoint,
+        cached,
+        duplicate_prefill,
+        source,
+        costs[best],
+        bound,
+        loads[endpoint.name],
     )
-    best_source = max(
-        (
-            FetchSource(
-                endpoint, caches.fetchable_tokens(endpoint.name, shared, now)
-            )
-            for endpoint in cache_candidates
-        ),
-        key=lambda source: source.tokens,
+    missing = prompt.shared_tokens - choice.reusable_tokens
+    if source or not policy.fetch_tokens_per_s or missing < FETCH_TOKENS_MIN:
+        return choice
+    others = [
+        other
+        for other in (*endpoints, *draining)
+        if other != endpoint and other.name not in ejected
+    ]
+    speculative_source = min(
+        others,
+        key=lambda other: _rendezvous_score(other, prompt.key),
+        default=None,
     )
+    return choice._replace(speculative_source=speculative_source)
+
+
+class _LocatedPrompt(NamedTuple):
+    """A prompt and where its tokens are cached.
+
+    Attributes:
+        tokens: Length of the prompt.
+        shared_tokens: Length of the parts that other requests may share.
+        key: Identity of the last shared part; empty for a plain call.
+        cached_by_endpoint: Length of the longest cached prefix, by name of the
+            endpoint, for the endpoints that have any.
+        best_cached: Most shared tokens that one endpoint has cached.
+        best_source: Endpoint from which most shared tokens can be fetched.
+    """
+
+    tokens: int
+    shared_tokens: int
+    key: str
+    cached_by_endpoint: Mapping[str, int]
+    best_cached: int
+    best_source: FetchSource | None
+
+    def source_for(self, name: str, policy: Policy) -> FetchSource | None:
+        """Returns where an endpoint fetches from, or None."""
+        if self.best_source is None or not policy.fetch_tokens_per_s:
+            return None
+        cached = self.cached_by_endpoint.get(name, 0)
+        tokens = self.best_source.tokens - cached
+        if tokens < FETCH_TOKENS_MIN:
+            return None
+        return FetchSource(self.best_source.endpoint, tokens)
+
+
+def _locate_prompt(
+    endpoints: Sequence[roster.Endpoint],
+    caches: prefixes.PrefixCaches,
+    hints: calls.PromptHints | None,
+    now: float,
+    policy: Policy,
+) -> _LocatedPrompt:
+    """Returns where the tokens of a prompt are cached.
 
-    def evaluate(endpoint: roster.Endpoint) -> Choice:
-        load = loads[endpoint.name]
-        cached = caches.cached_tokens(endpoint.name, parts)
-        cached_elsewhere = max(0, best_cached - cached)
-        source = None
-        if (
-            policy.fetch_tokens_per_s
-            and best_source.tokens - cached >= FETCH_TOKENS_MIN
+    Args:
+        endpoints: Endpoints whose cache can be used or fetched from.
+        caches: Estimated cache contents of the endpoints.
+        hints: Description of the prompt; None for a plain service.
+        now: Monotonic time, seconds.
+        policy: Whether endpoints can fetch from one another.
+    """
+    if hints is None or not hints.parts:
+        tokens = hints.prompt_tokens if hints else 0
+        return _LocatedPrompt(tokens, 0, "", {}, 0, None)
+    shared = hints.parts[:-1] if len(hints.parts) > 1 else hints.parts
+    shared_tokens = sum(part.tokens for part in shared)
+    cached = caches.cached_by_endpoint(hints.parts)
+    best_cached = 0
+    best_source: FetchSource | None = None
+    for endpoint in endpoints:
+        tokens = min(cached.get(endpoint.name, 0), shared_tokens)
+        best_cached = max(best_cached, tokens)
+        if not policy.fetch_tokens_per_s or tokens <= (
+            best_source.tokens if best_source else 0
         ):
-            source = FetchSource(
-                best_source.endpoint, best_source.tokens - cached
-            )
-        cost = _cost(
-            policy, load, prompt_tokens - cached, cached_elsewhere, source
-        )
-        if endpoint.zone != zone:
-            cost += policy.cross_zone_s
-        if endpoint.warming_until > now:
-            cost += policy.warm_up_s
-        duplicate_prefill = cached_elsewhere - (source.tokens if source else 0)
-        return Choice(
-            endpoint, cached, duplicate_prefill, source, cost, bound, load
-        )
+            continue
+        fetchable = caches.fetchable_tokens(endpoint.name, shared, now)
+        if fetchable > (best_source.tokens if best_source else 0):
+            best_source = FetchSource(endpoint, fetchable)
+    return _LocatedPrompt(
+        hints.prompt_tokens,
+        shared_tokens,
+        shared[-1].identity,
+        cached,
+        best_cached,
+        best_source,
+    )
 
-    key = shared[-1].identity if shared else ""
+
+def _best_index(
+    candidates: Sequence[roster.Endpoint],
+    costs: Sequence[float],
+    loads: Mapping[str, Load],
+    prompt: _LocatedPrompt,
+    policy: Policy,
+) -> int:
+    """Returns the index of the best candidate.
+
+    Costs are rounded to buckets, and rendezvous hashing orders the candidates
+    of one bucket, so that routers with different views of the load choose the
+    same one. A bucket is at least as wide as the prefill time of the prompt, so
+    that two routers do not prefill it at two endpoints.
+    """
+    indices = range(len(candidates))
+    if not prompt.key:
+        return min(
+            indices,
+            key=lambda index: (
+                costs[index],
+                loads[candidates[index].name].running,
+            ),
+        )
     tie_s = max(
-        policy.tie_width_s,
-        sum(part.tokens for part in shared) / policy.prefill_tokens_per_s,
-    )
-    best = min(
-        map(evaluate, candidates),
-        key=lambda choice: _preference(choice, key, tie_s),
+        policy.tie_width_s, prompt.shared_tokens / policy.prefill_tokens_per_s
     )
-    missing = sum(part.tokens for part in shared) - best.reusable_tokens
-    if (
-        best.source
-        or not policy.fetch_tokens_per_s
-        or missing < FETCH_TOKENS_MIN
-    ):
-        return best
-    others = [
-        endpoint
-        for endpoint in cache_candidates
-        if endpoint != best.endpoint and endpoint.name not in ejected
-    ]
-    speculative_source = min(
-        others,
-        key=lambda endpoint: _rendezvous_score(endpoint, key),
-        default=None,
+    best_bucket = round(min(costs) / tie_s)
+    return min(
+        (
+            index
+            for index in indices
+            if round(costs[index] / tie_s) == best_bucket
+        ),
+        key=lambda index: _rendezvous_score(candidates[index], prompt.key),
     )
-    return best._replace(speculative_source=speculative_source)
 
 
 def _rendezvous_score(endpoint: roster.Endpoint, key: str) -> int:
@@ -277,45 +355,36 @@
 def _cost(
     policy: Policy,
     load: Load,
-    uncached: int,
-    cached_elsewhere: int,
-    source: FetchSource | None,
+    prompt: _LocatedPrompt,
+    endpoint: roster.Endpoint,
+    zone: str,
+    now: float,
 ) -> float:
-    """Returns the estimated cost in seconds, without zone and warm-up costs.
+    """Returns the estimated cost of an endpoint, seconds.
 
     Args:
         policy: Parameters of the cost function.
         load: Load of the endpoint.
-        uncached: Prompt tokens that are not in the cache of the endpoint.
-        cached_elsewhere: Tokens among these that another endpoint has cached.
-        source: Where they are fetched from, or None.
+        prompt: The prompt and where it is cached.
+        endpoint: The endpoint.
+        zone: Availability zone of this router.
+        now: Monotonic time, seconds.
     """
     seconds = policy.running_request_s * load.running
+    if endpoint.zone != zone:
+        seconds += policy.cross_zone_s
+    if endpoint.warming_until > now:
+        seconds += policy.warm_up_s
+    cached = prompt.cached_by_endpoint.get(endpoint.name, 0)
+    source = prompt.source_for(endpoint.name, policy)
     fetched = source.tokens if source else 0
-    duplicate_prefill = max(0, cached_elsewhere - fetched)
+    if fetched:
+        seconds += FETCH_SETUP_S + fetched / policy.fetch_tokens_per_s
+    duplicate_prefill = max(0, prompt.best_cached - cached - fetched)
     weighted = (
         policy.duplicate_prefill_weight * duplicate_prefill
         + policy.fetch_weight * fetched
     )
+    uncached = prompt.tokens - cached
     waiting = max(0, uncached - fetched) + load.pending_prefill_tokens
-    if fetched:
-        seconds += FETCH_SETUP_S + fetched / policy.fetch_tokens_per_s
     return seconds + (weighted + waiting) / policy.prefill_tokens_per_s
-
-
-def _preference(
-    choice: Choice, key: str, tie_s: float
-) -> tuple[float, int, int]:
-    """Returns the sort key of a choice; the lowest is the best.
-
-    Args:
-        choice: A candidate.
-        key: Identity of the shared prompt prefix; empty for a plain call.
-        tie_s: Width of the buckets that costs are rounded to, seconds. At least
-            the prefill time of the prompt, so that two routers with different
-            views of the load do not prefill it at two endpoints.
-    """
-    if not key:
-        return choice.cost, choice.load.running, 0
-    order = _rendezvous_score(choice.endpoint, key)
-    return round(choice.cost / tie_s), order, choice.load.running
--- a/packages/core/nutmegpost_core/prefixes.py
+++ b/packages/core/nutmegpost_core/prefixes.py
@@ -27,13 +27,17 @@
             collections.OrderedDict()
         )
 
-    def touch(self, part: calls.PromptPart) -> None:
+    def touch(self, part: calls.PromptPart) -> list[str]:
+        """Marks a part as most recently used; returns the evicted parts."""
+        evicted = []
         previous = self.parts.pop(part.identity, 0)
         self.parts[part.identity] = part.tokens
         self.tokens += part.tokens - previous
         while self.tokens > self.capacity_tokens and len(self.parts) > 1:
-            _, tokens = self.parts.popitem(last=False)
+            identity, tokens = self.parts.popitem(last=False)
             self.tokens -= tokens
+            evicted.append(identity)
+        return evicted
 
 
 class PrefixCaches:
@@ -41,6 +45,8 @@
 
     def __init__(self) -> None:
         self._caches: dict[str, _Cache] = {}
+        # Names of the endpoints that have a part cached, by part.
+        self._holders: dict[str, set[str]] = {}
         self._prefill_until: dict[tuple[str, str], float] = {}
 
     def cached_tokens(
@@ -57,6 +63,29 @@
             total += part.tokens
         return total
 
+    def cached_by_endpoint(
+        self, parts: Sequence[calls.PromptPart]
+    ) -> dict[str, int]:
+        """Returns the tokens in the longest cached prefix of a prompt.
+
+        Args:
+            parts: Parts of the prompt, in order.
+
+        Returns:
+            Tokens by name, for the endpoints that have the first part cached.
+        """
+        tokens_by_endpoint: dict[str, int] = {}
+        holders: set[str] | None = None
+        total = 0
+        for part in parts:
+            of_part = self._holders.get(part.identity, set())
+            holders = of_part if holders is None else holders & of_part
+            if not holders:
+                break
+            total += part.tokens
+            tokens_by_endpoint |= dict.fromkeys(holders, total)
+        return tokens_by_endpoint
+
     def fetchable_tokens(
         self, endpoint: str, parts: Sequence[calls.PromptPart], now: float
     ) -> int:
@@ -96,7 +125,10 @@
         # Touches the first part last, so that it is evicted after the parts
         # that depend on it.
         for part in reversed(list(parts)):
-            cache.touch(part)
+            evicted = cache.touch(part)
+            self._holders.setdefault(part.identity, set()).add(endpoint)
+            for identity in evicted:
+                self._remove_holder(identity, endpoint)
 
     def parts_by_endpoint(self) -> dict[str, list[calls.PromptPart]]:
         """Returns the cached parts by endpoint, least recently used first."""
@@ -142,15 +174,24 @@
 
     def forget(self, endpoint: str) -> None:
         """Discards the estimate of an endpoint that lost its cache."""
-        self._caches.pop(endpoint, None)
+        cache = self._caches.pop(endpoint, None)
+        if cache is not None:
+            for identity in cache.parts:
+                self._remove_holder(identity, endpoint)
 
     def retain(self, endpoints: Iterable[str]) -> None:
         """Discards the estimates of all endpoints but these."""
         retained = set(endpoints)
         for name in set(self._caches) - retained:
-            del self._caches[name]
+            self.forget(name)
         self._prefill_until = {
             key: until
             for key, until in self._prefill_until.items()
             if key[0] in retained
         }
+
+    def _remove_holder(self, identity: str, endpoint: str) -> None:
+        holders = self._holders[identity]
+        holders.discard(endpoint)
+        if not holders:
+            del self._holders[identity]
--- a/packages/core/nutmegpost_core/vms.py
+++ b/packages/core/nutmegpost_core/vms.py
@@ -1,5 +1,6 @@
 """Schema and validation of the platform's list of VMs."""
 
+import functools
 import ipaddress
 from typing import Annotated, NamedTuple, TypedDict
 
@@ -15,6 +16,8 @@
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*\Z", max_length=64)
 ]
 
+_ADDRESSES_CACHED_MAX = 16_384
+
 
 class Address(NamedTuple):
     """An IPv4 address and a TCP or UDP port."""
@@ -93,6 +96,7 @@
     return vm_list
 
 
+@functools.lru_cache(maxsize=_ADDRESSES_CACHED_MAX)
 def parse_address(text: str) -> Address:
     """Returns the address written as `host:port`.
 
--- a/packages/core/tests/test_prefixes.py
+++ b/packages/core/tests/test_prefixes.py
@@ -1,3 +1,6 @@
+import hypothesis
+from hypothesis import strategies
+
 from nutmegpost_core import calls
 from nutmegpost_core import prefixes
 
@@ -69,3 +72,33 @@
     caches.retain(["e2"])
     assert caches.cached_tokens("e1", [SYSTEM]) == 0
     assert caches.prefilling_tokens("e1", [SYSTEM], 1.0) == 0
+
+
+_ENDPOINTS = ("e1", "e2", "e3")
+_PARTS = tuple(calls.PromptPart(f"p{n}", 1_500 * (n + 1)) for n in range(5))
+_prompts = strategies.lists(
+    strategies.sampled_from(_PARTS), min_size=1, max_size=3, unique=True
+)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.sampled_from(_ENDPOINTS), _prompts)
+        | strategies.sampled_from(_ENDPOINTS),
+        max_size=20,
+    ),
+    _prompts,
+)
+def test_index_by_part_agrees_with_the_caches(steps, prompt):
+    caches = prefixes.PrefixCaches()
+    for step in steps:
+        if isinstance(step, str):
+            caches.forget(step)
+        else:
+            caches.touch(step[0], step[1], CACHE_TOKENS)
+    cached = {
+        name: tokens
+        for name in _ENDPOINTS
+        if (tokens := caches.cached_tokens(name, prompt))
+    }
+    assert caches.cached_by_endpoint(prompt) == cached
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -12,6 +12,7 @@
 import asyncio
 import bisect
 from collections.abc import Callable, Iterable, Mapping
+import functools
 import hmac
 from typing import NamedTuple
 
@@ -65,9 +66,11 @@
 # placements.
 _NOTICES_PER_DATAGRAM_MAX = 10
 _ENDPOINT_BYTES = 4
+_DIGESTS_CACHED_MAX = 16_384
 _MAC_BYTES = 8
 _HEADER_BYTES = 28
 _MAC_CONTEXT = b"nutmegpost loads"
+_NO_LOAD = dispatch.Load()
 
 
 class Placement(NamedTuple):
@@ -99,6 +102,8 @@
     def __init__(self) -> None:
         self._own: dict[str, dispatch.Load] = {}
         self._reports: dict[str, _Report] = {}
+        # Sum of the reports, by endpoint.
+        self._reported: dict[str, dispatch.Load] = {}
         self._observations: dict[str, tuple[float, int]] = {}
         self._recent_observations: dict[str, tuple[float, int]] = {}
 
@@ -129,7 +134,9 @@
         self, peer: str, loads: dict[str, dispatch.Load], now: float
     ) -> None:
         """Stores the load report of a peer; it replaces the previous one."""
+        self._remove_report(peer)
         self._reports[peer] = _Report(now, loads)
+        self._add_reported(loads, 1)
 
     def record_observation(
         self, endpoint: str, running: int, now: float
@@ -176,7 +183,27 @@
                 del self._observations[endpoint]
         for peer, report in list(self._reports.items()):
             if now - report.at > REPORT_LIFETIME_S:
-                del self._reports[peer]
+                self._remove_report(peer)
+
+    def _remove_report(self, peer: str) -> None:
+        report = self._reports.pop(peer, None)
+        if report is not None:
+            self._add_reported(report.loads, -1)
+
+    def _add_reported(
+        self, loads: Mapping[str, dispatch.Load], sign: int
+    ) -> None:
+        for endpoint, load in loads.items():
+            total = self._reported.get(endpoint, dispatch.Load())
+            changed = dispatch.Load(
+                total.running + sign * load.running,
+                total.pending_prefill_tokens
+                + sign * load.pending_prefill_tokens,
+            )
+            if any(changed):
+                self._reported[endpoint] = changed
+            else:
+                self._reported.pop(endpoint, None)
 
     def age_s(self, now: float) -> float:
         """Returns the age of the oldest peer report in use, seconds."""
@@ -190,19 +217,16 @@
         The peers' part is the sum of their reports or the last observation,
         whichever is higher, because reports are infrequent in a large fleet.
         """
-        running, prefill_tokens = self._own.get(endpoint, dispatch.Load())
-        reported_running = 0
-        for report in self._reports.values():
-            peer_load = report.loads.get(endpoint)
-            if peer_load is not None:
-                reported_running += peer_load.running
-                prefill_tokens += peer_load.pending_prefill_tokens
+        own = self._own.get(endpoint, _NO_LOAD)
+        reported = self._reported.get(endpoint, _NO_LOAD)
         _, observed_running = self._observations.get(endpoint, (0.0, 0))
         return dispatch.Load(
-            running + max(reported_running, observed_running), prefill_tokens
+            own.running + max(reported.running, observed_running),
+            own.pending_prefill_tokens + reported.pending_prefill_tokens,
         )
 
 
+@functools.lru_cache(maxsize=_DIGESTS_CACHED_MAX)
 def endpoint_digest(name: str) -> bytes:
     """Returns the digest that stands for an endpoint name in datagrams."""
     return xxhash.xxh3_64_digest(name.encode())[:_ENDPOINT_BYTES]
--- a/packages/router/nutmegpost_router/log.py
+++ b/packages/router/nutmegpost_router/log.py
@@ -73,6 +73,8 @@
 
 _throttles: dict[int, _Throttle] = {}
 _limits = {"lines": LINES_PER_SECOND}
+# Whether lines hold the fields of an event in place of its text.
+_structured = {"enabled": False}
 _event_names = {
     event.number: name
     for name, event in vars(events).items()
@@ -133,7 +135,7 @@
         process: Name of this process, written in each line.
         level: Minimum level that is written.
     """
-    _configure(process, LINES_PER_SECOND)
+    _configure(process, LINES_PER_SECOND, structured=False)
     # diagnose=False keeps the values of variables, such as keys, out of
     # tracebacks.
     loguru.logger.add(
@@ -152,13 +154,14 @@
         process: Name of this process, written in each line.
         level: Minimum level that is written.
     """
-    _configure(process, STRUCTURED_LINES_PER_SECOND)
+    _configure(process, STRUCTURED_LINES_PER_SECOND, structured=True)
     sink = _NonBlockingSink(sys.stdout.fileno())
     loguru.logger.add(sink.write, level=level, diagnose=False, backtrace=False)
 
 
-def _configure(process: str, lines_max: int) -> None:
+def _configure(process: str, lines_max: int, structured: bool) -> None:
     _limits["lines"] = lines_max
+    _structured["enabled"] = structured
     loguru.logger.remove()
     loguru.logger.configure(extra={"process": process, "number": 0})
 
@@ -174,11 +177,14 @@
     throttle = _throttles.setdefault(event.number, _Throttle())
     if not throttle.admit(time.monotonic(), _limits["lines"]):
         return
-    text = _escape_unprintable(_format_message(event, fields))
     omitted = throttle.take_omitted()
     if omitted:
-        text = f"{text} (and {omitted} more of {event.number} not written)"
         fields["lines_omitted"] = omitted
+    text = ""
+    if not _structured["enabled"]:
+        text = _escape_unprintable(_format_message(event, fields))
+        if omitted:
+            text = f"{text} (and {omitted} more of {event.number} not written)"
     bound_logger = loguru.logger.bind(
         number=event.number,
         event=_event_names.get(event.number, ""),
--- a/packages/router/tests/gateway/test_loads.py
+++ b/packages/router/tests/gateway/test_loads.py
@@ -83,6 +83,18 @@
     assert table.total("e-1") == dispatch.Load()
 
 
+def test_a_report_replaces_the_previous_one_of_the_same_peer_only():
+    table = loads.LoadTable()
+    table.record_report("peer-1", {"e-1": dispatch.Load(3, 100)}, 10.0)
+    table.record_report("peer-2", {"e-1": dispatch.Load(4, 0)}, 10.5)
+    table.record_report("peer-1", {"e-2": dispatch.Load(1, 50)}, 11.0)
+    assert table.total("e-1") == dispatch.Load(4, 0)
+    assert table.total("e-2") == dispatch.Load(1, 50)
+    table.expire(10.5 + loads.REPORT_LIFETIME_S + 0.1)
+    assert table.total("e-1") == dispatch.Load()
+    assert table.total("e-2") == dispatch.Load(1, 50)
+
+
 def test_the_load_observed_at_an_endpoint_replaces_lower_reports():
     table = loads.LoadTable()
     table.add("e-1", 1, 0)
