Relay events where they are received, and bound answers that never end

Cause: each event of a stream woke the task of its request, which asked the retry budget and set a time-out before it wrote: two passes of the event loop and two calls of epoll for each event. And an endpoint in trouble could hold a gateway: interim responses or chunks of one byte at full speed stopped the event loop for seconds, a stream that repeats an event or sends blocks without an id was read or relayed past the deadline, the body of a rejection was read until the deadline, and each of many bodies without end took 8 MB.

Change: a stream passes its data to a consumer in the callback that receives it; the time-out starts again with each new event only, and the retry budget is asked when it is over. A chunk is framed without h11, whose state it does not change. Interim responses, small chunks, data without an event and the bodies of all responses together are bounded; a rejection is not waited for.

--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -50,6 +50,8 @@
 # connections to endpoints and peers, and for the process itself.
 _CALLER_CONNECTIONS_SHARE = 0.5
 _BUFFERED_BODIES_SHARE = 0.25
+# Share of the memory limit for the bodies of responses that are being read.
+_RESPONSE_BODIES_SHARE = 1 / 32
 # Time to receive the body of a request, added to that for its header.
 _BODY_TIMEOUT_S = 10.0
 
@@ -70,7 +72,9 @@
         self._protocols = protocols
         self._state = state.State(config)
         self._counters = metrics.GatewayMetrics()
-        self._client = http_client.Client()
+        self._client = http_client.Client(
+            int(config["memory_mb"] * 1e6 * _RESPONSE_BODIES_SHARE)
+        )
         self._updates: asyncio.Queue[ports.StateUpdate] = asyncio.Queue()
         self._notices: asyncio.Queue[gossip.Notice] = asyncio.Queue()
         self._members = self._membership()
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -27,6 +27,11 @@
 # a connection that was used very recently, or on a new one.
 _IDLE_LIMIT_REPEATABLE_S = 4.0
 _IDLE_LIMIT_ONCE_S = 0.5
+# Time to read the body of a rejection, to reuse the connection.
+_REJECTION_BODY_TIMEOUT_S = 0.1
+# Size of the data in which an endpoint must send an event.
+_EVENT_BYTES_MAX = 1_000_000
+_ID_DIGITS_MAX = 18
 
 
 class AttemptEnd(enum.StrEnum):
@@ -270,21 +275,15 @@
             and stream.status == 200
         ):
             return await self._relay(pending, stream, head, load)
+        if head.verdict is ports.Verdict.NOT_RUN:
+            return await self._read_rejection(stream, head)
         try:
             body = await stream.read_all(max(0.0, call.deadline - _now()))
         except http_client.ExchangeError as caught:
             stream.abort()
-            if head.verdict is ports.Verdict.NOT_RUN:
-                return AttemptResult(
-                    AttemptEnd.NOT_RUN, f"rejected with {stream.status}"
-                )
             return AttemptResult(AttemptEnd.LOST, str(caught))
         stream.close_with_idle_timeout(head.idle_s)
         response = http_server.Response(stream.status, head.fields, body)
-        if head.verdict is ports.Verdict.NOT_RUN:
-            return AttemptResult(
-                AttemptEnd.NOT_RUN, f"rejected with {stream.status}"
-            )
         if stream.status >= 500:
             return AttemptResult(
                 AttemptEnd.FAILED, f"failed with {stream.status}", response
@@ -296,6 +295,19 @@
         pending.exchange.send(response)
         return AttemptResult(AttemptEnd.ANSWERED)
 
+    async def _read_rejection(
+        self, stream: http_client.Stream, head: ports.ResponseHead
+    ) -> AttemptResult:
+        """Ends an attempt that was rejected; does not wait for a slow body."""
+        try:
+            await stream.read_all(_REJECTION_BODY_TIMEOUT_S)
+            stream.close_with_idle_timeout(head.idle_s)
+        except http_client.ExchangeError:
+            stream.abort()
+        return AttemptResult(
+            AttemptEnd.NOT_RUN, f"rejected with {stream.status}"
+        )
+
     async def _relay(
         self,
         pending: PendingRequest,
@@ -303,73 +315,71 @@
         head: ports.ResponseHead,
         load: "_InFlightLoad",
     ) -> AttemptResult:
-        call = pending.call
-        exchange = pending.exchange
-        splitter = sse.Splitter()
-        first = True
-        while True:
-            remaining_s = max(0.0, call.deadline - _now())
-            can_retry = self._can_retry(pending)
-            wait = (
-                timeouts.first_byte_timeout_s
-                if first
-                else timeouts.next_event_timeout_s
-            )
-            try:
-                data = await stream.read(wait(call, remaining_s, can_retry))
-                out = b"".join(self._new_events(pending, splitter.feed(data)))
-            except errors.PeerError as caught:
-                stream.abort()
-                return AttemptResult(AttemptEnd.LOST, str(caught))
-            if not data:
-                break
-            if not out:
-                continue
-            if first:
-                first = False
+        relay = _EventRelay(pending, stream.status, head.fields)
+        try:
+            await self._relay_first_event(pending, stream, relay)
+            if relay.event_count:
                 load.finish_prefill()
-                self._state.record_prefilled(call, load.endpoint)
-                self._counters.first_event(
-                    call.route.name, _now() - call.received
-                )
-            if not exchange.started:
-                exchange.start(stream.status, head.fields)
-            exchange.write(out)
-            await exchange.drain()
-        if splitter.incomplete or not exchange.started:
+                self._state.record_prefilled(pending.call, load.endpoint)
+            await self._relay_rest(pending, stream, relay)
+        except errors.PeerError as caught:
+            stream.abort()
+            return AttemptResult(AttemptEnd.LOST, str(caught))
+        if relay.is_within_event or not pending.exchange.started:
             stream.abort()
             return AttemptResult(
                 AttemptEnd.LOST, "the stream ended within an event"
             )
-        exchange.finish()
+        pending.exchange.finish()
         stream.close_with_idle_timeout(head.idle_s)
         return AttemptResult(AttemptEnd.ANSWERED)
 
-    def _new_events(
-        self, pending: PendingRequest, received: list[sse.RawEvent]
-    ) -> list[bytes]:
-        """Returns the events that the caller does not have yet.
+    async def _relay_first_event(
+        self,
+        pending: PendingRequest,
+        stream: http_client.Stream,
+        relay: "_EventRelay",
+    ) -> None:
+        """Relays data until the first new event or the end of the stream.
 
-        Records the id of the last one in the pending request.
+        Raises:
+            errors.PeerError: The stream failed.
+        """
+        call = pending.call
+        until = _now() + timeouts.first_byte_timeout_s(
+            call, max(0.0, call.deadline - _now()), self._can_retry(pending)
+        )
+        while not relay.event_count:
+            data = await stream.read(max(0.0, until - _now()))
+            if not data:
+                return
+            relay.add(data)
+        self._counters.first_event(call.route.name, _now() - call.received)
+
+    async def _relay_rest(
+        self,
+        pending: PendingRequest,
+        stream: http_client.Stream,
+        relay: "_EventRelay",
+    ) -> None:
+        """Relays data until the end of the stream.
 
         Raises:
-            errors.PeerError: The id of an event is not a number.
+            errors.PeerError: The stream failed or was silent for too long.
         """
-        new_events = []
-        for event in received:
-            event_id = event.event_id.decode("latin-1")
-            if event_id:
-                if not event_id.isdecimal():
-                    raise errors.PeerError(
-                        f"event id is not a number: {event_id[:40]!r}"
-                    )
-                if pending.last_event_id and int(event_id) <= int(
-                    pending.last_event_id
-                ):
-                    continue
-                pending.last_event_id = event_id
-            new_events.append(event.data)
-        return new_events
+        call = pending.call
+        while True:
+            silence_s = timeouts.next_event_timeout_s(
+                call, max(0.0, call.deadline - _now()), True
+            )
+            try:
+                if await stream.consume(relay.add, silence_s):
+                    return
+            except http_client.ReadTimeoutError:
+                # Another endpoint can do better only if a retry is allowed.
+                if _now() >= call.deadline or self._can_retry(pending):
+                    raise
+            await pending.exchange.drain()
 
 
 def _fetch_address(choice: dispatch.Choice) -> str:
@@ -381,6 +391,80 @@
     )
 
 
+class _EventRelay:
+    """Relays the events of one stream that the caller does not have yet.
+
+    Attributes:
+        event_count: Number of events relayed.
+    """
+
+    def __init__(
+        self, pending: PendingRequest, status: int, fields: ports.Fields
+    ):
+        self._pending = pending
+        self._status = status
+        self._fields = list(fields)
+        self._splitter = sse.Splitter()
+        self._bytes_since_event = 0
+        self.event_count = 0
+
+    @property
+    def is_within_event(self) -> bool:
+        """Whether the data so far ends within an event."""
+        return bool(self._splitter.incomplete)
+
+    def add(self, data: bytes) -> http_client.Consumed:
+        """Relays the new events that some data completes.
+
+        Raises:
+            errors.PeerError: The data is not a stream of events, or the
+                deadline of the request has passed.
+        """
+        if _now() >= self._pending.call.deadline:
+            raise errors.PeerError("the stream goes on after the deadline")
+        self._bytes_since_event += len(data)
+        events_data = self._new_events(self._splitter.feed(data))
+        if not events_data:
+            if self._bytes_since_event > _EVENT_BYTES_MAX:
+                raise errors.PeerError("too much data without an event")
+            return http_client.Consumed.NOTHING
+        self._bytes_since_event = 0
+        exchange = self._pending.exchange
+        if not exchange.started:
+            exchange.start(self._status, self._fields)
+        exchange.write(b"".join(events_data))
+        self.event_count += len(events_data)
+        if not exchange.writable:
+            return http_client.Consumed.FULL
+        return http_client.Consumed.PROGRESS
+
+    def _new_events(self, received: list[sse.RawEvent]) -> list[bytes]:
+        """Returns the events that the caller does not have yet.
+
+        Records the id of the last one in the pending request.
+
+        Raises:
+            errors.PeerError: The id of an event is missing or not a number.
+        """
+        pending = self._pending
+        new_events = []
+        for event in received:
+            if event.data.startswith(b":"):
+                # A comment; it is no part of the answer.
+                continue
+            event_id = event.event_id
+            if not (event_id.isdigit() and len(event_id) <= _ID_DIGITS_MAX):
+                raise errors.PeerError(
+                    f"event id is not a number: {event_id[:40]!r}"
+                )
+            last_id = pending.last_event_id
+            if last_id and int(event_id) <= int(last_id):
+                continue
+            pending.last_event_id = event_id.decode("ascii")
+            new_events.append(event.data)
+        return new_events
+
+
 class _InFlightLoad:
     """The load that one attempt adds to an endpoint until it is released."""
 
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -7,7 +7,8 @@
 
 import asyncio
 import collections
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+import enum
 from typing import NamedTuple
 
 import h11
@@ -19,8 +20,10 @@
 __all__ = [
     "Client",
     "ConnectError",
+    "Consumed",
     "ExchangeError",
     "Headers",
+    "ReadTimeoutError",
     "Response",
     "Stream",
 ]
@@ -35,6 +38,16 @@
 IDLE_COUNT_MAX = 256
 HEADER_BYTES_MAX = 65_536
 BODY_BYTES_MAX = 8_000_000
+# Limit on the bodies of all responses that are being read.
+BUFFERED_BODY_BYTES_MAX = 64_000_000
+# Chunks of a body, besides one for each CHUNK_BYTES_MIN bytes and some for each
+# second. Parsing a chunk takes as long as copying many kilobytes, so a flood of
+# tiny ones blocks the process.
+CHUNKS_MAX = 2_048
+CHUNK_BYTES_MIN = 64
+CHUNKS_PER_S = 1_000
+# Interim (1xx) responses before a response; more are an endless head.
+INTERIM_RESPONSES_MAX = 16
 
 
 class ConnectError(errors.PeerError):
@@ -54,6 +67,27 @@
     """The exchange failed after the connect: the request may have arrived."""
 
 
+class ReadTimeoutError(ExchangeError):
+    """No data arrived in time; the connection is still open."""
+
+
+class Consumed(enum.Enum):
+    """What the consumer of a body made of some data.
+
+    Attributes:
+        PROGRESS: It used the data; the timeout starts again.
+        NOTHING: The data is not useful yet; the timeout goes on.
+        FULL: It used the data and takes no more until the next call.
+    """
+
+    PROGRESS = "progress"
+    NOTHING = "nothing"
+    FULL = "full"
+
+
+Consumer = Callable[[bytes], Consumed]
+
+
 class Response(NamedTuple):
     """A complete response.
 
@@ -89,9 +123,17 @@
         self._waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._deadline = 0.0
+        self._consumer: Consumer | None = None
+        self._consume_timeout_s = 0.0
+        self._consumer_full = False
+        self._consumer_error: errors.PeerError | None = None
         self._body = bytearray()
         self._error: str | None = None
         self._at_eof = False
+        self._interim_responses = 0
+        self._chunk_count = 0
+        self._body_bytes = 0
+        self._sent_at = 0.0
         self.exchange_count = 0
         self.server_idle_timeout_s: float | None = None
         self.head: h11.Response | None = None
@@ -151,6 +193,10 @@
             self.close()
             return
         self._feed(data)
+        if self._consumer is not None:
+            self._consume_body()
+            if not self._consume_ended:
+                return
         self._wake()
 
     def next_cycle(self) -> None:
@@ -160,6 +206,9 @@
         self.exchange_count += 1
         self.head = None
         self.complete = False
+        self._interim_responses = 0
+        self._chunk_count = 0
+        self._body_bytes = 0
         self._body.clear()
 
     def send(
@@ -172,6 +221,7 @@
     ) -> None:
         """Sends a complete request; adds Host and Content-Length."""
         self.idle_since = 0.0
+        self._sent_at = asyncio.get_running_loop().time()
         pairs = headers.items() if isinstance(headers, Mapping) else headers
         header_lines = [*pairs]
         if not any(name.lower() == "host" for name, _ in header_lines):
@@ -205,6 +255,59 @@
         self._body.clear()
         return data
 
+    async def consume(self, consumer: Consumer, timeout_s: float) -> bool:
+        """Passes body data to a function as it arrives; see `Stream.consume`.
+
+        The function runs where the data is received: a task switch for each
+        event of a stream would double the cost of relaying it.
+        """
+        assert self._transport is not None
+        loop = asyncio.get_running_loop()
+        self._consumer = consumer
+        self._consume_timeout_s = timeout_s
+        self._consumer_full = False
+        self._transport.resume_reading()
+        try:
+            self._deadline = loop.time() + timeout_s
+            self._consume_body()
+            while not self._consume_ended:
+                await self._wait(self._deadline)
+        finally:
+            self._consumer = None
+        if self._consumer_error is not None:
+            raise ExchangeError(str(self._consumer_error))
+        if self._error is not None and not self.complete:
+            raise ExchangeError(self._error)
+        return self.complete
+
+    @property
+    def _consume_ended(self) -> bool:
+        return (
+            self.complete
+            or self._consumer_full
+            or self._consumer_error is not None
+            or self._error is not None
+        )
+
+    def _consume_body(self) -> None:
+        """Passes the buffered data to the consumer."""
+        assert self._consumer is not None and self._transport is not None
+        if not self._body:
+            return
+        data = bytes(self._body)
+        self._body.clear()
+        try:
+            consumed = self._consumer(data)
+        except errors.PeerError as caught:
+            self._consumer_error = caught
+            return
+        if consumed is Consumed.FULL:
+            self._consumer_full = True
+            self._transport.pause_reading()
+        elif consumed is Consumed.PROGRESS:
+            now = asyncio.get_running_loop().time()
+            self._deadline = now + self._consume_timeout_s
+
     def close(self) -> None:
         """Closes the connection after the buffered data is sent."""
         if self._transport is not None:
@@ -227,16 +330,31 @@
     def _parse(self) -> None:
         while True:
             event = self._h11.next_event()
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.Data):
+                self._add_body(event.data)
+            elif isinstance(event, h11.Response):
                 self.head = event
-            elif isinstance(event, h11.Data):
-                self._body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 self.complete = True
                 return
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                self._interim_responses += 1
+                if self._interim_responses > INTERIM_RESPONSES_MAX:
+                    raise h11.RemoteProtocolError("too many 1xx responses")
+            else:
                 return
 
+    def _add_body(self, data: bytes) -> None:
+        self._body += data
+        self._chunk_count += 1
+        self._body_bytes += len(data)
+        allowed = CHUNKS_MAX + self._body_bytes / CHUNK_BYTES_MIN
+        if self._chunk_count <= allowed:
+            return
+        elapsed_s = asyncio.get_running_loop().time() - self._sent_at
+        if self._chunk_count > allowed + CHUNKS_PER_S * elapsed_s:
+            raise h11.RemoteProtocolError("too many small chunks")
+
     async def _wait(self, deadline: float) -> None:
         if self._error is not None:
             raise ExchangeError(self._error)
@@ -244,6 +362,8 @@
         self._deadline = deadline
         # Re-arming one timer when it fires costs less than setting a new timer
         # for each wait.
+        if self._timer is not None and self._timer.when() > deadline:
+            self._stop_timer()
         if self._timer is None:
             self._timer = loop.call_at(deadline, self._check_deadline)
         self._waiter = loop.create_future()
@@ -260,7 +380,7 @@
         if loop.time() < self._deadline:
             self._timer = loop.call_at(self._deadline, self._check_deadline)
         else:
-            self._waiter.set_exception(ExchangeError("no answer in time"))
+            self._waiter.set_exception(ReadTimeoutError("no answer in time"))
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -319,6 +439,24 @@
         """
         return await self._connection.read(_deadline(timeout_s))
 
+    async def consume(self, consumer: Consumer, timeout_s: float) -> bool:
+        """Passes body data to a function as it arrives.
+
+        Args:
+            consumer: Takes data. A PeerError that it raises fails the
+                exchange.
+            timeout_s: Maximum time without progress, seconds.
+
+        Returns:
+            Whether the body is complete; False if the consumer is full.
+
+        Raises:
+            ReadTimeoutError: No progress was made in time; the call may be
+                repeated.
+            ExchangeError: The connection failed.
+        """
+        return await self._connection.consume(consumer, timeout_s)
+
     async def read_all(self, timeout_s: float) -> bytes:
         """Returns the rest of the body.
 
@@ -327,15 +465,22 @@
 
         Raises:
             ExchangeError: The connection failed, the body was not complete in
-                time, or it is larger than `BODY_BYTES_MAX`.
+                time, it is larger than `BODY_BYTES_MAX`, or the bodies of all
+                responses are larger than the limit of the client.
         """
         body = bytearray()
         deadline = _deadline(timeout_s)
-        while data := await self._connection.read(deadline):
-            body += data
-            if len(body) > BODY_BYTES_MAX:
-                raise ExchangeError("response body is too large")
-        return bytes(body)
+        try:
+            while data := await self._connection.read(deadline):
+                body += data
+                self._client.buffered_body_bytes += len(data)
+                if len(body) > BODY_BYTES_MAX:
+                    raise ExchangeError("response body is too large")
+                if self._client.is_body_memory_exhausted:
+                    raise ExchangeError("no memory is left for the body")
+            return bytes(body)
+        finally:
+            self._client.buffered_body_bytes -= len(body)
 
     @property
     def fields(self) -> list[tuple[str, str]]:
@@ -370,12 +515,31 @@
 
 
 class Client:
-    """A client with a pool of idle connections."""
+    """A client with a pool of idle connections.
 
-    def __init__(self) -> None:
+    Attributes:
+        buffered_body_bytes: Size of the bodies that are being read.
+    """
+
+    def __init__(
+        self, buffered_body_bytes_max: int = BUFFERED_BODY_BYTES_MAX
+    ) -> None:
+        """Creates a client without connections.
+
+        Args:
+            buffered_body_bytes_max: Limit on the bodies of all responses that
+                are being read, bytes.
+        """
+        self._buffered_body_bytes_max = buffered_body_bytes_max
+        self.buffered_body_bytes = 0
         self._idle: dict[vms.Address, collections.deque[_Connection]] = {}
         self._idle_count = 0
 
+    @property
+    def is_body_memory_exhausted(self) -> bool:
+        """Whether the bodies that are being read exceed the limit."""
+        return self.buffered_body_bytes > self._buffered_body_bytes_max
+
     async def request(
         self,
         address: vms.Address,
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -173,7 +173,7 @@
 
     def write(self, data: bytes) -> None:
         """Sends a part of the body of a streamed response."""
-        self._connection.send(h11.Data(data=data))
+        self._connection.send_data(data)
 
     def finish(self, trailers: list[tuple[str, str]] | None = None) -> None:
         """Ends a streamed response.
@@ -183,6 +183,11 @@
         """
         self._connection.send(h11.EndOfMessage(headers=trailers or []))
 
+    @property
+    def writable(self) -> bool:
+        """Whether the write buffer is below its high-water mark."""
+        return self._connection.writable
+
     async def drain(self) -> None:
         """Waits while the write buffer is above its high-water mark."""
         await self._connection.drain()
@@ -229,6 +234,7 @@
         self._body = bytearray()
         self._buffered_body_bytes = 0
         self._task: asyncio.Task[None] | None = None
+        self._sends_chunks = False
         self._writable = asyncio.Event()
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
@@ -297,6 +303,33 @@
         if self._server.stopping:
             headers = [*headers, ("Connection", "close")]
         self.send(_head(status, headers))
+        self._sends_chunks = self._is_chunked(headers)
+
+    def _is_chunked(self, headers: list[tuple[str, str]]) -> bool:
+        """Returns whether a response with these headers is sent in chunks."""
+        return (
+            self._h11.our_state is h11.SEND_BODY
+            and self._h11.their_http_version == b"1.1"
+            and self._head is not None
+            and self._head.method != b"HEAD"
+            and not any(name.lower() == "content-length" for name, _ in headers)
+        )
+
+    def send_data(self, data: bytes) -> None:
+        """Sends a part of the body.
+
+        A chunk does not change the state of h11. Framing it here costs a tenth
+        of what h11 takes for each event of a stream.
+        """
+        if not (self._sends_chunks and data):
+            self.send(h11.Data(data=data))
+        elif not self.lost.is_set() and self._transport is not None:
+            self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    @property
+    def writable(self) -> bool:
+        """Whether the transport accepts more data."""
+        return self._writable.is_set()
 
     async def drain(self) -> None:
         """Waits while the transport has paused writing."""
--- a/packages/router/tests/test_http.py
+++ b/packages/router/tests/test_http.py
@@ -281,3 +281,99 @@
         run_client,
         limits=lambda: http_server.Limits(buffered_body_bytes=100),
     )
+
+
+def _run_consumer(handler, consume):
+    """Runs a function on a stream that a handler sends."""
+
+    async def run_client(address):
+        client = http_client.Client()
+        stream = await client.stream(address, "GET", "/", {})
+        try:
+            return await consume(stream)
+        finally:
+            stream.close()
+            client.close()
+
+    return _run(handler, run_client)
+
+
+async def _send_pieces(exchange, pause_s=0.01):
+    exchange.start(200, [])
+    for number in range(4):
+        exchange.write(b"piece %d " % number)
+        await asyncio.sleep(pause_s)
+    exchange.finish()
+
+
+def test_consumer_gets_the_whole_body_in_order():
+    async def consume(stream):
+        received = []
+
+        def consumer(data):
+            received.append(data)
+            return http_client.Consumed.PROGRESS
+
+        assert await stream.consume(consumer, 5.0)
+        return b"".join(received)
+
+    body = _run_consumer(_send_pieces, consume)
+    assert body == b"piece 0 piece 1 piece 2 piece 3 "
+
+
+def test_full_consumer_gets_the_rest_with_the_next_call():
+    async def consume(stream):
+        received = []
+
+        def consumer(data):
+            received.append(data)
+            return http_client.Consumed.FULL
+
+        calls = 1
+        while not await stream.consume(consumer, 5.0):
+            calls += 1
+        return b"".join(received), calls
+
+    body, calls = _run_consumer(_send_pieces, consume)
+    assert body == b"piece 0 piece 1 piece 2 piece 3 "
+    assert calls >= 2
+
+
+def test_data_without_progress_does_not_extend_the_timeout():
+    async def consume(stream):
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        with pytest.raises(http_client.ReadTimeoutError):
+            await stream.consume(lambda _: http_client.Consumed.NOTHING, 0.15)
+        return loop.time() - start
+
+    async def trickle(exchange):
+        await _send_pieces(exchange, pause_s=0.1)
+
+    assert _run_consumer(trickle, consume) < 0.3
+
+
+def test_error_of_the_consumer_fails_the_exchange():
+    async def consume(stream):
+        def consumer(_):
+            raise errors.PeerError("not an event")
+
+        with pytest.raises(http_client.ExchangeError, match="not an event"):
+            await stream.consume(consumer, 5.0)
+
+    _run_consumer(_send_pieces, consume)
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_streamed_body_is_framed_by_the_version_of_the_client(version):
+    async def run_client(address):
+        request = b"GET / HTTP/%b\r\nHost: x\r\nConnection: close\r\n\r\n"
+        return await _raw(address, request % version)
+
+    answer = _run(_send_pieces, run_client)
+    body = answer.partition(b"\r\n\r\n")[2]
+    if version == b"1.0":
+        assert body == b"piece 0 piece 1 piece 2 piece 3 "
+    else:
+        assert body.startswith(b"8\r\npiece 0 \r\n8\r\npiece 1 \r\n")
+        assert body.endswith(b"0\r\n\r\n")
