--- a/packages/router/nutmegpost_router/log.py
+++ b/packages/router/nutmegpost_router/log.py
@@ -21,6 +21,7 @@
     "OUTPUT_BYTES_MAX",
     "STRUCTURED_LINES_PER_SECOND",
     "emit",
+    "set_process_name",
     "set_up",
     "set_up_structured",
 ]
@@ -159,11 +160,16 @@
     loguru.logger.add(sink.write, level=level, diagnose=False, backtrace=False)
 
 
+def set_process_name(process: str) -> None:
+    """Changes the name of this process in the lines that follow."""
+    loguru.logger.configure(extra={"process": process, "number": 0})
+
+
 def _configure(process: str, lines_max: int, structured: bool) -> None:
     _limits["lines"] = lines_max
     _structured["enabled"] = structured
     loguru.logger.remove()
-    loguru.logger.configure(extra={"process": process, "number": 0})
+    set_process_name(process)
 
 
 def emit(event: events.Event, **fields: Any) -> None:
--- a/packages/router/tests/test_http.py
+++ b/packages/router/tests/test_http.py
@@ -1,8 +1,12 @@
 """Tests of the HTTP server and client, with each other and with raw bytes."""
 
 import asyncio
+import itertools
 import json
+from unittest import mock
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from nutmegpost_core import errors
@@ -377,3 +381,28 @@
     else:
         assert body.startswith(b"8\r\npiece 0 \r\n8\r\npiece 1 \r\n")
         assert body.endswith(b"0\r\n\r\n")
+
+
+_EVENTS = [b"id: %d\ndata: %d\n\n" % (n, n) for n in range(12)]
+_CHUNKED_RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"".join(b"%x\r\n%b\r\n" % (len(event), event) for event in _EVENTS)
+    + b"0\r\n\r\n"
+)
+
+
+@hypothesis.given(
+    strategies.sets(strategies.integers(1, len(_CHUNKED_RESPONSE) - 1))
+)
+def test_chunked_body_is_read_however_it_is_split(cuts):
+    async def read():
+        connection = http_client._Connection()
+        connection._transport = mock.Mock()
+        connection.send("h", "GET", "/", {}, b"")
+        bounds = [0, *sorted(cuts), len(_CHUNKED_RESPONSE)]
+        for start, end in itertools.pairwise(bounds):
+            connection.data_received(_CHUNKED_RESPONSE[start:end])
+        assert connection.complete
+        return bytes(connection._body)
+
+    assert asyncio.run(read()) == b"".join(_EVENTS)
