--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -151,14 +151,11 @@
             time in seconds for which callers may cache them.
         is_readiness: Returns whether a request is a readiness probe.
         is_resolution: Returns whether a request asks for addresses.
-        caller_zone: Returns the availability zone in such a request; empty if
-            not given.
     """
 
     address_response: Callable[[Sequence[str], float], http_server.Response]
     is_readiness: Callable[[http_server.Request], bool]
     is_resolution: Callable[[http_server.Request], bool]
-    caller_zone: Callable[[http_server.Request], str]
 
 
 class CatalogPublished(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -11,7 +11,6 @@
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import membership
-from nutmegpost_core import nearby
 from nutmegpost_core import vms
 from nutmegpost_router import gossip
 from nutmegpost_router import http_client
@@ -289,7 +288,7 @@
         if directory.is_readiness(request):
             return http_server.Response(200 if self.ready else 503, [], b"")
         if directory.is_resolution(request):
-            addresses = self._public_addresses(directory.caller_zone(request))
+            addresses = self._public_addresses()
             if not addresses:
                 return http_server.Response(503, [], b"")
             return directory.address_response(
@@ -304,10 +303,8 @@
         headers = [("Content-Type", metrics.CONTENT_TYPE)]
         return http_server.Response(200, headers, self._counters.render())
 
-    def _public_addresses(self, zone: str = "") -> list[str]:
-        """Returns the public addresses of gateways believed to be up.
-
-        These are the gateways near callers in a zone; see `nearby`.
+    def _public_addresses(self) -> list[str]:
+        """Returns the public addresses of the gateways believed to be up.
 
         A gateway that receives no reports from any peer may itself be cut off
         from the network, so it still lists them. It omits them once they have
@@ -321,10 +318,7 @@
         if not listed and not self._is_only_gateway(reachable):
             listed = alive_peers
         names = listed | ({own} if self.ready else set())
-        listed_names = nearby.nearby_routers(
-            {name: members[name].zone for name in names}, zone
-        )
-        return [members[name].public_address for name in listed_names]
+        return [members[name].public_address for name in sorted(names)]
 
     def _is_only_gateway(self, reachable: set[str]) -> bool:
         silent = self._load_exchange.silent_peers(_DOWN_AFTER_REPORTS)
