Leave waits for slots out of the choice of an endpoint

Cause: with the wait for a slot in the cost, a fleet whose slots are all taken sends every prompt away from the cache that has it, and reading it again takes the slots that are short. Gateways count the requests of others late.

Presumed holders, measured rates, silent endpoints and waiting within the target stay.

--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -62,8 +62,6 @@
             waits at the holder of its prompt rather than have the prompt
             copied. A copy evicts prompts that other requests return to.
         running_request_s: Delay added by each running request, seconds.
-        slot_s: Mean time for which a request holds a slot, seconds; 0 if
-            unknown.
         tie_target_share: Largest tie width as a share of the latency target of
             the request.
         cross_zone_s: Cost of an endpoint in another availability zone, seconds.
@@ -80,7 +78,6 @@
     fetch_weight: float = 1.0
     fetch_target_share: float = 0.25
     running_request_s: float = 0.004
-    slot_s: float = 0.0
     tie_target_share: float = 0.25
     cross_zone_s: float = 0.001
     warm_up_s: float = 0.5
@@ -258,19 +255,6 @@
     )
 
 
-def _wait_s(endpoint: roster.Endpoint, load: Load, policy: Policy) -> float:
-    """Returns the expected time until an endpoint begins another request.
-
-    Requests beyond its slots wait until others end; then the prompts that
-    arrived before are prefilled.
-    """
-    seconds = load.pending_prefill_tokens / policy.prefill_tokens_per_s
-    if endpoint.slots and load.running >= endpoint.slots:
-        queued = load.running + 1 - endpoint.slots
-        seconds += queued * policy.slot_s / endpoint.slots
-    return seconds
-
-
 class _LocatedPrompt(NamedTuple):
     """A prompt and where its tokens are cached.
 
@@ -446,7 +430,6 @@
         target_s: Latency target of the request, seconds.
     """
     seconds = policy.running_request_s * load.running
-    seconds += _wait_s(endpoint, load, policy)
     if endpoint.zone != zone:
         seconds += policy.cross_zone_s
     if endpoint.warming_until > now:
@@ -462,4 +445,5 @@
         + policy.fetch_weight * fetched
     )
     uncached = max(0, prompt.tokens - cached - fetched)
-    return seconds + (weighted + uncached) / policy.prefill_tokens_per_s
+    waiting = uncached + load.pending_prefill_tokens
+    return seconds + (weighted + waiting) / policy.prefill_tokens_per_s
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -312,7 +312,6 @@
                 AttemptEnd.LOST, f"status {stream.status} after a resume"
             )
         pending.exchange.send(response)
-        load.record_slot_time(call)
         return AttemptResult(AttemptEnd.ANSWERED)
 
     async def _read_rejection(
@@ -355,7 +354,6 @@
             )
         pending.exchange.finish()
         stream.close_with_idle_timeout(head.idle_s)
-        load.record_slot_time(pending.call)
         return AttemptResult(AttemptEnd.ANSWERED)
 
     async def _relay_first_event(
@@ -509,9 +507,6 @@
         self._endpoint = endpoint
         self._uncached_tokens = uncached_tokens
         self._started = _now()
-        # A stream takes its slot when it is prefilled; a plain request is
-        # assumed to take one at once.
-        self._slot_taken = self._started
         local_state.loads.add(endpoint, 1, uncached_tokens)
         local_state.liveness.record_trial(endpoint, self._started)
         local_state.liveness.begin(
@@ -532,11 +527,6 @@
         """Removes the prompt from the pending prefill of the endpoint."""
         self._state.loads.add(self._endpoint, 0, -self._uncached_tokens)
         self._uncached_tokens = 0
-        self._slot_taken = _now()
-
-    def record_slot_time(self, call: calls.Call) -> None:
-        """Records for how long the answered request held a slot."""
-        self._state.record_slot_time(call, _now() - self._slot_taken)
 
     def record_sign(self) -> None:
         """Records that the endpoint sent something."""
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -14,7 +14,6 @@
 from nutmegpost_core import prefixes
 from nutmegpost_core import retrybudget
 from nutmegpost_core import roster
-from nutmegpost_core import slottime
 from nutmegpost_core import timeouts
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import settings
@@ -66,7 +65,6 @@
         self.caches_synced = config["first_start"]
         self._started_ms: dict[str, int] = {}
         self._prefill_rates: dict[str, prefill.PrefillRate] = {}
-        self._slot_times: dict[str, slottime.SlotTime] = {}
         self.on_placement: Callable[[loads.Placement], None] = lambda _: None
 
     @property
@@ -84,7 +82,6 @@
             load_multiple=self._config["load_multiple"],
             prefill_tokens_per_s=self._prefill_rate(call.service).tokens_per_s,
             fetch_tokens_per_s=service.fetch_tokens_per_s if service else 0.0,
-            slot_s=self._slot_time(call.service).mean_s,
             tie_width_s=dispatch.tie_width_s(self.fleet_size),
         )
         return dispatch.choose(
@@ -139,13 +136,6 @@
                 first_event_s, call.hints.prompt_tokens - choice.cached_tokens
             )
 
-    def record_slot_time(self, call: calls.Call, seconds: float) -> None:
-        """Records for how long a request that was answered held a slot."""
-        self._slot_time(call.service).record(seconds)
-
-    def _slot_time(self, service: str) -> slottime.SlotTime:
-        return self._slot_times.setdefault(service, slottime.SlotTime())
-
     def _prefill_rate(self, service: str) -> prefill.PrefillRate:
         return self._prefill_rates.setdefault(service, prefill.PrefillRate())
 
