--- a/packages/standins/nutmegpost_standins/promptmodel.py
+++ b/packages/standins/nutmegpost_standins/promptmodel.py
@@ -29,6 +29,8 @@
 # Delays with which a router learns the placements and loads of the others.
 PLACEMENT_DELAY_S = 0.025
 LOAD_DELAY_S = 0.3
+# Time for which a request stays in flight after the first event.
+ANSWER_DURATION_S = 0.5
 
 
 class EngineRates(NamedTuple):
@@ -39,16 +41,11 @@
         fetch_tokens_per_s: Rate at which tokens are fetched from the cache of
             another engine, tokens per second; 0 if they cannot be.
         fetch_setup_s: Setup time of a fetch, seconds.
-        slots: Requests that an engine runs at once; 0 for any number.
-        answer_s: Time for which a request holds its slot after the first
-            event, seconds.
     """
 
     prefill_tokens_per_s: float = 48_200.0
     fetch_tokens_per_s: float = 0.0
     fetch_setup_s: float = 0.0025
-    slots: int = 0
-    answer_s: float = 0.5
 
 
 _DEFAULT_RATES = EngineRates()
@@ -102,35 +99,14 @@
         self._sequence = 0
         self._is_busy = False
         self._link_free_at = 0.0
-        self._running = 0
-        self._waiting: list[tuple[int, int, calls.Call, _Engine | None]] = []
 
     def start(self, call: calls.Call, source: "_Engine | None") -> None:
-        """Runs a request when a slot is free.
+        """Queues the prefill of a request.
 
         Args:
             call: The request.
-            source: Engine from which its prompt is fetched, or None.
+            source: Engine from which its prompt is fetched first, or None.
         """
-        self._sequence += 1
-        heapq.heappush(
-            self._waiting, (self._level(call), self._sequence, call, source)
-        )
-        self._fill_slots()
-
-    def end_answer(self) -> None:
-        """Frees the slot of a request."""
-        self._running -= 1
-        self._fill_slots()
-
-    def _fill_slots(self) -> None:
-        slots = self._fleet.rates.slots
-        while self._waiting and (not slots or self._running < slots):
-            _, _, call, source = heapq.heappop(self._waiting)
-            self._running += 1
-            self._run(call, source)
-
-    def _run(self, call: calls.Call, source: "_Engine | None") -> None:
         assert call.hints is not None
         parts = call.hints.parts
         cached = self.cache.cached_tokens(self.name, parts)
@@ -281,7 +257,7 @@
         """Dispatches a request through a random router."""
         assert call.hints is not None
         router = self.clock.random.choice(self._routers)
-        endpoints = [_endpoint(name, self.rates) for name in self._engines]
+        endpoints = [_endpoint(name) for name in self._engines]
         choice = self._choose(router, call, endpoints, self.clock.now)
         name = choice.endpoint.name
         pending_tokens = max(
@@ -314,14 +290,9 @@
             )
         )
         self.clock.call_at(
-            now + self.rates.answer_s, lambda: self._end_answer(router, name)
+            now + ANSWER_DURATION_S, lambda: router.add_load(name, -1, 0)
         )
 
-    def _end_answer(self, router: Router, name: str) -> None:
-        router.add_load(name, -1, 0)
-        if name in self._engines:
-            self._engines[name].end_answer()
-
     def _share_placement(
         self, sender: Router, name: str, hints: calls.PromptHints | None
     ) -> None:
@@ -351,7 +322,5 @@
     return router.own_loads.get(name, dispatch.Load())
 
 
-def _endpoint(name: str, rates: EngineRates) -> roster.Endpoint:
-    return roster.Endpoint(
-        name, "engines", name, "zone-a", rates.slots, False, 0.0, 1
-    )
+def _endpoint(name: str) -> roster.Endpoint:
+    return roster.Endpoint(name, "engines", name, "zone-a", 64, False, 0.0, 1)
