Call an endpoint silent after a second at least, and log it

Cause: a process that starts knows no gaps yet and took an endpoint for silent after 0.3 s, which a long prompt takes by itself; its cache was then passed over. The decision was not in the log.

Change: at least 1 s; a request that waits looks again every 0.25 s; event 510.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -162,6 +162,12 @@
 ENGINE_READY = Event(504, "INFO", "endpoint {engine} is ready")
 ENGINE_LEAVING = Event(505, "INFO", "endpoint {engine} is leaving")
 ENGINE_EJECTED = Event(506, "WARNING", "endpoint {engine} is ejected")
+ENDPOINT_SILENT = Event(
+    510,
+    "WARNING",
+    "endpoint {endpoint} sent nothing for {silent_ms} ms, {usual_ms} ms are"
+    " usual; {open} requests are open on it",
+)
 
 
 CACHE_LEARNT = Event(
--- a/packages/core/nutmegpost_core/liveness.py
+++ b/packages/core/nutmegpost_core/liveness.py
@@ -9,11 +9,14 @@
 repeatable one as a trial, until it sends something.
 """
 
-__all__ = ["LivenessDetector"]
+from collections.abc import Callable
+from typing import NamedTuple
+
+__all__ = ["LivenessDetector", "Silence"]
 
 # Gaps that are tolerated, as a multiple of the usual longest gap.
 _GAPS_MAX = 3.0
-_GAP_MIN_S = 0.3
+_GAP_MIN_S = 1.0
 # Quantile of the gaps that counts as the usual longest gap.
 _QUANTILE = 0.98
 _QUANTILE_STEP = 0.1
@@ -23,6 +26,22 @@
 AVOIDANCE_MAX_S = 3.0
 
 
+class Silence(NamedTuple):
+    """An endpoint that fell silent.
+
+    Attributes:
+        endpoint: Its name.
+        silent_s: Time since it last sent anything, seconds.
+        usual_s: Usual longest gap of its service, seconds.
+        open_requests: Requests that are open on it.
+    """
+
+    endpoint: str
+    silent_s: float
+    usual_s: float
+    open_requests: int
+
+
 class _Activity:
     __slots__ = ("last_sign", "next_trial", "open", "service", "silent_since")
 
@@ -38,7 +57,15 @@
 class LivenessDetector:
     """Signs of life of the endpoints that a router sends requests to."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_silent: Callable[[Silence], None] = lambda _: None
+    ) -> None:
+        """Creates a detector without observations.
+
+        Args:
+            on_silent: Called with each endpoint that falls silent.
+        """
+        self._on_silent = on_silent
         self._activities: dict[str, _Activity] = {}
         self._gap_s: dict[str, float] = {}
 
@@ -93,10 +120,12 @@
             return False
         usual_s = self._gap_s.get(activity.service, 0.0)
         tolerated_s = max(_GAP_MIN_S, _GAPS_MAX * usual_s)
-        if not activity.open or now - activity.last_sign <= tolerated_s:
+        silent_s = now - activity.last_sign
+        if not activity.open or silent_s <= tolerated_s:
             return False
         activity.silent_since = now
         activity.next_trial = now + TRIAL_INTERVAL_S
+        self._on_silent(Silence(endpoint, silent_s, usual_s, activity.open))
         return True
 
     def avoided(self, is_repeatable: bool, now: float) -> set[str]:
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -27,6 +27,9 @@
 # a connection that was used very recently, or on a new one.
 _IDLE_LIMIT_REPEATABLE_S = 4.0
 _IDLE_LIMIT_ONCE_S = 0.5
+# Interval at which a request that waits for its answer checks whether the
+# endpoint is silent.
+_SILENCE_POLL_S = 0.25
 # Time to read the body of a rejection, to reuse the connection.
 _REJECTION_BODY_TIMEOUT_S = 0.1
 # Size of the data in which an endpoint must send an event.
@@ -224,10 +227,10 @@
 
         def extend() -> float:
             """Waits longer unless the endpoint is silent and a retry helps."""
-            waited_s = _now() - load.started
+            left_s = timeout_s - (_now() - load.started)
             if self._is_silent(load.endpoint) and self._can_retry(pending):
                 return 0.0
-            return timeout_s - waited_s
+            return min(left_s, _SILENCE_POLL_S)
 
         try:
             stream = await self._client.stream(
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -8,6 +8,7 @@
 from nutmegpost_core import catalog
 from nutmegpost_core import crashes
 from nutmegpost_core import dispatch
+from nutmegpost_core import events
 from nutmegpost_core import liveness
 from nutmegpost_core import outliers
 from nutmegpost_core import prefill
@@ -15,6 +16,7 @@
 from nutmegpost_core import retrybudget
 from nutmegpost_core import roster
 from nutmegpost_core import timeouts
+from nutmegpost_router import log
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import settings
 
@@ -49,7 +51,7 @@
             ejected_share_max=_EJECTED_SHARE_MAX,
             failure_decay=_FAILURE_DECAY,
         )
-        self.liveness = liveness.LivenessDetector()
+        self.liveness = liveness.LivenessDetector(_log_silence)
         self.budget = retrybudget.RetryBudget(
             retrybudget.FleetBudget(
                 config["retry_ratio"],
@@ -214,6 +216,16 @@
             self.prefixes.touch(endpoint, parts, service.cache_tokens)
 
 
+def _log_silence(silence: liveness.Silence) -> None:
+    log.emit(
+        events.ENDPOINT_SILENT,
+        endpoint=silence.endpoint,
+        silent_ms=round(silence.silent_s * 1000),
+        usual_ms=round(silence.usual_s * 1000),
+        open=silence.open_requests,
+    )
+
+
 def _shared_parts(call: calls.Call) -> tuple[calls.PromptPart, ...]:
     """Returns the parts of a prompt that other requests may have in common."""
     return call.hints.parts[:-1] if call.hints else ()
