--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/event_relay.py
@@ -0,0 +1,107 @@
+"""Relay of the events of a stream from an endpoint to a caller."""
+
+import asyncio
+
+from nutmegpost_core import errors
+from nutmegpost_core import sse
+from nutmegpost_router import http_client
+from nutmegpost_router.gateway import pending_request
+from nutmegpost_router.gateway import ports
+
+__all__ = ["EventRelay"]
+
+# Size of the data in which an endpoint must send an event.
+_EVENT_BYTES_MAX = 1_000_000
+_ID_DIGITS_MAX = 18
+
+
+class EventRelay:
+    """Relays the events of one stream that the caller does not have yet.
+
+    Attributes:
+        event_count: Number of events relayed.
+    """
+
+    def __init__(
+        self,
+        pending: pending_request.PendingRequest,
+        status: int,
+        fields: ports.Fields,
+        load: pending_request.InFlightLoad,
+    ):
+        """Creates a relay that has relayed nothing.
+
+        Args:
+            pending: The request.
+            status: Status of the response.
+            fields: Header fields of the response to relay.
+            load: Load of the attempt; is told of each event.
+        """
+        self._pending = pending
+        self._load = load
+        self._status = status
+        self._fields = list(fields)
+        self._splitter = sse.Splitter()
+        self._bytes_since_event = 0
+        self.event_count = 0
+
+    @property
+    def is_within_event(self) -> bool:
+        """Whether the data so far ends within an event."""
+        return bool(self._splitter.incomplete)
+
+    def add(self, data: bytes) -> http_client.Consumed:
+        """Relays the new events that some data completes.
+
+        Raises:
+            errors.PeerError: The data is not a stream of events, or the
+                deadline of the request has passed.
+        """
+        if _now() >= self._pending.call.deadline:
+            raise errors.PeerError("the stream goes on after the deadline")
+        self._bytes_since_event += len(data)
+        events_data = self._new_events(self._splitter.feed(data))
+        if not events_data:
+            if self._bytes_since_event > _EVENT_BYTES_MAX:
+                raise errors.PeerError("too much data without an event")
+            return http_client.Consumed.NOTHING
+        self._bytes_since_event = 0
+        self._load.record_sign()
+        exchange = self._pending.exchange
+        if not exchange.started:
+            exchange.start(self._status, self._fields)
+        exchange.write(b"".join(events_data))
+        self.event_count += len(events_data)
+        if not exchange.writable:
+            return http_client.Consumed.FULL
+        return http_client.Consumed.PROGRESS
+
+    def _new_events(self, received: list[sse.RawEvent]) -> list[bytes]:
+        """Returns the events that the caller does not have yet.
+
+        Records the id of the last one in the pending request.
+
+        Raises:
+            errors.PeerError: The id of an event is missing or not a number.
+        """
+        pending = self._pending
+        new_events = []
+        for event in received:
+            if event.data.startswith(b":"):
+                # A comment; it is no part of the answer.
+                continue
+            event_id = event.event_id
+            if not (event_id.isdigit() and len(event_id) <= _ID_DIGITS_MAX):
+                raise errors.PeerError(
+                    f"event id is not a number: {event_id[:40]!r}"
+                )
+            last_id = pending.last_event_id
+            if last_id and int(event_id) <= int(last_id):
+                continue
+            pending.last_event_id = event_id.decode("ascii")
+            new_events.append(event.data)
+        return new_events
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from nutmegpost_router import log
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import sending
 from nutmegpost_router.gateway import state
@@ -158,7 +159,7 @@
                 retry_after=_RETRY_AFTER_CRASHING_S,
             )
         self._state.budget.record_request(call.service, call.received)
-        pending = sending.PendingRequest(exchange, call, digest)
+        pending = pending_request.PendingRequest(exchange, call, digest)
         while True:
             choice = await self._choose_after_prefill(pending)
             result = await self._sender.send(pending, choice)
@@ -169,7 +170,7 @@
                 return
 
     async def _choose_after_prefill(
-        self, pending: sending.PendingRequest
+        self, pending: pending_request.PendingRequest
     ) -> dispatch.Choice:
         """Chooses an endpoint, waiting to avoid a duplicate prefill.
 
@@ -192,7 +193,7 @@
         return self._state.choose(call, pending.tried_endpoints) or choice
 
     def _choose_endpoint(
-        self, pending: sending.PendingRequest
+        self, pending: pending_request.PendingRequest
     ) -> dispatch.Choice:
         """Chooses the endpoint of the next attempt.
 
@@ -225,7 +226,7 @@
         return choice
 
     def _is_exhausted(
-        self, pending: sending.PendingRequest, now: float
+        self, pending: pending_request.PendingRequest, now: float
     ) -> bool:
         call = pending.call
         attempts_max = call.route.endpoints_max + _REJECTIONS_MAX
@@ -239,7 +240,7 @@
         slots = choice.endpoint.slots
         return slots > 0 and choice.load.running >= slots * _LOAD_PER_SLOT_MAX
 
-    def _give_up(self, pending: sending.PendingRequest) -> None:
+    def _give_up(self, pending: pending_request.PendingRequest) -> None:
         """Ends a request that was sent and has no complete response.
 
         Raises:
@@ -262,7 +263,7 @@
 
     def _record_result(
         self,
-        pending: sending.PendingRequest,
+        pending: pending_request.PendingRequest,
         choice: dispatch.Choice,
         result: sending.AttemptResult,
     ) -> None:
@@ -328,7 +329,7 @@
         self._lost_attempts.setdefault(name, []).append((now, digest))
 
     async def _check_for_crash(
-        self, pending: sending.PendingRequest, endpoint: roster.Endpoint
+        self, pending: pending_request.PendingRequest, endpoint: roster.Endpoint
     ) -> None:
         """Checks whether an endpoint went down while it ran a request.
 
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -0,0 +1,122 @@
+"""A request that is being forwarded, and the load of its current attempt."""
+
+import asyncio
+
+from nutmegpost_core import calls
+from nutmegpost_core import dispatch
+from nutmegpost_router import http_server
+from nutmegpost_router.gateway import state
+
+__all__ = ["InFlightLoad", "PendingRequest"]
+
+
+class PendingRequest:
+    """One request and the state of its attempts.
+
+    Attributes:
+        exchange: The caller's request and its response.
+        call: The request in the form used by routing decisions.
+        digest: Digest that identifies the request across the caller's retries.
+        attempts: Number of attempts so far.
+        runs: Number of attempts in which an endpoint may have run the request.
+        tried_endpoints: Names of the endpoints that it was sent to.
+        last_event_id: Id of the last event that the caller has; empty for none.
+        failure_response: Last failure response of an endpoint, or None.
+        reason: Why the last attempt failed; empty before the first failure.
+    """
+
+    def __init__(
+        self,
+        exchange: http_server.Exchange,
+        call: calls.Call,
+        digest: str,
+    ):
+        """Creates a request that has not been sent.
+
+        Args:
+            exchange: The caller's request and its response.
+            call: The request in the form used by routing decisions.
+            digest: Digest that identifies the request across the caller's
+                retries.
+        """
+        self.exchange = exchange
+        self.call = call
+        self.digest = digest
+        self.attempts = 0
+        self.runs = 0
+        self.tried_endpoints: set[str] = set()
+        self.last_event_id = call.resume_after
+        self.failure_response: http_server.Response | None = None
+        self.reason = ""
+
+    @property
+    def has_relayed_event(self) -> bool:
+        """Whether an endpoint ran the request far enough to send an event.
+
+        A request that crashes its endpoint does so at the start of its run.
+        """
+        return self.last_event_id != self.call.resume_after
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether the route allows another run of the request."""
+        if not self.runs:
+            return True
+        route = self.call.route
+        return route.repeatable and self.runs < route.endpoints_max
+
+
+class InFlightLoad:
+    """The load that one attempt adds to an endpoint until it is released."""
+
+    def __init__(
+        self,
+        local_state: state.State,
+        choice: dispatch.Choice,
+        uncached_tokens: int,
+    ):
+        """Adds the load.
+
+        Args:
+            local_state: State of the gateway.
+            choice: The chosen endpoint.
+            uncached_tokens: Prompt tokens that the endpoint must prefill.
+        """
+        endpoint = choice.endpoint.name
+        self._state = local_state
+        self._endpoint = endpoint
+        self._uncached_tokens = uncached_tokens
+        self._started = _now()
+        local_state.loads.add(endpoint, 1, uncached_tokens)
+        local_state.liveness.record_trial(endpoint, self._started)
+        local_state.liveness.begin(
+            endpoint, choice.endpoint.service, self._started
+        )
+
+    @property
+    def endpoint(self) -> str:
+        """Name of the endpoint."""
+        return self._endpoint
+
+    @property
+    def started(self) -> float:
+        """Monotonic time at which the attempt began, seconds."""
+        return self._started
+
+    def finish_prefill(self) -> None:
+        """Removes the prompt from the pending prefill of the endpoint."""
+        self._state.loads.add(self._endpoint, 0, -self._uncached_tokens)
+        self._uncached_tokens = 0
+
+    def record_sign(self) -> None:
+        """Records that the endpoint sent something."""
+        self._state.liveness.record_sign(self._endpoint, _now())
+
+    def release(self) -> None:
+        """Removes the attempt from the load of the endpoint."""
+        self._state.liveness.end(self._endpoint)
+        self._state.loads.add(self._endpoint, -1, -self._uncached_tokens)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -1,26 +1,26 @@
-"""One attempt of a request at an endpoint, and the relay of its response."""
+"""One attempt of a request at an endpoint."""
 
 import asyncio
 from collections.abc import Callable
 import enum
 from typing import NamedTuple
 
-from nutmegpost_core import calls
 from nutmegpost_core import catalog
 from nutmegpost_core import dispatch
 from nutmegpost_core import errors
 from nutmegpost_core import events
-from nutmegpost_core import sse
 from nutmegpost_core import timeouts
 from nutmegpost_core import vms
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
+from nutmegpost_router.gateway import event_relay
 from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import state
 
-__all__ = ["AttemptEnd", "AttemptResult", "PendingRequest", "Sender"]
+__all__ = ["AttemptEnd", "AttemptResult", "Sender"]
 
 # Longest idle time of a pooled connection that is reused. The endpoint may have
 # closed an idle connection; a request that must not be repeated is sent only on
@@ -32,9 +32,6 @@
 _SILENCE_POLL_S = 0.25
 # Time to read the body of a rejection, to reuse the connection.
 _REJECTION_BODY_TIMEOUT_S = 0.1
-# Size of the data in which an endpoint must send an event.
-_EVENT_BYTES_MAX = 1_000_000
-_ID_DIGITS_MAX = 18
 
 
 class AttemptEnd(enum.StrEnum):
@@ -67,62 +64,6 @@
     response: http_server.Response | None = None
 
 
-class PendingRequest:
-    """One request and the state of its attempts.
-
-    Attributes:
-        exchange: The caller's request and its response.
-        call: The request in the form used by routing decisions.
-        digest: Digest that identifies the request across the caller's retries.
-        attempts: Number of attempts so far.
-        runs: Number of attempts in which an endpoint may have run the request.
-        tried_endpoints: Names of the endpoints that it was sent to.
-        last_event_id: Id of the last event that the caller has; empty for none.
-        failure_response: Last failure response of an endpoint, or None.
-        reason: Why the last attempt failed; empty before the first failure.
-    """
-
-    def __init__(
-        self,
-        exchange: http_server.Exchange,
-        call: calls.Call,
-        digest: str,
-    ):
-        """Creates a request that has not been sent.
-
-        Args:
-            exchange: The caller's request and its response.
-            call: The request in the form used by routing decisions.
-            digest: Digest that identifies the request across the caller's
-                retries.
-        """
-        self.exchange = exchange
-        self.call = call
-        self.digest = digest
-        self.attempts = 0
-        self.runs = 0
-        self.tried_endpoints: set[str] = set()
-        self.last_event_id = call.resume_after
-        self.failure_response: http_server.Response | None = None
-        self.reason = ""
-
-    @property
-    def has_relayed_event(self) -> bool:
-        """Whether an endpoint ran the request far enough to send an event.
-
-        A request that crashes its endpoint does so at the start of its run.
-        """
-        return self.last_event_id != self.call.resume_after
-
-    @property
-    def may_run_again(self) -> bool:
-        """Whether the route allows another run of the request."""
-        if not self.runs:
-            return True
-        route = self.call.route
-        return route.repeatable and self.runs < route.endpoints_max
-
-
 class Sender:
     """Sends requests to endpoints and relays the responses."""
 
@@ -151,7 +92,7 @@
         self._on_endpoint_down = on_endpoint_down
 
     async def send(
-        self, pending: PendingRequest, choice: dispatch.Choice
+        self, pending: pending_request.PendingRequest, choice: dispatch.Choice
     ) -> AttemptResult:
         """Makes one attempt and relays its response to the caller.
 
@@ -173,7 +114,9 @@
             )
         pending.attempts += 1
         self._state.record_dispatch(call, choice)
-        load = _InFlightLoad(self._state, choice, uncached_tokens)
+        load = pending_request.InFlightLoad(
+            self._state, choice, uncached_tokens
+        )
         log.emit(
             events.REQUEST_SENT,
             request=call.identity,
@@ -200,9 +143,9 @@
 
     async def _exchange(
         self,
-        pending: PendingRequest,
+        pending: pending_request.PendingRequest,
         choice: dispatch.Choice,
-        load: "_InFlightLoad",
+        load: pending_request.InFlightLoad,
     ) -> AttemptResult:
         call = pending.call
         remaining_s = call.deadline - _now()
@@ -261,7 +204,7 @@
     def _is_silent(self, endpoint: str) -> bool:
         return self._state.liveness.is_silent(endpoint, _now())
 
-    def _can_retry(self, pending: PendingRequest) -> bool:
+    def _can_retry(self, pending: pending_request.PendingRequest) -> bool:
         """Returns whether the route and the budget allow a run after this."""
         call = pending.call
         now = _now()
@@ -276,10 +219,10 @@
 
     async def _read(
         self,
-        pending: PendingRequest,
+        pending: pending_request.PendingRequest,
         stream: http_client.Stream,
         choice: dispatch.Choice,
-        load: "_InFlightLoad",
+        load: pending_request.InFlightLoad,
     ) -> AttemptResult:
         call = pending.call
         head = self._protocols.endpoint_protocol.read_response_head(
@@ -332,13 +275,15 @@
 
     async def _relay(
         self,
-        pending: PendingRequest,
+        pending: pending_request.PendingRequest,
         stream: http_client.Stream,
         head: ports.ResponseHead,
         choice: dispatch.Choice,
-        load: "_InFlightLoad",
+        load: pending_request.InFlightLoad,
     ) -> AttemptResult:
-        relay = _EventRelay(pending, stream.status, head.fields, load)
+        relay = event_relay.EventRelay(
+            pending, stream.status, head.fields, load
+        )
         try:
             await self._relay_first_event(pending, stream, relay)
             if relay.event_count:
@@ -361,9 +306,9 @@
 
     async def _relay_first_event(
         self,
-        pending: PendingRequest,
+        pending: pending_request.PendingRequest,
         stream: http_client.Stream,
-        relay: "_EventRelay",
+        relay: event_relay.EventRelay,
     ) -> None:
         """Relays data until the first new event or the end of the stream.
 
@@ -383,9 +328,9 @@
 
     async def _relay_rest(
         self,
-        pending: PendingRequest,
+        pending: pending_request.PendingRequest,
         stream: http_client.Stream,
-        relay: "_EventRelay",
+        relay: event_relay.EventRelay,
     ) -> None:
         """Relays data until the end of the stream.
 
@@ -416,130 +361,5 @@
     )
 
 
-class _EventRelay:
-    """Relays the events of one stream that the caller does not have yet.
-
-    Attributes:
-        event_count: Number of events relayed.
-    """
-
-    def __init__(
-        self,
-        pending: PendingRequest,
-        status: int,
-        fields: ports.Fields,
-        load: "_InFlightLoad",
-    ):
-        self._pending = pending
-        self._load = load
-        self._status = status
-        self._fields = list(fields)
-        self._splitter = sse.Splitter()
-        self._bytes_since_event = 0
-        self.event_count = 0
-
-    @property
-    def is_within_event(self) -> bool:
-        """Whether the data so far ends within an event."""
-        return bool(self._splitter.incomplete)
-
-    def add(self, data: bytes) -> http_client.Consumed:
-        """Relays the new events that some data completes.
-
-        Raises:
-            errors.PeerError: The data is not a stream of events, or the
-                deadline of the request has passed.
-        """
-        if _now() >= self._pending.call.deadline:
-            raise errors.PeerError("the stream goes on after the deadline")
-        self._bytes_since_event += len(data)
-        events_data = self._new_events(self._splitter.feed(data))
-        if not events_data:
-            if self._bytes_since_event > _EVENT_BYTES_MAX:
-                raise errors.PeerError("too much data without an event")
-            return http_client.Consumed.NOTHING
-        self._bytes_since_event = 0
-        self._load.record_sign()
-        exchange = self._pending.exchange
-        if not exchange.started:
-            exchange.start(self._status, self._fields)
-        exchange.write(b"".join(events_data))
-        self.event_count += len(events_data)
-        if not exchange.writable:
-            return http_client.Consumed.FULL
-        return http_client.Consumed.PROGRESS
-
-    def _new_events(self, received: list[sse.RawEvent]) -> list[bytes]:
-        """Returns the events that the caller does not have yet.
-
-        Records the id of the last one in the pending request.
-
-        Raises:
-            errors.PeerError: The id of an event is missing or not a number.
-        """
-        pending = self._pending
-        new_events = []
-        for event in received:
-            if event.data.startswith(b":"):
-                # A comment; it is no part of the answer.
-                continue
-            event_id = event.event_id
-            if not (event_id.isdigit() and len(event_id) <= _ID_DIGITS_MAX):
-                raise errors.PeerError(
-                    f"event id is not a number: {event_id[:40]!r}"
-                )
-            last_id = pending.last_event_id
-            if last_id and int(event_id) <= int(last_id):
-                continue
-            pending.last_event_id = event_id.decode("ascii")
-            new_events.append(event.data)
-        return new_events
-
-
-class _InFlightLoad:
-    """The load that one attempt adds to an endpoint until it is released."""
-
-    def __init__(
-        self,
-        local_state: state.State,
-        choice: dispatch.Choice,
-        uncached_tokens: int,
-    ):
-        endpoint = choice.endpoint.name
-        self._state = local_state
-        self._endpoint = endpoint
-        self._uncached_tokens = uncached_tokens
-        self._started = _now()
-        local_state.loads.add(endpoint, 1, uncached_tokens)
-        local_state.liveness.record_trial(endpoint, self._started)
-        local_state.liveness.begin(
-            endpoint, choice.endpoint.service, self._started
-        )
-
-    @property
-    def endpoint(self) -> str:
-        """Name of the endpoint."""
-        return self._endpoint
-
-    @property
-    def started(self) -> float:
-        """Monotonic time at which the attempt began, seconds."""
-        return self._started
-
-    def finish_prefill(self) -> None:
-        """Removes the prompt from the pending prefill of the endpoint."""
-        self._state.loads.add(self._endpoint, 0, -self._uncached_tokens)
-        self._uncached_tokens = 0
-
-    def record_sign(self) -> None:
-        """Records that the endpoint sent something."""
-        self._state.liveness.record_sign(self._endpoint, _now())
-
-    def release(self) -> None:
-        """Removes the attempt from the load of the endpoint."""
-        self._state.liveness.end(self._endpoint)
-        self._state.loads.add(self._endpoint, -1, -self._uncached_tokens)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
