--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -66,8 +66,9 @@
             the request.
         cross_zone_s: Cost of an endpoint in another availability zone, seconds.
         warm_up_s: Cost of an endpoint that is warming up, seconds.
-        tie_width_s: Costs that differ by less than this, in seconds, are ties
-            and resolved by rendezvous hashing; see `tie_width_s`.
+        tie_width_s: Endpoints whose cost is at most half of this above the
+            lowest, in seconds, are ties, which rendezvous hashing resolves;
+            see `tie_width_s`.
     """
 
     load_multiple: float = 2.0
