--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -232,14 +232,8 @@
     if policy.fetch_tokens_per_s and unknown >= FETCH_TOKENS_MIN:
         # The presumed holder probably has all that the known source has.
         source = None
-        speculative_source = min(
-            (
-                other
-                for other in (*endpoints, *draining)
-                if other != endpoint and other.name not in ejected
-            ),
-            key=lambda other: _rendezvous_score(other, prompt.key),
-            default=None,
+        speculative_source = _first_in_order(
+            (*endpoints, *draining), {*ejected, endpoint.name}, prompt.key
         )
     duplicate_prefill = max(0, prompt.best_cached - cached)
     if source is not None:
@@ -353,14 +347,9 @@
     """
     if prompt.shared_tokens - prompt.best_cached < FETCH_TOKENS_MIN:
         return prompt
-    usable = [
-        endpoint for endpoint in endpoints if endpoint.name not in ejected
-    ]
-    if not usable:
+    first = _first_in_order(endpoints, ejected, prompt.key)
+    if first is None:
         return prompt
-    first = min(
-        usable, key=lambda endpoint: _rendezvous_score(endpoint, prompt.key)
-    )
     cached = {**prompt.cached_by_endpoint, first.name: prompt.shared_tokens}
     return prompt._replace(
         cached_by_endpoint=cached,
@@ -410,6 +399,23 @@
     return xxhash.xxh3_64_intdigest(f"{key}#{endpoint.name}".encode())
 
 
+def _first_in_order(
+    endpoints: Sequence[roster.Endpoint], excluded: Collection[str], key: str
+) -> roster.Endpoint | None:
+    """Returns the first endpoint in rendezvous order, or None.
+
+    Args:
+        endpoints: The endpoints.
+        excluded: Names of those that are passed over.
+        key: Identity of the shared prompt prefix.
+    """
+    return min(
+        (endpoint for endpoint in endpoints if endpoint.name not in excluded),
+        key=lambda endpoint: _rendezvous_score(endpoint, key),
+        default=None,
+    )
+
+
 def _cost(
     policy: Policy,
     load: Load,
--- a/packages/core/nutmegpost_core/liveness.py
+++ b/packages/core/nutmegpost_core/liveness.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from nutmegpost_core import quantile
+
 __all__ = ["LivenessDetector", "Silence"]
 
 # Gaps that are tolerated, as a multiple of the usual longest gap.
@@ -161,8 +163,6 @@
 
     def _add_gap(self, service: str, gap_s: float) -> None:
         usual_s = self._gap_s.get(service, _GAP_MIN_S / _GAPS_MAX)
-        if gap_s > usual_s:
-            usual_s *= 1 + _QUANTILE_STEP * _QUANTILE
-        else:
-            usual_s *= 1 - _QUANTILE_STEP * (1 - _QUANTILE)
-        self._gap_s[service] = usual_s
+        self._gap_s[service] = quantile.track(
+            usual_s, gap_s, _QUANTILE, _QUANTILE_STEP
+        )
--- a/packages/core/nutmegpost_core/prefill.py
+++ b/packages/core/nutmegpost_core/prefill.py
@@ -1,5 +1,7 @@
 """Estimates the prefill time per prompt token from observed answers."""
 
+from nutmegpost_core import quantile
+
 __all__ = ["PREFILL_TOKENS_PER_S", "PrefillEstimator", "PrefillRate"]
 
 # Assumed rate before the first sample.
@@ -84,16 +86,14 @@
         """
         if uncached_tokens <= SHORT_TOKENS_MAX:
             fixed_s = self._fixed_s or first_event_s
-            self._fixed_s = _track_quantile(fixed_s, first_event_s)
+            self._fixed_s = quantile.track(
+                fixed_s, first_event_s, _QUANTILE, _QUANTILE_STEP
+            )
         elif uncached_tokens >= LONG_TOKENS_MIN:
             prefill_s = max(0.0, first_event_s - self._fixed_s)
-            self._token_s = _track_quantile(
-                self._token_s, prefill_s / uncached_tokens
+            self._token_s = quantile.track(
+                self._token_s,
+                prefill_s / uncached_tokens,
+                _QUANTILE,
+                _QUANTILE_STEP,
             )
-
-
-def _track_quantile(estimate: float, sample: float) -> float:
-    """Returns the estimate moved by one step toward the tracked quantile."""
-    if sample < estimate:
-        return estimate * (1 - _QUANTILE_STEP * (1 - _QUANTILE))
-    return estimate * (1 + _QUANTILE_STEP * _QUANTILE)
--- a/packages/core/nutmegpost_core/sse.py
+++ b/packages/core/nutmegpost_core/sse.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "DONE",
+    "EVENT_BYTES_MAX",
     "Event",
     "EventId",
     "Parser",
--- a/packages/router/nutmegpost_router/gateway/event_relay.py
+++ b/packages/router/nutmegpost_router/gateway/event_relay.py
@@ -10,8 +10,6 @@
 
 __all__ = ["EventRelay"]
 
-# Size of the data in which an endpoint must send an event.
-_EVENT_BYTES_MAX = 1_000_000
 _ID_DIGITS_MAX = 18
 
 
@@ -62,7 +60,7 @@
         self._bytes_since_event += len(data)
         events_data = self._new_events(self._splitter.feed(data))
         if not events_data:
-            if self._bytes_since_event > _EVENT_BYTES_MAX:
+            if self._bytes_since_event > sse.EVENT_BYTES_MAX:
                 raise errors.PeerError("too much data without an event")
             return http_client.Consumed.NOTHING
         self._bytes_since_event = 0
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -120,15 +120,7 @@
             running: Change of the number of requests in flight.
             prefill_tokens: Change of the tokens that are not prefilled yet.
         """
-        load = self._own.get(endpoint, dispatch.Load())
-        changed = dispatch.Load(
-            load.running + running,
-            load.pending_prefill_tokens + prefill_tokens,
-        )
-        if changed.running or changed.pending_prefill_tokens:
-            self._own[endpoint] = changed
-        else:
-            self._own.pop(endpoint, None)
+        _add_load(self._own, endpoint, running, prefill_tokens)
 
     def record_report(
         self, peer: str, loads: dict[str, dispatch.Load], now: float
@@ -194,16 +186,12 @@
         self, loads: Mapping[str, dispatch.Load], sign: int
     ) -> None:
         for endpoint, load in loads.items():
-            total = self._reported.get(endpoint, dispatch.Load())
-            changed = dispatch.Load(
-                total.running + sign * load.running,
-                total.pending_prefill_tokens
-                + sign * load.pending_prefill_tokens,
+            _add_load(
+                self._reported,
+                endpoint,
+                sign * load.running,
+                sign * load.pending_prefill_tokens,
             )
-            if any(changed):
-                self._reported[endpoint] = changed
-            else:
-                self._reported.pop(endpoint, None)
 
     def age_s(self, now: float) -> float:
         """Returns the age of the oldest peer report in use, seconds."""
@@ -226,6 +214,23 @@
         )
 
 
+def _add_load(
+    table: dict[str, dispatch.Load],
+    endpoint: str,
+    running: int,
+    prefill_tokens: int,
+) -> None:
+    """Adds to the load of an endpoint; drops an entry that becomes 0."""
+    load = table.get(endpoint, _NO_LOAD)
+    changed = dispatch.Load(
+        load.running + running, load.pending_prefill_tokens + prefill_tokens
+    )
+    if any(changed):
+        table[endpoint] = changed
+    else:
+        table.pop(endpoint, None)
+
+
 @functools.lru_cache(maxsize=_DIGESTS_CACHED_MAX)
 def endpoint_digest(name: str) -> bytes:
     """Returns the digest that stands for an endpoint name in datagrams."""
--- a/packages/router/nutmegpost_router/log.py
+++ b/packages/router/nutmegpost_router/log.py
@@ -80,8 +80,6 @@
 
 _throttles: dict[int, _Throttle] = {}
 _limits = {"lines": LINES_PER_SECOND}
-# Whether lines hold the fields of an event in place of its text.
-_structured = {"enabled": False}
 _event_names = {
     event.number: name
     for name, event in vars(events).items()
@@ -153,7 +151,7 @@
         process: Name of this process, written in each line.
         level: Minimum level that is written.
     """
-    _configure(process, LINES_PER_SECOND, structured=False)
+    _configure(process, LINES_PER_SECOND)
     # diagnose=False keeps the values of variables, such as keys, out of
     # tracebacks.
     loguru.logger.add(
@@ -172,10 +170,10 @@
         process: Name of this process, written in each line.
         level: Minimum level that is written.
     """
-    _configure(process, STRUCTURED_LINES_PER_SECOND, structured=True)
+    _configure(process, STRUCTURED_LINES_PER_SECOND)
     sink = _NonBlockingSink(sys.stdout.fileno())
     loguru.logger.add(sink.write, level=level, diagnose=False, backtrace=False)
-    _sinks[:] = [sink]
+    _sinks.append(sink)
     atexit.register(sink.flush)
 
 
@@ -190,9 +188,9 @@
     loguru.logger.configure(extra={"process": process, "number": 0})
 
 
-def _configure(process: str, lines_max: int, structured: bool) -> None:
+def _configure(process: str, lines_max: int) -> None:
     _limits["lines"] = lines_max
-    _structured["enabled"] = structured
+    _sinks.clear()
     loguru.logger.remove()
     set_process_name(process)
 
@@ -212,7 +210,8 @@
     if omitted:
         fields["lines_omitted"] = omitted
     text = ""
-    if not _structured["enabled"]:
+    # Structured lines hold the fields of the event in place of its text.
+    if not _sinks:
         text = _escape_unprintable(_format_message(event, fields))
         if omitted:
             text = f"{text} (and {omitted} more of {event.number} not written)"
