Log the prompt parts of requests that are sent or charged with a crash

On-call engineers saw twenty endpoints end one after the other and charges (804) under digests that never came twice. No line said what those requests had in common, nor whether a lost attempt had relayed an event, so a digest that is too narrow could not be told from a cause that goes uncharged. 410 and 804 now name the shared parts of the prompt, 804 the request, and 412 whether the answer had begun. No decision changes.

--- a/packages/core/nutmegpost_core/calls.py
+++ b/packages/core/nutmegpost_core/calls.py
@@ -66,3 +66,13 @@
     received: float
     resume_after: str = ""
     hints: PromptHints | None = None
+
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts of the prompt that other requests may have in common."""
+        return self.hints.parts[:-1] if self.hints else ()
+
+    @property
+    def part_names(self) -> str:
+        """Identities of the shared parts, for the log."""
+        return " ".join(part.identity for part in self.shared_parts)
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -120,8 +120,8 @@
 REQUEST_SENT = Event(
     410,
     "INFO",
-    "{request} attempt {attempt} of {route} sent to {endpoint}: running "
-    "{running} of {bound}, cached {cached} tokens, {fetched} fetched, {reread} "
+    "{request} attempt {attempt} of {route} sent to {endpoint}: prompt parts "
+    "{parts}, running {running} of {bound}, cached {cached} tokens, {fetched} fetched, {reread} "
     "recomputed, cost {cost_ms} ms, deadline in {left_ms} ms, loads "
     "{loads_age_ms} ms old, endpoints at revision {endpoints_revision}, "
     "configuration {configuration}",
@@ -136,7 +136,7 @@
     412,
     "INFO",
     "{request} attempt {attempt} at {endpoint} ended with {end} after "
-    "{after_ms} ms: {reason}",
+    "{after_ms} ms, begun {begun}: {reason}",
 )
 REQUEST_ENDED = Event(
     413,
@@ -200,7 +200,8 @@
 REQUEST_CHARGED = Event(
     804,
     "WARNING",
-    "request {digest} counted as a suspect in the crash of {endpoint}",
+    "request {request}, {digest}, with prompt parts {parts} counted as a"
+    " suspect in the crash of {endpoint}",
 )
 
 # 6xx services and permits
--- a/packages/core/nutmegpost_core/timeouts.py
+++ b/packages/core/nutmegpost_core/timeouts.py
@@ -38,9 +38,9 @@
 
     The last part of the prompt is not counted, as it is the request's own.
     """
-    shared_parts = call.hints.parts[:-1] if call.hints else ()
     return (
-        sum(part.tokens for part in shared_parts) >= SHARED_PREFILL_TOKENS_MIN
+        sum(part.tokens for part in call.shared_parts)
+        >= SHARED_PREFILL_TOKENS_MIN
     )
 
 
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -85,7 +85,9 @@
             local_state, protocols, client, counters, self._handle_endpoint_down
         )
         self._probes: set[asyncio.Task[None]] = set()
-        self._lost_attempts: dict[str, list[tuple[float, str]]] = {}
+        self._lost_attempts: dict[
+            str, list[tuple[float, pending_request.PendingRequest]]
+        ] = {}
 
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Handles one request of a caller until its response is complete."""
@@ -302,7 +304,7 @@
             result.end is sending.AttemptEnd.LOST
             and not pending.has_relayed_event
         ):
-            self._record_lost(name, pending.digest, now)
+            self._record_lost(name, pending, now)
         self._counters.attempt_failed(result.end)
         log.emit(
             events.ATTEMPT_FAILED,
@@ -312,9 +314,12 @@
             end=result.end,
             reason=result.reason,
             after_ms=elapsed_ms,
+            begun=pending.has_relayed_event,
         )
 
-    def _record_lost(self, name: str, digest: str, now: float) -> None:
+    def _record_lost(
+        self, name: str, pending: pending_request.PendingRequest, now: float
+    ) -> None:
         """Records a lost request until a crash can no longer explain it."""
         oldest = now - _CRASH_WINDOW_S
         self._lost_attempts = {
@@ -326,7 +331,7 @@
                 ]
             )
         }
-        self._lost_attempts.setdefault(name, []).append((now, digest))
+        self._lost_attempts.setdefault(name, []).append((now, pending))
 
     async def _check_for_crash(
         self, pending: pending_request.PendingRequest, endpoint: roster.Endpoint
@@ -358,12 +363,18 @@
         now = _now()
         self._state.mark_endpoint_down(name)
         self._load_exchange.queue_endpoint_down(name)
-        for at, digest in self._lost_attempts.pop(name, []):
+        for at, pending in self._lost_attempts.pop(name, []):
             if now - at > _CRASH_WINDOW_S:
                 continue
-            if self._state.crashes.charge(digest, name, now):
-                self._load_exchange.queue_crash_charge(digest, name)
-                log.emit(events.REQUEST_CHARGED, digest=digest, endpoint=name)
+            if self._state.crashes.charge(pending.digest, name, now):
+                self._load_exchange.queue_crash_charge(pending.digest, name)
+                log.emit(
+                    events.REQUEST_CHARGED,
+                    digest=pending.digest,
+                    endpoint=name,
+                    request=pending.call.identity,
+                    parts=pending.call.part_names,
+                )
 
     def _send_error(
         self,
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -123,6 +123,7 @@
             attempt=pending.attempts,
             route=call.route.name,
             endpoint=endpoint.name,
+            parts=call.part_names,
             running=choice.load.running,
             bound=choice.bound,
             cached=choice.cached_tokens,
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -109,7 +109,7 @@
         A prompt whose shared parts are all cached there already needs no
         notice to the peers.
         """
-        shared = _shared_parts(call)
+        shared = call.shared_parts
         if not shared or call.hints is None:
             return
         endpoint = choice.endpoint.name
@@ -130,7 +130,7 @@
             choice: The endpoint.
             first_event_s: Time from the dispatch to the first event, seconds.
         """
-        self.prefixes.finish_prefill(choice.endpoint.name, _shared_parts(call))
+        self.prefixes.finish_prefill(choice.endpoint.name, call.shared_parts)
         if call.hints is not None and not (
             choice.source or choice.speculative_source
         ):
@@ -145,7 +145,7 @@
         """Returns whether an endpoint is prefilling much of the same prompt."""
         now = asyncio.get_running_loop().time()
         tokens = self.prefixes.prefilling_tokens(
-            endpoint, _shared_parts(call), now
+            endpoint, call.shared_parts, now
         )
         return tokens >= timeouts.SHARED_PREFILL_TOKENS_MIN
 
@@ -224,8 +224,3 @@
         usual_ms=round(silence.usual_s * 1000),
         open=silence.open_requests,
     )
-
-
-def _shared_parts(call: calls.Call) -> tuple[calls.PromptPart, ...]:
-    """Returns the parts of a prompt that other requests may have in common."""
-    return call.hints.parts[:-1] if call.hints else ()
