--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -121,10 +121,10 @@
     410,
     "INFO",
     "{request} attempt {attempt} of {route} sent to {endpoint}: prompt parts "
-    "{parts}, running {running} of {bound}, cached {cached} tokens, {fetched} fetched, {reread} "
-    "recomputed, cost {cost_ms} ms, deadline in {left_ms} ms, loads "
-    "{loads_age_ms} ms old, endpoints at revision {endpoints_revision}, "
-    "configuration {configuration}",
+    "{parts}, running {running} of {bound}, cached {cached} tokens, {fetched} "
+    "fetched, {reread} recomputed, cost {cost_ms} ms, deadline in {left_ms} "
+    "ms, loads {loads_age_ms} ms old, endpoints at revision "
+    "{endpoints_revision}, configuration {configuration}",
 )
 REQUEST_ANSWERED = Event(
     411,
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -208,6 +208,7 @@
         executed: Ids of the executed requests.
         cancelled: Ids of the requests whose caller disconnected early.
         event_count: Number of events of a stream.
+        crashing_parts: Ids of the prompt parts that crash it.
         cached_parts: Prompt parts in its cache, pairs of id and tokens.
         cache_list_count: Number of times that its cache was listed.
     """
@@ -222,6 +223,7 @@
         self.executed = []
         self.cancelled = []
         self.event_count = 5
+        self.crashing_parts = set()
         self.cached_parts = []
         self.cache_list_count = 0
 
@@ -273,9 +275,14 @@
 
 
 async def respond(runner, exchange):
-    """Executes the request and answers it normally."""
+    """Executes the request and answers it, or crashes on one of its parts."""
     request = exchange.request
     runner.executed.append(request.headers["attempt-id"])
+    prefix = request.headers.get("prompt-prefix", "")
+    parts = {text.partition(":")[0] for text in prefix.split(",")}
+    if parts & runner.crashing_parts:
+        await runner.server.close()
+        return
     if "model" in request.headers:
         first_id = int(request.headers.get("last-event-id", "0")) + 1
         await send_events(runner, exchange, first_id, runner.event_count)
