Refuse requests with a prompt part that crashes endpoints, at all gateways

Callers saw over a tenth of their requests fail for many seconds: 24 endpoints ended one after the other, and with each all answers in progress on it.

Cause: the circuit breaker judges one request (a digest of account, path and body), while the rule speaks of a part that requests have in common. Second cause, of the same class: what one gateway learns of a crash went to its peers once, in one datagram, and a gateway that started later was told nothing.

Now each shared part of the prompts in flight is charged as well, and an answer to a request with a part removes its charges, at all gateways. A part is suspect after three crashes in two moments without an answer since, unless another part with more crashes explains them; a first part that sound requests use is thereby cleared by their answers. Single trials at growing intervals serve a part again that was blamed wrongly; two parts with equal crashes are told apart by the first request that has only one of them. The decisions are in core (crashing_parts.py), without clock or network.

Gateways report what they lost in a crash as gossip items that each receiver passes on, for requests and parts alike, and a gateway whose charges differ from those of the peer it polls gets all of them. Reports can be merged in any order, and tell by their lifetime when the crash was. Earlier versions ignore the items and still get an empty list of charges in load datagrams.

--- a/packages/core/nutmegpost_core/crashes.py
+++ b/packages/core/nutmegpost_core/crashes.py
@@ -2,19 +2,23 @@
 
 A request is identified by a digest of its account, path and body, because its
 client retries it under a new id. When an endpoint goes down, each request in
-flight on it is charged with one crash. A request charged with crashes of
-several endpoints is refused.
+flight on it is charged with the crash. A request charged with several crashes
+is refused.
 
 Endpoints also crash for unrelated reasons, after which the requests that were
 in flight are retried together. If several requests share the same two crashes,
 a third one is needed to tell which of them is the cause.
+
+Charges and their removals are sets that only grow, so that the reports of
+several routers can be merged in any order.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Iterable, Mapping
+from typing import NamedTuple
 
 import xxhash
 
-__all__ = ["CrashCharges", "digest"]
+__all__ = ["Charge", "CrashCharges", "crash_digest", "digest"]
 
 # Crashes after which a request is refused if no other request shares them.
 UNSHARED_CRASHES_MAX = 2
@@ -30,50 +34,152 @@
     return xxhash.xxh3_128_hexdigest(prefix + body)[:16]
 
 
+def crash_digest(endpoint: str, started_ms: int) -> str:
+    """Returns the digest that identifies a crash at all routers.
+
+    Args:
+        endpoint: Name of the endpoint; a restart may keep it.
+        started_ms: Start time of the instance that crashed, Unix milliseconds.
+    """
+    return xxhash.xxh3_64_hexdigest(f"{endpoint}\n{started_ms}".encode())
+
+
+class Charge(NamedTuple):
+    """A subject that was in flight at a crash.
+
+    Attributes:
+        subject: Digest of a request or of a part of its prompt.
+        crash: The crash, as `crash_digest` names it.
+        at: Monotonic time of the crash, seconds.
+        is_cleared: Whether the subject has been answered since.
+    """
+
+    subject: str
+    crash: str
+    at: float
+    is_cleared: bool
+
+
 class CrashCharges:
-    """Crashed endpoints that each request digest is charged with."""
+    """Crashed endpoints that each subject is charged with.
+
+    A subject is the digest of whatever may be the cause of crashes: here a
+    request, in `crashing_parts` a part of a prompt.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        lifetime_s: float = CHARGE_LIFETIME_S,
+        subjects_max: int = DIGESTS_MAX,
+    ) -> None:
+        """Creates an empty table.
+
+        Args:
+            lifetime_s: Time after which a charge no longer counts, seconds.
+            subjects_max: Number of subjects stored; the oldest are discarded.
+        """
+        self._lifetime_s = lifetime_s
+        self._subjects_max = subjects_max
         self._charged: dict[str, dict[str, float]] = {}
+        self._cleared: dict[str, dict[str, float]] = {}
+        self._subjects: dict[str, set[str]] = {}
 
     @property
     def charged(self) -> Mapping[str, Mapping[str, float]]:
-        """Crash times in monotonic seconds, by endpoint, by digest."""
+        """Crash times in monotonic seconds, by crash, by subject."""
         return self._charged
 
-    def charge(self, request_digest: str, endpoint: str, now: float) -> bool:
-        """Charges a request with the crash of an endpoint.
+    def charges(self, now: float) -> list[Charge]:
+        """Returns the unexpired charges, including those removed."""
+        return [
+            Charge(subject, crash, at, is_cleared)
+            for table, is_cleared in (
+                (self._charged, False),
+                (self._cleared, True),
+            )
+            for subject, crash_times in table.items()
+            for crash, at in crash_times.items()
+            if now - at < self._lifetime_s
+        ]
+
+    def charge(self, subject: str, crash: str, now: float) -> bool:
+        """Charges a subject with a crash.
 
         Args:
-            request_digest: Digest of the request.
-            endpoint: The endpoint that crashed.
-            now: Monotonic time, seconds.
+            subject: Digest of the subject.
+            crash: The crash.
+            now: Monotonic time of the crash, seconds.
 
         Returns:
             Whether the charge is new.
         """
-        crash_times = self._charged.get(request_digest)
+        if crash in self._cleared.get(subject, ()):
+            return False
+        crash_times = self._charged.get(subject)
         if crash_times is None:
-            if len(self._charged) >= DIGESTS_MAX:
-                del self._charged[next(iter(self._charged))]
-            crash_times = self._charged[request_digest] = {}
-        if endpoint in crash_times:
+            if len(self._charged) >= self._subjects_max:
+                self._discard(next(iter(self._charged)))
+            crash_times = self._charged[subject] = {}
+        if crash in crash_times:
             return False
-        crash_times[endpoint] = now
+        crash_times[crash] = now
+        self._subjects.setdefault(crash, set()).add(subject)
         return True
 
-    def clear(self, request_digest: str) -> None:
-        """Removes the charges of a request that was answered."""
-        self._charged.pop(request_digest, None)
-
-    def count(self, request_digest: str, now: float) -> int:
-        """Returns the number of unexpired charges of a request."""
-        crash_times = self._charged.get(request_digest)
-        if not crash_times:
-            return 0
-        return sum(
-            1 for at in crash_times.values() if now - at < CHARGE_LIFETIME_S
-        )
+    def clear(self, subject: str) -> dict[str, float]:
+        """Removes the charges of a subject that was answered.
+
+        Returns:
+            Times of the crashes that it was charged with, by crash.
+        """
+        crash_times = dict(self._charged.get(subject, {}))
+        for crash, at in crash_times.items():
+            self.clear_crash(subject, crash, at)
+        return crash_times
+
+    def clear_crash(self, subject: str, crash: str, at: float) -> None:
+        """Removes one charge, also if it is only known to other routers yet.
+
+        Args:
+            subject: Digest of the subject.
+            crash: The crash.
+            at: Monotonic time of the crash, seconds.
+        """
+        crash_times = self._charged.get(subject)
+        if crash_times is not None:
+            crash_times.pop(crash, None)
+            self._forget_subject(subject, crash)
+            if not crash_times:
+                del self._charged[subject]
+        if subject not in self._cleared:
+            if len(self._cleared) >= self._subjects_max:
+                del self._cleared[next(iter(self._cleared))]
+            self._cleared[subject] = {}
+        self._cleared[subject].setdefault(crash, at)
+
+    def merge(self, charges: Iterable[Charge]) -> None:
+        """Merges charges that another router reported."""
+        for subject, crash, at, is_cleared in charges:
+            if is_cleared:
+                self.clear_crash(subject, crash, at)
+            else:
+                self.charge(subject, crash, at)
+
+    def crash_times(self, subject: str, now: float) -> Mapping[str, float]:
+        """Returns the times of the unexpired crashes of a subject."""
+        return {
+            crash: at
+            for crash, at in self._charged.get(subject, {}).items()
+            if now - at < self._lifetime_s
+        }
+
+    def subjects(self, crash: str) -> Collection[str]:
+        """Returns the subjects that are charged with a crash."""
+        return self._subjects.get(crash, ())
+
+    def count(self, subject: str, now: float) -> int:
+        """Returns the number of unexpired charges of a subject."""
+        return len(self.crash_times(subject, now))
 
     def is_refused(self, request_digest: str, now: float) -> bool:
         """Returns whether a request must be refused."""
@@ -82,11 +188,33 @@
             return False
         return count >= CRASHES_MAX or not self._is_shared(request_digest)
 
-    def _is_shared(self, request_digest: str) -> bool:
-        """Returns whether another request is charged with the same crashes."""
-        endpoints = self._charged[request_digest].keys()
+    def expire(self, now: float) -> None:
+        """Discards the charges that no longer count."""
+        for table in (self._charged, self._cleared):
+            for subject, crash_times in list(table.items()):
+                for crash, at in list(crash_times.items()):
+                    if now - at >= self._lifetime_s:
+                        del crash_times[crash]
+                        self._forget_subject(subject, crash)
+                if not crash_times:
+                    del table[subject]
+
+    def _is_shared(self, subject: str) -> bool:
+        """Returns whether another subject is charged with the same crashes."""
+        crashes = self._charged[subject].keys()
         return any(
-            endpoints <= charged.keys()
-            for other, charged in self._charged.items()
-            if other != request_digest
+            crashes <= self._charged[other].keys()
+            for other in self.subjects(next(iter(crashes)))
+            if other != subject
         )
+
+    def _discard(self, subject: str) -> None:
+        for crash in self._charged.pop(subject):
+            self._forget_subject(subject, crash)
+
+    def _forget_subject(self, subject: str, crash: str) -> None:
+        subjects = self._subjects.get(crash)
+        if subjects is not None:
+            subjects.discard(subject)
+            if not subjects:
+                del self._subjects[crash]
--- a/packages/core/nutmegpost_core/dissemination.py
+++ b/packages/core/nutmegpost_core/dissemination.py
@@ -38,16 +38,27 @@
     SUSPECT_REQUEST = 2
     ENDPOINT_LEAVING = 3
     LOADS = 4
+    CRASH_REPORT = 5
+    PART_TRIAL = 6
 
 
 # Kinds with a lower number are sent first when not all items fit.
 _PRIORITIES = {
     Kind.SUSPECT_REQUEST: 0,
+    Kind.PART_TRIAL: 0,
+    Kind.CRASH_REPORT: 1,
     Kind.SUCCESSOR: 1,
     Kind.ENDPOINT_LEAVING: 2,
     Kind.LOADS: 3,
 }
-URGENT = frozenset([Kind.SUSPECT_REQUEST, Kind.ENDPOINT_LEAVING])
+URGENT = frozenset(
+    [
+        Kind.SUSPECT_REQUEST,
+        Kind.ENDPOINT_LEAVING,
+        Kind.CRASH_REPORT,
+        Kind.PART_TRIAL,
+    ]
+)
 _SYNCED = frozenset(
     [Kind.SUCCESSOR, Kind.SUSPECT_REQUEST, Kind.ENDPOINT_LEAVING]
 )
@@ -60,11 +71,13 @@
         kind: Kind of the item.
         key: Identifies the subject within the kind.
         payload: Content of the item.
+        expires: Monotonic time of expiry, seconds.
     """
 
     kind: Kind
     key: bytes
     payload: bytes
+    expires: float = math.inf
 
 
 class Item(NamedTuple):
@@ -274,7 +287,9 @@
             return
         self._store(item_id, incoming)
         self._received.append(
-            ReceivedItem(item_id[0], item_id[1], incoming.payload)
+            ReceivedItem(
+                item_id[0], item_id[1], incoming.payload, incoming.expires
+            )
         )
 
     def _store(self, item_id: _ItemId, stored: _StoredItem) -> None:
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -204,6 +204,17 @@
     " suspect in the crash of {endpoint}",
 )
 
+PART_TRIED = Event(
+    805,
+    "WARNING",
+    "prompt part {part}, charged with {crashes} crashes, is tried once more",
+)
+PART_CLEARED = Event(
+    806,
+    "INFO",
+    "prompt part {part} was answered and is not charged with crash {crash}",
+)
+
 # 6xx services and permits
 CALL_FAULTED = Event(
     601, "ERROR", "service call ended with an internal error: {reason}"
--- a/packages/core/tests/test_crashes.py
+++ b/packages/core/tests/test_crashes.py
@@ -66,3 +66,19 @@
         crashes.digest("a", "/p", b"x"),
     }
     assert len(digests) == 4
+
+
+def test_a_restart_under_the_same_name_is_another_crash():
+    first = crashes.crash_digest("e1", 1)
+    assert first != crashes.crash_digest("e1", 2)
+    assert first == crashes.crash_digest("e1", 1)
+
+
+def test_expired_charges_are_discarded():
+    charges = crashes.CrashCharges()
+    charges.charge("d", "e1", 0.0)
+    charges.charge("other", "e1", 0.0)
+    charges.clear("other")
+    charges.expire(crashes.CHARGE_LIFETIME_S)
+    assert not charges.charged
+    assert not charges.charges(0.0)
--- a/packages/core/tests/test_dissemination.py
+++ b/packages/core/tests/test_dissemination.py
@@ -22,7 +22,7 @@
     second.merge(items, 0.0)
     second.merge(items, 0.0)
     assert second.received() == [
-        dissemination.ReceivedItem(Kind.SUCCESSOR, b"key", b"value")
+        dissemination.ReceivedItem(Kind.SUCCESSOR, b"key", b"value", 60.0)
     ]
     assert second.received() == []
     assert first.received() == []
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -9,7 +9,6 @@
 
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
-from nutmegpost_core import crashes
 from nutmegpost_core import dispatch
 from nutmegpost_core import errors
 from nutmegpost_core import events
@@ -19,6 +18,7 @@
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
+from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import pending_request
@@ -43,6 +43,8 @@
 _CRASH_WINDOW_S = 3.0
 # Bad Gateway: the endpoint failed before the deadline.
 _STATUS_BAD_GATEWAY = 502
+# Lowest status of an answer that is no success.
+_STATUS_FAILURE = 300
 # Longest time that a request waits for the probe of its endpoint.
 _PROBE_WAIT_S = 0.05
 # Retry-After values by reason. Endpoints and configurations are read twice a
@@ -66,6 +68,7 @@
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
         load_exchange: loads.LoadExchange,
+        crashes: crash_guard.CrashGuard,
     ):
         """Creates a forwarder with no request in flight.
 
@@ -74,13 +77,15 @@
             protocols: Protocol implementations of the deployment.
             client: Connections to endpoints.
             counters: Metrics.
-            load_exchange: Sends down endpoints and crash charges to the peers.
+            load_exchange: Sends down endpoints to the peers.
+            crashes: Refuses requests that crash endpoints.
         """
         self._state = local_state
         self._protocols = protocols
         self._client = client
         self._counters = counters
         self._load_exchange = load_exchange
+        self._crashes = crashes
         self._sender = sending.Sender(
             local_state, protocols, client, counters, self._handle_endpoint_down
         )
@@ -154,14 +159,16 @@
         self, exchange: http_server.Exchange, call: calls.Call
     ) -> None:
         request = exchange.request
-        digest = crashes.digest(call.account, request.target, request.body)
-        if self._state.crashes.is_refused(digest, call.received):
+        fingerprint = pending_request.fingerprint(
+            call, request.target, request.body
+        )
+        refusal = self._crashes.admit(fingerprint, call.received)
+        if refusal:
             raise errors.UnavailableError(
-                "this request crashed endpoints before",
-                retry_after=_RETRY_AFTER_CRASHING_S,
+                refusal, retry_after=_RETRY_AFTER_CRASHING_S
             )
         self._state.budget.record_request(call.service, call.received)
-        pending = pending_request.PendingRequest(exchange, call, digest)
+        pending = pending_request.PendingRequest(exchange, call, fingerprint)
         while True:
             choice = await self._choose_after_prefill(pending)
             result = await self._sender.send(pending, choice)
@@ -278,7 +285,8 @@
         pending.tried_endpoints.add(name)
         if result.end is sending.AttemptEnd.ANSWERED:
             self._state.outliers.record_result(name, True, now)
-            self._state.crashes.clear(pending.digest)
+            if pending.exchange.status < _STATUS_FAILURE:
+                self._crashes.record_answer(pending.fingerprint, now)
             self._counters.request_ended(call.route.name, "answered")
             log.emit(
                 events.REQUEST_ANSWERED,
@@ -346,7 +354,7 @@
         self._probes.add(probe)
         probe.add_done_callback(self._probes.discard)
         await asyncio.wait([probe], timeout=_PROBE_WAIT_S)
-        if self._state.crashes.is_refused(pending.digest, _now()):
+        if self._crashes.is_refused(pending.fingerprint, _now()):
             raise errors.AttemptLostError(
                 "this request crashes endpoints", status=_STATUS_BAD_GATEWAY
             )
@@ -356,25 +364,18 @@
             await self._client.probe(vms.parse_address(endpoint.address))
         except http_client.ConnectError as caught:
             if caught.refused:
-                self._handle_endpoint_down(endpoint.name)
+                self._handle_endpoint_down(endpoint)
 
-    def _handle_endpoint_down(self, name: str) -> None:
+    def _handle_endpoint_down(self, endpoint: roster.Endpoint) -> None:
         """Marks an endpoint as down and charges the requests it just lost."""
         now = _now()
+        name = endpoint.name
         self._state.mark_endpoint_down(name)
         self._load_exchange.queue_endpoint_down(name)
         for at, pending in self._lost_attempts.pop(name, []):
             if now - at > _CRASH_WINDOW_S:
                 continue
-            if self._state.crashes.charge(pending.digest, name, now):
-                self._load_exchange.queue_crash_charge(pending.digest, name)
-                log.emit(
-                    events.REQUEST_CHARGED,
-                    digest=pending.digest,
-                    endpoint=name,
-                    request=pending.call.identity,
-                    parts=pending.call.part_names,
-                )
+            self._crashes.charge(pending, endpoint, now)
 
     def _send_error(
         self,
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -62,8 +62,7 @@
 # With a longer report interval, the failure detector of the membership notices
 # a dead peer sooner than its missing reports do.
 _SILENCE_CHECK_INTERVAL_MAX_S = 0.5
-# Down endpoints, and likewise crash charges, that fit in a datagram with
-# placements.
+# Down endpoints that fit in a datagram with placements.
 _NOTICES_PER_DATAGRAM_MAX = 10
 _ENDPOINT_BYTES = 4
 _DIGESTS_CACHED_MAX = 16_384
@@ -264,13 +263,10 @@
     Attributes:
         placements: Prompts that the peer sent to endpoints.
         down: Names of endpoints that refuse connections.
-        charges: Crash charges: the digest of a request and the name of an
-            endpoint that crashed while running it.
     """
 
     placements: list[Placement]
     down: list[str]
-    charges: list[tuple[str, str]]
 
 
 class LoadExchange:
@@ -307,7 +303,6 @@
         self._budget = budget.Budget(BUDGET_BYTES_PER_S, BUDGET_BURST_BYTES)
         self._placements: list[_QueuedPlacement] = []
         self._down: list[str] = []
-        self._charges: list[tuple[str, str]] = []
         self._queued_event = asyncio.Event()
         self._next_report = 0.0
         self._report_interval_s = REPORT_INTERVAL_S
@@ -352,11 +347,6 @@
         self._down.append(endpoint)
         self._queued_event.set()
 
-    def queue_crash_charge(self, digest: str, endpoint: str) -> None:
-        """Queues the charge of a request with the crash of an endpoint."""
-        self._charges.append((digest, endpoint))
-        self._queued_event.set()
-
     async def run(self) -> None:
         """Sends and receives reports and notices until it is cancelled.
 
@@ -383,7 +373,7 @@
             self._transport.close()
 
     async def _wait(self, seconds: float) -> None:
-        if self._placements or self._down or self._charges:
+        if self._placements or self._down:
             await asyncio.sleep(BATCH_DELAY_S)
             return
         self._queued_event.clear()
@@ -425,7 +415,7 @@
         return size / (REPORT_BUDGET_SHARE * BUDGET_BYTES_PER_S)
 
     def _send_notices(self, now: float) -> None:
-        """Sends queued placements, down endpoints and crash charges.
+        """Sends queued placements and down endpoints.
 
         Those that do not fit the datagram or the budget remain queued.
         """
@@ -434,18 +424,15 @@
             queued for queued in self._placements if queued.at > oldest
         ]
         placements = self._next_placements()
-        down, charges = (
-            self._down[:_NOTICES_PER_DATAGRAM_MAX],
-            self._charges[:_NOTICES_PER_DATAGRAM_MAX],
-        )
-        if not (placements or down or charges):
+        down = self._down[:_NOTICES_PER_DATAGRAM_MAX]
+        if not (placements or down):
             return
-        datagram = self._datagram([None, placements, down, charges, []])
+        # The empty list stood for crash charges; earlier versions expect it.
+        datagram = self._datagram([None, placements, down, [], []])
         hosts = list(self._peers())
         if self._send_to_peers(datagram, hosts, budget.Kind.UPDATE, now):
             del self._placements[: len(placements)]
             del self._down[: len(down)]
-            del self._charges[: len(charges)]
 
     def _datagram(self, content: list[object]) -> bytes:
         body = cbor2.dumps([self._name, *content])
@@ -501,7 +488,7 @@
             )
 
     def _apply(self, body: bytes) -> None:
-        name, loads, placements, down, charges, observations = cbor2.loads(body)
+        name, loads, placements, down, _, observations = cbor2.loads(body)
         self._last_received[str(name)] = asyncio.get_running_loop().time()
         names_by_digest = {
             endpoint_digest(endpoint): endpoint
@@ -528,15 +515,10 @@
             for digest, prefill_ms, *fields in placements
             if digest in names_by_digest
         ]
-        if received_placements or down or charges:
-            crash_charges = [
-                (str(digest), str(endpoint)) for digest, endpoint in charges
-            ]
+        if received_placements or down:
             self._on_peer_update(
                 PeerUpdate(
-                    received_placements,
-                    [str(endpoint) for endpoint in down],
-                    crash_charges,
+                    received_placements, [str(endpoint) for endpoint in down]
                 )
             )
 
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -19,6 +19,7 @@
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
+from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import state
 
@@ -44,6 +45,7 @@
         client: http_client.Client,
         updates: "asyncio.Queue[ports.StateUpdate]",
         addresses: Callable[[], list[vms.Address]],
+        crashes: crash_guard.CrashGuard,
     ):
         """Creates the task; the platform counts as unavailable at first.
 
@@ -53,12 +55,14 @@
             client: Connections to peers.
             updates: Queue that receives what the peers sent.
             addresses: Returns the control addresses of the peers.
+            crashes: Crash charges, which are synced too.
         """
         self._state = local_state
         self._protocols = protocols
         self._client = client
         self._updates = updates
         self._addresses = addresses
+        self._crashes = crashes
         self._sync_requested = asyncio.Event()
         self._platform_unavailable = True
 
@@ -105,7 +109,12 @@
     ) -> http_server.Response:
         """Answers the poll of a peer."""
         path, _, query = request.target.partition("?")
-        version, digest, flag = [*query.split("&"), "", ""][:3]
+        version, digest, flag, crashes_digest = [
+            *query.split("&"),
+            "",
+            "",
+            "",
+        ][:4]
         active_catalog = self._state.catalog
         if path != _PUBLISHED_PATH or active_catalog is None:
             return http_server.Response(404, [], b"")
@@ -115,7 +124,7 @@
             if active_catalog.version > known_version
             else b""
         )
-        now = asyncio.get_running_loop().time()
+        now = _now()
         revision, listed = 0, []
         if digest != self._state.roster.digest():
             revision = self._state.roster.revision
@@ -132,7 +141,11 @@
             for name, parts in self._state.prefixes.parts_by_endpoint().items()
             if flag == _CACHES_FLAG and self._state.caches_synced
         }
-        body = cbor2.dumps([document, revision, listed, caches])
+        content: list[object] = [document, revision, listed, caches]
+        # Earlier versions send no digest and expect no charges.
+        if crashes_digest and crashes_digest != self._crashes.digest(now):
+            content.append(self._crashes.encode(now))
+        body = cbor2.dumps(content)
         return http_server.Response(200, [], body)
 
     async def _poll_peers(self, count: int) -> None:
@@ -148,9 +161,16 @@
         digest = (
             "" if self._platform_unavailable else self._state.roster.digest()
         )
-        query = f"{active_catalog.version if active_catalog else 0}&{digest}"
-        if not self._state.caches_synced:
-            query = f"{query}&{_CACHES_FLAG}"
+        flag = "" if self._state.caches_synced else _CACHES_FLAG
+        crashes_digest = self._crashes.digest(_now())
+        query = "&".join(
+            [
+                str(active_catalog.version if active_catalog else 0),
+                digest,
+                flag,
+                crashes_digest,
+            ]
+        )
         try:
             answer = await self._client.request(
                 address,
@@ -179,14 +199,16 @@
             )
 
     def _apply(self, body: bytes) -> None:
-        document, revision, listed, caches = cbor2.loads(body)
+        document, revision, listed, caches, *charges = cbor2.loads(body)
+        for encoded in charges:
+            self._crashes.merge(encoded, _now())
         if document:
             decoded = self._protocols.publications.decode_configuration(
                 document
             )
             self._updates.put_nowait(ports.CatalogPublished(decoded, document))
         if revision > self._state.roster.revision:
-            now = asyncio.get_running_loop().time()
+            now = _now()
             endpoints = [roster.Endpoint(*fields) for fields in listed]
             endpoints = [
                 endpoint._replace(warming_until=endpoint.warming_until + now)
@@ -202,3 +224,7 @@
                     }
                 )
             )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/gateway/pending_request.py
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -1,13 +1,40 @@
 """A request that is being forwarded, and the load of its current attempt."""
 
 import asyncio
+from typing import NamedTuple
 
 from nutmegpost_core import calls
+from nutmegpost_core import crashes
+from nutmegpost_core import crashing_parts
 from nutmegpost_core import dispatch
 from nutmegpost_router import http_server
 from nutmegpost_router.gateway import state
 
-__all__ = ["InFlightLoad", "PendingRequest"]
+__all__ = ["Fingerprint", "InFlightLoad", "PendingRequest", "fingerprint"]
+
+
+class Fingerprint(NamedTuple):
+    """What a request may have in common with others that crash endpoints.
+
+    Attributes:
+        request: Digest that identifies the request across its caller's
+            retries.
+        parts: Digests of the shared parts of its prompt.
+    """
+
+    request: str
+    parts: tuple[str, ...]
+
+
+def fingerprint(call: calls.Call, target: str, body: bytes) -> Fingerprint:
+    """Returns the fingerprint of a request."""
+    return Fingerprint(
+        crashes.digest(call.account, target, body),
+        tuple(
+            crashing_parts.part_digest(part.identity)
+            for part in call.shared_parts
+        ),
+    )
 
 
 class PendingRequest:
@@ -16,7 +43,7 @@
     Attributes:
         exchange: The caller's request and its response.
         call: The request in the form used by routing decisions.
-        digest: Digest that identifies the request across the caller's retries.
+        fingerprint: Identifies the request and its parts in crashes.
         attempts: Number of attempts so far.
         runs: Number of attempts in which an endpoint may have run the request.
         tried_endpoints: Names of the endpoints that it was sent to.
@@ -29,19 +56,19 @@
         self,
         exchange: http_server.Exchange,
         call: calls.Call,
-        digest: str,
+        crash_fingerprint: Fingerprint,
     ):
         """Creates a request that has not been sent.
 
         Args:
             exchange: The caller's request and its response.
             call: The request in the form used by routing decisions.
-            digest: Digest that identifies the request across the caller's
-                retries.
+            crash_fingerprint: Identifies the request and its parts in
+                crashes.
         """
         self.exchange = exchange
         self.call = call
-        self.digest = digest
+        self.fingerprint = crash_fingerprint
         self.attempts = 0
         self.runs = 0
         self.tried_endpoints: set[str] = set()
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -17,6 +17,7 @@
 from nutmegpost_router import http_server
 from nutmegpost_router import log
 from nutmegpost_router.gateway import caches
+from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import forwarding
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
@@ -88,12 +89,14 @@
             self._state.apply_peer_update,
         )
         self._state.on_placement = self._load_exchange.queue_placement
+        self._crashes = crash_guard.CrashGuard(self._gossip.send)
         self._forwarder = forwarding.Forwarder(
             self._state,
             protocols,
             self._client,
             self._counters,
             self._load_exchange,
+            self._crashes,
         )
         self._peer_sync = peers.PeerSync(
             self._state,
@@ -101,6 +104,7 @@
             self._client,
             self._updates,
             self._control_addresses,
+            self._crashes,
         )
         self._cache_sync = caches.CacheSync(
             self._state,
@@ -140,6 +144,11 @@
         """Membership of the gateways, as seen by this one."""
         return self._members
 
+    @property
+    def crashes(self) -> crash_guard.CrashGuard:
+        """What this gateway knows of requests that crash endpoints."""
+        return self._crashes
+
     @property
     def local_state(self) -> state.State:
         """State that the tasks of this gateway share."""
@@ -392,6 +401,8 @@
                         self._peer_sync.request_sync(name, version)
                 case gossip.Paused():
                     self._peer_sync.request_sync("all", 0)
+                case gossip.ItemReceived():
+                    self._crashes.receive(notice, _now())
 
     # Publications of the platform.
 
@@ -503,6 +514,7 @@
             if expired:
                 self._endpoints_changed()
             self._update_fleet_size(now)
+            self._crashes.expire(now)
 
     def _update_fleet_size(self, now: float) -> None:
         """Counts the gateways that may have spent retries in the window."""
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -9,6 +9,7 @@
 from nutmegpost_core import dispatch
 from nutmegpost_core import errors
 from nutmegpost_core import events
+from nutmegpost_core import roster
 from nutmegpost_core import timeouts
 from nutmegpost_core import vms
 from nutmegpost_router import http_client
@@ -73,7 +74,7 @@
         protocols: ports.Ports,
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
-        on_endpoint_down: Callable[[str], None],
+        on_endpoint_down: Callable[[roster.Endpoint], None],
     ):
         """Creates a sender.
 
@@ -82,8 +83,8 @@
             protocols: Protocol implementations of the deployment.
             client: Connections to endpoints.
             counters: Metrics.
-            on_endpoint_down: Called with the name of each endpoint that
-                refuses connections.
+            on_endpoint_down: Called with each endpoint that refuses
+                connections.
         """
         self._state = local_state
         self._protocols = protocols
@@ -192,7 +193,7 @@
             load.record_sign()
         except http_client.ConnectError as caught:
             if caught.refused:
-                self._on_endpoint_down(choice.endpoint.name)
+                self._on_endpoint_down(choice.endpoint)
             return AttemptResult(AttemptEnd.NOT_RUN, str(caught))
         except http_client.ExchangeError as caught:
             return AttemptResult(AttemptEnd.LOST, str(caught))
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -6,7 +6,6 @@
 
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
-from nutmegpost_core import crashes
 from nutmegpost_core import dispatch
 from nutmegpost_core import events
 from nutmegpost_core import liveness
@@ -45,7 +44,6 @@
         self.roster = roster.Roster(config["entry_grace_s"])
         self.loads = loads.LoadTable()
         self.prefixes = prefixes.PrefixCaches()
-        self.crashes = crashes.CrashCharges()
         self.outliers = outliers.OutlierDetector(
             eject_after_failures=_EJECT_AFTER_FAILURES,
             ejected_share_max=_EJECTED_SHARE_MAX,
@@ -150,7 +148,7 @@
         return tokens >= timeouts.SHARED_PREFILL_TOKENS_MIN
 
     def apply_peer_update(self, update: loads.PeerUpdate) -> None:
-        """Applies placements, down endpoints and charges sent by a peer."""
+        """Applies placements and down endpoints sent by a peer."""
         for placement in update.placements:
             cached_tokens = self.prefixes.cached_tokens(
                 placement.endpoint, placement.parts
@@ -160,9 +158,6 @@
             self._touch(placement.endpoint, placement.parts)
         for endpoint in update.down:
             self.mark_endpoint_down(endpoint)
-        now = asyncio.get_running_loop().time()
-        for digest, endpoint in update.charges:
-            self.crashes.charge(digest, endpoint, now)
 
     def mark_endpoint_down(self, endpoint: str) -> None:
         """Records that an endpoint refuses connections and lost its cache."""
--- a/packages/router/nutmegpost_router/gossip.py
+++ b/packages/router/nutmegpost_router/gossip.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 import hmac
+import math
 import time
 from typing import NamedTuple
 
@@ -102,11 +103,18 @@
 
     Batches of reports of suspect requests are split into one notice for each
     report. Reports that this router publishes are delivered to it as well.
+
+    Attributes:
+        kind: Kind of the item.
+        key: Identifies the subject within the kind.
+        payload: Content of the item.
+        expires: Monotonic time of expiry, seconds.
     """
 
     kind: dissemination.Kind
     key: bytes
     payload: bytes
+    expires: float = math.inf
 
 
 class PeerConfiguration(NamedTuple):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -695,7 +695,7 @@
                 with pytest.raises(standin.http_client.ExchangeError):
                     await fleet.send_stream_request("/ask/1", f"id-{attempt}")
                 await asyncio.sleep(0.1)
-            assert not fleet.gateways[0].local_state.crashes.charged
+            assert not fleet.gateways[0].crashes.requests.charged
 
     standin.run_scenario(scenario)
 
