Log the request limits that endpoints name

Nothing read the limit, so no log told whether gateways knew it. The head of an answer now carries it, and 511 and 512 say when an endpoint named a limit and when it stopped. No decision changes.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -168,8 +168,14 @@
     "endpoint {endpoint} sent nothing for {silent_ms} ms, {usual_ms} ms are"
     " usual; {open} requests are open on it",
 )
-
-
+ENDPOINT_LIMITED = Event(
+    511,
+    "WARNING",
+    "endpoint {endpoint} takes only {requests_per_s} requests a second",
+)
+ENDPOINT_UNLIMITED = Event(
+    512, "INFO", "endpoint {endpoint} names no limit any more"
+)
 CACHE_LEARNT = Event(
     508, "INFO", "cache of {endpoint} holds {count} prompt parts"
 )
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -105,12 +105,15 @@
         idle_s: Time for which the endpoint keeps an idle connection open,
             seconds; None if not given.
         load: Requests that the endpoint runs or queues; None if not given.
+        rate_limit: Requests per second that the endpoint takes from all
+            gateways together; None if it names no limit.
     """
 
     verdict: Verdict
     fields: list[tuple[str, str]]
     idle_s: float | None = None
     load: int | None = None
+    rate_limit: float | None = None
 
 
 class CallerProtocol(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -234,6 +234,8 @@
             self._state.loads.record_observation(
                 load.endpoint, head.load, _now()
             )
+        if head.verdict is not ports.Verdict.FOREIGN:
+            self._state.record_rate_limit(load.endpoint, head.rate_limit)
         if head.verdict is ports.Verdict.FOREIGN:
             stream.abort()
             return AttemptResult(AttemptEnd.LOST, "answer to another request")
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -64,6 +64,7 @@
         # caches are empty.
         self.caches_synced = config["first_start"]
         self._started_ms: dict[str, int] = {}
+        self._rate_limits: dict[str, float] = {}
         self._prefill_rates: dict[str, prefill.PrefillRate] = {}
         self.on_placement: Callable[[loads.Placement], None] = lambda _: None
 
@@ -136,6 +137,29 @@
                 first_event_s, call.hints.prompt_tokens - choice.cached_tokens
             )
 
+    def record_rate_limit(
+        self, endpoint: str, requests_per_s: float | None
+    ) -> None:
+        """Records the limit that an endpoint named in an answer.
+
+        Args:
+            endpoint: Name of the endpoint.
+            requests_per_s: Requests per second that it takes from all
+                gateways together; None if it named no limit.
+        """
+        if requests_per_s == self._rate_limits.get(endpoint):
+            return
+        if requests_per_s is None:
+            del self._rate_limits[endpoint]
+            log.emit(events.ENDPOINT_UNLIMITED, endpoint=endpoint)
+        else:
+            self._rate_limits[endpoint] = requests_per_s
+            log.emit(
+                events.ENDPOINT_LIMITED,
+                endpoint=endpoint,
+                requests_per_s=requests_per_s,
+            )
+
     def _prefill_rate(self, service: str) -> prefill.PrefillRate:
         return self._prefill_rates.setdefault(service, prefill.PrefillRate())
 
