--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -209,6 +209,8 @@
         cancelled: Ids of the requests whose caller disconnected early.
         event_count: Number of events of a stream.
         crashing_parts: Ids of the prompt parts that crash it.
+        rate_limit: Requests per second that its answers name as the limit;
+            None for no limit.
         cached_parts: Prompt parts in its cache, pairs of id and tokens.
         cache_list_count: Number of times that its cache was listed.
     """
@@ -224,6 +226,7 @@
         self.cancelled = []
         self.event_count = 5
         self.crashing_parts = set()
+        self.rate_limit = None
         self.cached_parts = []
         self.cache_list_count = 0
 
@@ -267,11 +270,14 @@
                 self.cancelled.append(request.headers["attempt-id"])
 
     def response_fields(self, request):
-        return [
+        fields = [
             ("Attempt-Id", request.headers["attempt-id"]),
             ("Server-Seal", f"seal-of-{self.name}"),
             ("Server-Load", "1,0,4"),
         ]
+        if self.rate_limit is not None:
+            fields.append(("Server-Limit", str(self.rate_limit)))
+        return fields
 
 
 async def respond(runner, exchange):
