Keep the request limit that an endpoint names, over all gateways together

Endpoints in need got more requests than the limit that they had named: 20 in 4 s at 2.3 a second (19 allowed).

Endpoints without a token are passed over and do not count for the load bound. When all are without, the request is refused at once as not run, with a Retry-After at which a token is free, later for each further caller.

--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -176,6 +176,7 @@
     ejected: Collection[str] = (),
     draining: Sequence[roster.Endpoint] = (),
     target_s: float = 0.0,
+    exhausted: Collection[str] = (),
 ) -> Choice | None:
     """Chooses the endpoint for one request.
 
@@ -193,16 +194,22 @@
         draining: Endpoints that take no new requests but can serve fetches
             from their caches.
         target_s: Latency target of the request, seconds.
+        exhausted: Names of endpoints whose request limit is used up. They do
+            not count for the bound, since the others do their work.
 
     Returns:
-        The choice, or None when every endpoint is excluded or at the bound.
+        The choice, or None when every endpoint is excluded, exhausted or at
+        the bound.
     """
     loads = {endpoint.name: load_of(endpoint.name) for endpoint in endpoints}
-    bound = load_bound(loads.values(), policy)
+    bound = load_bound(
+        [load for name, load in loads.items() if name not in exhausted], policy
+    )
     allowed = [
         endpoint
         for endpoint in endpoints
         if endpoint.name not in excluded
+        and endpoint.name not in exhausted
         and loads[endpoint.name].running < bound
     ]
     healthy = [endpoint for endpoint in allowed if endpoint.name not in ejected]
--- a/packages/core/nutmegpost_core/dissemination.py
+++ b/packages/core/nutmegpost_core/dissemination.py
@@ -40,6 +40,7 @@
     LOADS = 4
     CRASH_REPORT = 5
     PART_TRIAL = 6
+    ENDPOINT_LIMIT = 7
 
 
 # Kinds with a lower number are sent first when not all items fit.
@@ -49,6 +50,7 @@
     Kind.CRASH_REPORT: 1,
     Kind.SUCCESSOR: 1,
     Kind.ENDPOINT_LEAVING: 2,
+    Kind.ENDPOINT_LIMIT: 2,
     Kind.LOADS: 3,
 }
 URGENT = frozenset(
@@ -57,10 +59,16 @@
         Kind.ENDPOINT_LEAVING,
         Kind.CRASH_REPORT,
         Kind.PART_TRIAL,
+        Kind.ENDPOINT_LIMIT,
     ]
 )
 _SYNCED = frozenset(
-    [Kind.SUCCESSOR, Kind.SUSPECT_REQUEST, Kind.ENDPOINT_LEAVING]
+    [
+        Kind.SUCCESSOR,
+        Kind.SUSPECT_REQUEST,
+        Kind.ENDPOINT_LEAVING,
+        Kind.ENDPOINT_LIMIT,
+    ]
 )
 
 
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -254,3 +254,19 @@
         _choose("abcd", hints=short._replace(parts=())).speculative_source
         is None
     )
+
+
+def test_an_endpoint_at_its_request_limit_gets_nothing_but_serves_its_cache():
+    caches = _cached_at("c")
+    choice = _choose("abcd", caches=caches, exhausted={"c"})
+    assert choice.endpoint.name != "c"
+    assert choice.source.endpoint.name == "c"
+    assert _choose("ab", exhausted={"a", "b"}) is None
+
+
+def test_the_bound_is_that_of_the_endpoints_that_are_not_at_their_limit():
+    loads = {"a": dispatch.Load(9, 0), "b": dispatch.Load(8, 0)}
+    limited = set("cdefgh")
+    choice = _choose("abcdefgh", loads, hints=None, exhausted=limited)
+    assert choice.endpoint.name == "b"
+    assert _choose("ab", loads, hints=None).bound == choice.bound
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from typing import NoReturn
 
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
@@ -199,7 +200,11 @@
             await asyncio.sleep(_PREFILL_POLL_S)
             if not self._state.is_prefilling(call, choice.endpoint.name):
                 break
-        return self._state.choose(call, pending.tried_endpoints) or choice
+        # The wait may have used up the limit of the endpoint.
+        current = self._state.choose(call, pending.tried_endpoints)
+        if current is None and self._state.is_exhausted(choice.endpoint.name):
+            self._end_without_endpoint(pending)
+        return current or choice
 
     def _choose_endpoint(
         self, pending: pending_request.PendingRequest
@@ -215,12 +220,7 @@
             self._give_up(pending)
         choice = self._state.choose(call, pending.tried_endpoints)
         if choice is None:
-            if pending.attempts:
-                self._give_up(pending)
-            raise errors.UnavailableError(
-                "no endpoint may take the request",
-                retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
-            )
+            self._end_without_endpoint(pending)
         if self._is_full(choice):
             if pending.runs or pending.exchange.started:
                 self._give_up(pending)
@@ -234,6 +234,27 @@
             self._give_up(pending)
         return choice
 
+    def _end_without_endpoint(
+        self, pending: pending_request.PendingRequest
+    ) -> NoReturn:
+        """Ends a request that no endpoint may take.
+
+        Raises:
+            errors.RequestError: Always.
+        """
+        if pending.attempts:
+            self._give_up(pending)
+        return_after_s = self._state.return_after_s(pending.call.service)
+        if return_after_s is not None:
+            raise errors.UnavailableError(
+                "all endpoints are at the request limits that they named",
+                retry_after=return_after_s,
+            )
+        raise errors.UnavailableError(
+            "no endpoint may take the request",
+            retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
+        )
+
     def _is_exhausted(
         self, pending: pending_request.PendingRequest, now: float
     ) -> bool:
@@ -249,7 +270,7 @@
         slots = choice.endpoint.slots
         return slots > 0 and choice.load.running >= slots * _LOAD_PER_SLOT_MAX
 
-    def _give_up(self, pending: pending_request.PendingRequest) -> None:
+    def _give_up(self, pending: pending_request.PendingRequest) -> NoReturn:
         """Ends a request that was sent and has no complete response.
 
         Raises:
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -11,6 +11,7 @@
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import membership
+from nutmegpost_core import ratelimits
 from nutmegpost_core import vms
 from nutmegpost_router import gossip
 from nutmegpost_router import http_client
@@ -89,6 +90,7 @@
             self._state.apply_peer_update,
         )
         self._state.on_placement = self._load_exchange.queue_placement
+        self._state.on_rate_limit = self._publish_rate_limit
         self._crashes = crash_guard.CrashGuard(self._gossip.send)
         self._forwarder = forwarding.Forwarder(
             self._state,
@@ -401,9 +403,40 @@
                         self._peer_sync.request_sync(name, version)
                 case gossip.Paused():
                     self._peer_sync.request_sync("all", 0)
+                case gossip.ItemReceived(
+                    dissemination.Kind.ENDPOINT_LIMIT, key, payload
+                ):
+                    self._apply_rate_limit(key, payload)
                 case gossip.ItemReceived():
                     self._crashes.receive(notice, _now())
 
+    def _publish_rate_limit(
+        self, endpoint: str, requests_per_s: float | None
+    ) -> None:
+        """Tells the peers the limit that an endpoint named, or its end."""
+        text = "" if requests_per_s is None else str(requests_per_s)
+        self._gossip.send(
+            gossip.Publish(
+                dissemination.Kind.ENDPOINT_LIMIT,
+                endpoint.encode(),
+                text.encode(),
+                ratelimits.LIMIT_LIFETIME_S,
+            )
+        )
+
+    def _apply_rate_limit(self, key: bytes, payload: bytes) -> None:
+        try:
+            endpoint = key.decode()
+            requests_per_s = float(payload) if payload else None
+        except ValueError as caught:
+            log.emit(
+                events.DATAGRAM_MALFORMED,
+                source="limit of an endpoint",
+                reason=str(caught),
+            )
+            return
+        self._state.apply_peer_rate_limit(endpoint, requests_per_s)
+
     # Publications of the platform.
 
     async def _read_publications(self) -> None:
@@ -515,6 +548,8 @@
                 self._endpoints_changed()
             self._update_fleet_size(now)
             self._crashes.expire(now)
+            self._state.rate_limits.set_routers(self._members.alive)
+            self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
     def _update_fleet_size(self, now: float) -> None:
         """Counts the gateways that may have spent retries in the window."""
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -234,7 +234,8 @@
             self._state.loads.record_observation(
                 load.endpoint, head.load, _now()
             )
-        if head.verdict is not ports.Verdict.FOREIGN:
+        # A rejection may come from another instance and names no limit then.
+        if head.rate_limit is not None or head.verdict is ports.Verdict.RUN:
             self._state.record_rate_limit(load.endpoint, head.rate_limit)
         if head.verdict is ports.Verdict.FOREIGN:
             stream.abort()
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -12,6 +12,7 @@
 from nutmegpost_core import outliers
 from nutmegpost_core import prefill
 from nutmegpost_core import prefixes
+from nutmegpost_core import ratelimits
 from nutmegpost_core import retrybudget
 from nutmegpost_core import roster
 from nutmegpost_core import timeouts
@@ -64,9 +65,13 @@
         # caches are empty.
         self.caches_synced = config["first_start"]
         self._started_ms: dict[str, int] = {}
-        self._rate_limits: dict[str, float] = {}
+        self.rate_limits = ratelimits.EndpointLimits(config["name"])
         self._prefill_rates: dict[str, prefill.PrefillRate] = {}
         self.on_placement: Callable[[loads.Placement], None] = lambda _: None
+        # Called with the name of an endpoint and the limit that it named.
+        self.on_rate_limit: Callable[[str, float | None], None] = lambda *_: (
+            None
+        )
 
     @property
     def config(self) -> settings.GatewaySettings:
@@ -85,8 +90,9 @@
             fetch_tokens_per_s=service.fetch_tokens_per_s if service else 0.0,
             tie_width_s=dispatch.tie_width_s(self.fleet_size),
         )
+        usable = self.roster.usable(call.service)
         return dispatch.choose(
-            self.roster.usable(call.service),
+            usable,
             self.loads.total,
             self.prefixes,
             call.hints,
@@ -98,16 +104,41 @@
             | self.liveness.avoided(call.route.repeatable, now),
             self.roster.draining(call.service),
             call.route.target_s,
+            self.rate_limits.exhausted(
+                (endpoint.name for endpoint in usable), now
+            ),
         )
 
+    def is_exhausted(self, endpoint: str) -> bool:
+        """Returns whether the request limit of an endpoint is used up."""
+        now = asyncio.get_running_loop().time()
+        return bool(self.rate_limits.exhausted([endpoint], now))
+
+    def return_after_s(self, service: str) -> float | None:
+        """Returns when the caller of a refused request should return.
+
+        Returns:
+            Seconds, or None if not all endpoints of the service are at the
+            request limits that they named.
+        """
+        now = asyncio.get_running_loop().time()
+        names = {endpoint.name for endpoint in self.roster.usable(service)}
+        if not names or self.rate_limits.exhausted(names, now) != names:
+            return None
+        return self.rate_limits.return_after_s(service, names, now)
+
     def record_dispatch(
         self, call: calls.Call, choice: dispatch.Choice
     ) -> None:
-        """Records that a prompt is sent to an endpoint and informs the peers.
+        """Records that a request is sent to an endpoint.
+
+        Informs the peers of its prompt.
 
         A prompt whose shared parts are all cached there already needs no
         notice to the peers.
         """
+        now = asyncio.get_running_loop().time()
+        self.rate_limits.record_sent(choice.endpoint.name, now)
         shared = call.shared_parts
         if not shared or call.hints is None:
             return
@@ -147,18 +178,29 @@
             requests_per_s: Requests per second that it takes from all
                 gateways together; None if it named no limit.
         """
-        if requests_per_s == self._rate_limits.get(endpoint):
-            return
+        if self.apply_peer_rate_limit(endpoint, requests_per_s):
+            self.on_rate_limit(endpoint, requests_per_s)
+
+    def apply_peer_rate_limit(
+        self, endpoint: str, requests_per_s: float | None
+    ) -> bool:
+        """Applies the limit that an endpoint named to a peer.
+
+        Returns:
+            Whether it was news here.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self.rate_limits.record(endpoint, requests_per_s, now):
+            return False
         if requests_per_s is None:
-            del self._rate_limits[endpoint]
             log.emit(events.ENDPOINT_UNLIMITED, endpoint=endpoint)
         else:
-            self._rate_limits[endpoint] = requests_per_s
             log.emit(
                 events.ENDPOINT_LIMITED,
                 endpoint=endpoint,
                 requests_per_s=requests_per_s,
             )
+        return True
 
     def _prefill_rate(self, service: str) -> prefill.PrefillRate:
         return self._prefill_rates.setdefault(service, prefill.PrefillRate())
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -1,4 +1,4 @@
-"""Endpoints that name the requests a second that they take from all gateways."""
+"""Endpoints that name the requests a second they take from all gateways."""
 
 import asyncio
 
