End the trials of a part at all gateways, and name a return to callers anywhere

A part that a peer cleared kept the count of its trials here, so that its next trial came late; and a gateway that sends nothing to the limited endpoints told every caller to return after 30 s, though others send. Its return is now the fleet's rate over the gateways, as callers return to any of them, and a gateway that knows no other one no longer divides by zero. Tests in core fail without either.

--- a/packages/core/nutmegpost_core/crashes.py
+++ b/packages/core/nutmegpost_core/crashes.py
@@ -165,13 +165,23 @@
             self._cleared[subject] = {}
         self._cleared[subject].setdefault(crash, at)
 
-    def merge(self, charges: Iterable[Charge]) -> None:
-        """Merges charges that another router reported."""
+    def merge(self, charges: Iterable[Charge]) -> set[str]:
+        """Merges charges that another router reported.
+
+        Returns:
+            The subjects that are no longer charged with any crash.
+        """
+        freed = set()
         for subject, crash, at, is_cleared in charges:
-            if is_cleared:
-                self.clear_crash(subject, crash, at)
-            else:
+            if not is_cleared:
                 self.charge(subject, crash, at)
+                continue
+            was_charged = subject in self._charged
+            self.clear_crash(subject, crash, at)
+            if was_charged and subject not in self._charged:
+                self._trials.clear(subject)
+                freed.add(subject)
+        return freed
 
     def crash_times(self, subject: str, now: float) -> Mapping[str, float]:
         """Returns the times of the unexpired crashes of a subject."""
--- a/packages/core/nutmegpost_core/crashing_parts.py
+++ b/packages/core/nutmegpost_core/crashing_parts.py
@@ -148,6 +148,11 @@
             del self._answered[next(iter(self._answered))]
         return cleared
 
+    def merge(self, charges: Iterable[crashes.Charge]) -> None:
+        """Merges charges that another router reported."""
+        for part in self._charges.merge(charges):
+            self._trials.clear(part)
+
     def _is_explained(self, part: str, now: float) -> bool:
         """Returns whether other parts better explain the crashes of one."""
         own = set(self._charges.crash_times(part, now))
--- a/packages/core/nutmegpost_core/ratelimits.py
+++ b/packages/core/nutmegpost_core/ratelimits.py
@@ -142,12 +142,14 @@
             endpoints: Names of its endpoints, all of which are exhausted.
             now: Monotonic time, seconds.
         """
-        rate = sum(self._share(endpoint) for endpoint in endpoints)
+        # Callers return to any of the routers.
+        rate = sum(
+            self._limits[endpoint].requests_per_s for endpoint in endpoints
+        ) / max(1, len(self._routers))
         if rate <= 0:
             return RETURN_MAX_S
-        free_at = now + min(
-            self._wait_s(endpoint, now) for endpoint in endpoints
-        )
+        wait_s = min(self._wait_s(endpoint, now) for endpoint in endpoints)
+        free_at = now + min(wait_s, 1 / rate)
         after = self._returning_until.get(service, -math.inf)
         at = min(max(free_at, after + 1 / rate), now + RETURN_MAX_S)
         self._returning_until[service] = at
--- a/packages/core/tests/test_crashing_parts.py
+++ b/packages/core/tests/test_crashing_parts.py
@@ -99,6 +99,20 @@
     assert breaker.verdict(["sound"], 2.0) is Verdict.SEND
 
 
+def test_an_answer_at_a_peer_ends_the_trials_too():
+    breaker = crashing_parts.PartBreaker()
+    _crash(breaker, [0.0, 1.0, 2.0], "sound")
+    breaker.record_peer_trial("sound", 12.0)
+    breaker.merge(
+        charge._replace(is_cleared=True)
+        for charge in breaker.charges.charges(12.0)
+    )
+    assert breaker.verdict(["sound"], 12.0) is Verdict.SEND
+    _crash(breaker, [20.0, 21.0, 22.0], "sound")
+    at = 22.0 + crashing_parts.TRIAL_INTERVAL_S
+    assert breaker.verdict(["sound"], at) is Verdict.TRY
+
+
 def test_a_common_part_is_not_blamed_for_the_crashes_of_several_others():
     breaker = crashing_parts.PartBreaker()
     breaker.record_answer(["common"])
--- a/packages/core/tests/test_ratelimits.py
+++ b/packages/core/tests/test_ratelimits.py
@@ -112,6 +112,24 @@
     assert max(many) == ratelimits.RETURN_MAX_S
 
 
+def test_a_router_that_sends_nothing_to_a_limited_endpoint_names_a_return():
+    tables = _fleet(50)
+    for table in tables:
+        table.record("e", 2.0, 0.0)
+    silent = [table for table in tables if table.exhausted(["e"], 0.0)]
+    assert len(silent) > 40
+    returns = [silent[0].return_after_s("s", ["e"], 0.0) for _ in range(2)]
+    assert returns == pytest.approx([25.0, ratelimits.RETURN_MAX_S])
+
+
+def test_a_router_that_knows_no_router_that_takes_requests_names_a_return():
+    (table,) = _fleet(1)
+    table.record("e", 2.0, 0.0)
+    table.set_routers([])
+    assert table.exhausted(["e"], 0.0) == {"e"}
+    assert table.return_after_s("s", ["e"], 0.0) == pytest.approx(0.5)
+
+
 def test_a_limit_of_zero_sends_nothing():
     (table,) = _fleet(1)
     table.record("e", 0.0, 0.0)
--- a/packages/router/nutmegpost_router/gateway/crash_guard.py
+++ b/packages/router/nutmegpost_router/gateway/crash_guard.py
@@ -175,9 +175,7 @@
             self._requests.merge(
                 crash_reports.charges(crash, at, entries, False)
             )
-            self._parts.charges.merge(
-                crash_reports.charges(crash, at, entries, True)
-            )
+            self._parts.merge(crash_reports.charges(crash, at, entries, True))
 
     def digest(self, now: float) -> str:
         """Returns a digest of the charges, to compare with peers."""
@@ -211,16 +209,9 @@
         Raises:
             TypeError, ValueError: They are malformed.
         """
-        for table, charges in zip(self._tables(), encoded, strict=True):
-            table.merge(
-                crashes.Charge(
-                    str(subject),
-                    str(crash),
-                    now - int(str(age_ms)) / 1000,
-                    bool(is_cleared),
-                )
-                for subject, crash, age_ms, is_cleared in charges
-            )
+        of_requests, of_parts = encoded
+        self._requests.merge(_decode(of_requests, now))
+        self._parts.merge(_decode(of_parts, now))
 
     def expire(self, now: float) -> None:
         """Discards the charges that no longer count."""
@@ -247,3 +238,15 @@
                     lifetime_s,
                 )
             )
+
+
+def _decode(encoded: list[list[object]], now: float) -> list[crashes.Charge]:
+    return [
+        crashes.Charge(
+            str(subject),
+            str(crash),
+            now - int(str(age_ms)) / 1000,
+            bool(is_cleared),
+        )
+        for subject, crash, age_ms, is_cleared in encoded
+    ]
