Keep the address of a runner in the soak while its relay is closed

A soak run ended with an IndexError when a runner was to drain while it was down: a closed relay has no address.

--- a/tests/platform/faultsoak.py
+++ b/tests/platform/faultsoak.py
@@ -99,6 +99,8 @@
         )
         self._store, self._runners = fleet.store, fleet.runners
         self._relays = {}
+        # A relay that is closed, as its runner is down, has no address.
+        self._addresses = {}
         await self._store.start()
         self._relays["store"] = await self._start_relay(self._store.address)
         self._store.put("op/config", standin.configuration(1))
@@ -106,6 +108,7 @@
             await runner.start()
             runner.crash = functools.partial(self._end_runner, name)
             self._relays[name] = await self._start_relay(runner.address)
+            self._addresses[name] = self._relays[name].address
             self._publish_entry(name)
         self._configs = [self._settings(fleet) for _ in range(GATEWAY_COUNT)]
         seeds = [config["control_address"] for config in self._configs]
@@ -135,7 +138,7 @@
 
     def _publish_entry(self, name: str, **fields: object) -> None:
         entry = self._runners[name].entry(
-            address=self._relays[name].address, **fields
+            address=self._addresses[name], **fields
         )
         self._store.put(f"servers/{name}", entry)
 
