--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -283,6 +283,27 @@
         return fields
 
 
+class RawRunner(Runner):
+    """An endpoint that writes the bytes of its answers itself."""
+
+    async def start(self):
+        address = vms.parse_address(self.address)
+        self.server = await asyncio.start_server(
+            self._accept, address.host, address.port
+        )
+
+    async def _accept(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            attempt = head.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
+            self.executed.append(attempt.decode())
+            await self.write_answer(writer, attempt)
+        self.end_connection(writer)
+
+    def end_connection(self, writer):
+        writer.close()
+
+
 async def respond(runner, exchange):
     """Executes the request and answers it, or crashes on one of its parts."""
     request = exchange.request
@@ -455,6 +476,15 @@
         self.tasks.append(asyncio.create_task(gateway.run()))
         return gateway
 
+    async def wait_until_all_met(self):
+        """Waits until each gateway knows all others."""
+        for gateway in self.gateways:
+            await self.wait_until(
+                lambda gateway=gateway: (
+                    len(gateway.members.alive) == len(self.gateways)
+                )
+            )
+
     async def wait_until(self, condition):
         async with asyncio.timeout(TIMEOUT_S):
             while not condition():
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -53,19 +53,10 @@
     )
 
 
-async def _meet(fleet):
-    for gateway in fleet.gateways:
-        await fleet.wait_until(
-            lambda gateway=gateway: (
-                len(gateway.members.alive) == len(fleet.gateways)
-            )
-        )
-
-
 def test_different_requests_with_one_crashing_part_stop_reaching_endpoints():
     async def scenario():
         async with _fleet(12, gateways=2) as fleet:
-            await _meet(fleet)
+            await fleet.wait_until_all_met()
             for number in range(16):
                 await _send_crashing(fleet, number, number % 2)
             assert _crashes(fleet) <= CRASHES_MAX + REQUESTS_AFTER_MAX
@@ -76,7 +67,7 @@
 def test_sound_requests_with_the_other_parts_of_a_crashing_one_are_served():
     async def scenario():
         async with _fleet(10, gateways=2) as fleet:
-            await _meet(fleet)
+            await fleet.wait_until_all_met()
             for number in range(8):
                 await _send_crashing(fleet, number, number % 2)
             assert _crashes(fleet) <= CRASHES_MAX + REQUESTS_AFTER_MAX
@@ -102,7 +93,7 @@
             crashes = _crashes(fleet)
             gateway = fleet.start_gateway(first_start=False)
             await fleet.wait_until(lambda: gateway.ready)
-            await _meet(fleet)
+            await fleet.wait_until_all_met()
             for number in range(6, 10):
                 await _send_crashing(fleet, number, 1)
             assert _crashes(fleet) == crashes
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -7,14 +7,11 @@
 """
 
 import asyncio
-import contextlib
 import tracemalloc
 
 import pytest
 import standin
 
-from nutmegpost_core import vms
-
 # Time limit of the routes below, seconds.
 TIMEOUT_S = 1.0
 # The rules allow half a second after the time limit of a route.
@@ -58,38 +55,33 @@
 SPEEDS = ["full speed", "trickle"]
 
 
-class UnendedRunner(standin.Runner):
+class UnendedRunner(standin.RawRunner):
     """An endpoint that answers each request with bytes that never end.
 
     Attributes:
-        requests: Number of requests received.
         closed: Number of connections that the gateway closed.
     """
 
     def __init__(self, name, service, start, repeated, speed):
         super().__init__(name, service, 8)
-        self.requests = 0
         self.closed = 0
-        self._start = start
+        self._answer_start = start
         self._repeated = repeated
         self._speed = speed
 
-    async def start(self):
-        address = vms.parse_address(self.address)
-        self.server = await asyncio.start_server(
-            self._serve, address.host, address.port
-        )
-
-    async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            head = await reader.readuntil(b"\r\n\r\n")
-            self.requests += 1
-            attempt = head.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
-            writer.write(self._start.replace(b"id-1", attempt))
-            await self._send_without_end(writer)
+    @property
+    def requests(self):
+        """Number of requests received."""
+        return len(self.executed)
+
+    async def write_answer(self, writer, attempt):
+        writer.write(self._answer_start.replace(b"id-1", attempt))
+        await self._send_without_end(writer)
+
+    def end_connection(self, writer):
         if self.requests:
             self.closed += 1
-        writer.close()
+        super().end_connection(writer)
 
     async def _send_without_end(self, writer):
         block = self._repeated * (BLOCK_BYTES // len(self._repeated))
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -15,15 +15,6 @@
     return standin.Fleet(runners, gateways=gateways)
 
 
-async def _meet(fleet):
-    for gateway in fleet.gateways:
-        await fleet.wait_until(
-            lambda gateway=gateway: (
-                len(gateway.members.alive) == len(fleet.gateways)
-            )
-        )
-
-
 async def _send_for(fleet, seconds, name, interval_s=0.03):
     """Sends requests to all gateways in turn and returns the responses."""
     responses = []
@@ -45,7 +36,7 @@
 def test_all_gateways_together_keep_the_limit_that_an_endpoint_named():
     async def scenario():
         async with _fleet(["e1", "e2", "e3"], 3) as fleet:
-            await _meet(fleet)
+            await fleet.wait_until_all_met()
             limited = fleet.runners["e1"]
             limited.rate_limit = LIMIT_PER_S
             await _send_for(fleet, 0.5, "first")
@@ -60,7 +51,7 @@
 def test_endpoint_that_names_no_limit_any_more_is_used_again():
     async def scenario():
         async with _fleet(["e1", "e2"], 2) as fleet:
-            await _meet(fleet)
+            await fleet.wait_until_all_met()
             limited = fleet.runners["e1"]
             limited.rate_limit = LIMIT_PER_S
             await _send_for(fleet, 1.0, "limited")
@@ -76,7 +67,7 @@
 def test_requests_above_the_limits_of_all_endpoints_are_refused_as_not_run():
     async def scenario():
         async with _fleet(["e1", "e2"], 2) as fleet:
-            await _meet(fleet)
+            await fleet.wait_until_all_met()
             for runner in fleet.runners.values():
                 runner.rate_limit = LIMIT_PER_S
             await _send_for(fleet, 0.5, "first")
