--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -29,6 +29,8 @@
 # endpoint that fails only part of its requests is ejected too.
 _FAILURE_DECAY = 0.7
 
+_RateLimitCallback = Callable[[str, float | None], None]
+
 
 class State:
     """Configuration, endpoints, loads, caches and budgets."""
@@ -69,9 +71,7 @@
         self._prefill_rates: dict[str, prefill.PrefillRate] = {}
         self.on_placement: Callable[[loads.Placement], None] = lambda _: None
         # Called with the name of an endpoint and the limit that it named.
-        self.on_rate_limit: Callable[[str, float | None], None] = lambda *_: (
-            None
-        )
+        self.on_rate_limit: _RateLimitCallback = lambda *_: None
 
     @property
     def config(self) -> settings.GatewaySettings:
