Keep no bodies of lost requests until a crash is ruled out

Found in reading the diff: the record of requests that an endpoint lost held the whole pending request, with its body of up to several megabytes, until the next loss. It holds the fingerprint and the call, which the charge and its log line need. No decision changes.

--- a/packages/router/nutmegpost_router/gateway/crash_guard.py
+++ b/packages/router/nutmegpost_router/gateway/crash_guard.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from nutmegpost_core import calls
 from nutmegpost_core import crash_reports
 from nutmegpost_core import crashes
 from nutmegpost_core import crashing_parts
@@ -108,13 +109,21 @@
 
     def charge(
         self,
-        pending: pending_request.PendingRequest,
+        fingerprint: pending_request.Fingerprint,
+        call: calls.Call,
         endpoint: roster.Endpoint,
         now: float,
     ) -> None:
-        """Charges a request and its parts with the crash of an endpoint."""
+        """Charges a request and its parts with the crash of an endpoint.
+
+        Args:
+            fingerprint: Identifies the request and its parts.
+            call: The request, for the log.
+            endpoint: The endpoint.
+            now: Monotonic time of the crash, seconds.
+        """
         crash = crashes.crash_digest(endpoint.name, endpoint.started_ms)
-        request, parts = pending.fingerprint
+        request, parts = fingerprint
         is_new = self._requests.charge(request, crash, now)
         entry = crash_reports.Entry(request, False, False)
         self._reports.add(crash, now, entry)
@@ -128,8 +137,8 @@
                 events.REQUEST_CHARGED,
                 digest=request,
                 endpoint=endpoint.name,
-                request=pending.call.identity,
-                parts=pending.call.part_names,
+                request=call.identity,
+                parts=call.part_names,
             )
 
     def record_answer(
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from typing import NoReturn
+from typing import NamedTuple, NoReturn
 
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
@@ -59,6 +59,20 @@
 _LOAD_PER_SLOT_MAX = 2.0
 
 
+class _LostAttempt(NamedTuple):
+    """A request that was lost before its answer began.
+
+    Attributes:
+        at: Monotonic time, seconds.
+        fingerprint: Identifies the request and its parts.
+        call: The request.
+    """
+
+    at: float
+    fingerprint: pending_request.Fingerprint
+    call: calls.Call
+
+
 class Forwarder:
     """Forwards the requests of callers to endpoints."""
 
@@ -91,9 +105,7 @@
             local_state, protocols, client, counters, self._handle_endpoint_down
         )
         self._probes: set[asyncio.Task[None]] = set()
-        self._lost_attempts: dict[
-            str, list[tuple[float, pending_request.PendingRequest]]
-        ] = {}
+        self._lost_attempts: dict[str, list[_LostAttempt]] = {}
 
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Handles one request of a caller until its response is complete."""
@@ -356,11 +368,14 @@
             for endpoint, attempts in self._lost_attempts.items()
             if (
                 recent := [
-                    attempt for attempt in attempts if attempt[0] >= oldest
+                    attempt for attempt in attempts if attempt.at >= oldest
                 ]
             )
         }
-        self._lost_attempts.setdefault(name, []).append((now, pending))
+        # Keeps no reference to the body of the request.
+        self._lost_attempts.setdefault(name, []).append(
+            _LostAttempt(now, pending.fingerprint, pending.call)
+        )
 
     async def _check_for_crash(
         self, pending: pending_request.PendingRequest, endpoint: roster.Endpoint
@@ -393,10 +408,10 @@
         name = endpoint.name
         self._state.mark_endpoint_down(name)
         self._load_exchange.queue_endpoint_down(name)
-        for at, pending in self._lost_attempts.pop(name, []):
+        for at, fingerprint, call in self._lost_attempts.pop(name, []):
             if now - at > _CRASH_WINDOW_S:
                 continue
-            self._crashes.charge(pending, endpoint, now)
+            self._crashes.charge(fingerprint, call, endpoint, now)
 
     def _send_error(
         self,
--- a/packages/router/tests/gateway/test_crash_guard.py
+++ b/packages/router/tests/gateway/test_crash_guard.py
@@ -19,13 +19,9 @@
     part_names = "first bad"
 
 
-class _Pending:
-    """A lost request; no two are alike but for their parts."""
-
-    call = _Call
-
-    def __init__(self, number, parts=PARTS):
-        self.fingerprint = pending_request.Fingerprint(f"{number:016x}", parts)
+def _fingerprint(number, parts=PARTS):
+    """Returns that of a request that is like no other but for its parts."""
+    return pending_request.Fingerprint(f"{number:016x}", parts)
 
 
 def _endpoint(number):
@@ -34,9 +30,13 @@
     )
 
 
+def _charge(guard, number, at):
+    guard.charge(_fingerprint(number), _Call, _endpoint(number), at)
+
+
 def _crash(guard, times):
     for number, at in enumerate(times):
-        guard.charge(_Pending(number), _endpoint(number), at)
+        _charge(guard, number, at)
 
 
 def _receive(guard, published, now, delay_s=0.0):
@@ -50,7 +50,7 @@
 
 
 def _admits(guard, number, now, parts=PARTS):
-    return not guard.admit(_Pending(number, parts).fingerprint, now)
+    return not guard.admit(_fingerprint(number, parts), now)
 
 
 def test_requests_with_a_charged_part_are_refused_at_each_gateway():
@@ -58,7 +58,7 @@
     first = crash_guard.CrashGuard(published.append)
     second = crash_guard.CrashGuard(lambda _: None)
     for number, at in enumerate([0.0, 1.0, 2.0]):
-        first.charge(_Pending(number), _endpoint(number), at)
+        _charge(first, number, at)
         _receive(second, published[number:], at)
     assert not _admits(first, 9, 2.0)
     assert not _admits(second, 9, 2.0)
@@ -69,7 +69,7 @@
     first = crash_guard.CrashGuard(published.append)
     late = crash_guard.CrashGuard(lambda _: None)
     for number, at in enumerate([0.0, 1.0, 2.0]):
-        first.charge(_Pending(number), _endpoint(number), at)
+        _charge(first, number, at)
         _receive(late, published[number:], at, 60.0 - at)
     times = late.parts.charges.crash_times(PART, 60.0).values()
     assert sorted(times) == [0.0, 1.0, 2.0]
@@ -81,7 +81,7 @@
     first = crash_guard.CrashGuard(published.append)
     second = crash_guard.CrashGuard(lambda _: None)
     for number, at in enumerate([0.0, 1.0, 2.0]):
-        first.charge(_Pending(number), _endpoint(number), at)
+        _charge(first, number, at)
         _receive(second, published[number:], at)
     del published[:]
     answered = pending_request.Fingerprint("f" * 16, (FIRST,))
@@ -132,5 +132,5 @@
 def test_a_request_that_was_lost_is_not_sent_again_with_a_suspect_part():
     guard = crash_guard.CrashGuard(lambda _: None)
     _crash(guard, [0.0, 1.0, 2.0])
-    assert guard.is_refused(_Pending(2).fingerprint, 2.0)
-    assert not guard.is_refused(_Pending(2, ("0" * 16,)).fingerprint, 2.0)
+    assert guard.is_refused(_fingerprint(2), 2.0)
+    assert not guard.is_refused(_fingerprint(2, ("0" * 16,)), 2.0)
