--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -82,6 +82,18 @@
 ENTRY_REFUSED = Event(
     212, "WARNING", "entry {name} of revision {revision} refused: {reason}"
 )
+PLATFORM_RESTORED = Event(
+    213,
+    "WARNING",
+    "platform was restored from a copy: era {era}, known were era {known_era} "
+    "and revision {known_revision}",
+)
+ENTRIES_OUTDATED = Event(
+    214,
+    "INFO",
+    "entries ignored as older than those known here: {names}; they came with "
+    "revision {revision}, known is {known}",
+)
 
 # 3xx members and peers
 MEMBER_CHANGED = Event(301, "INFO", "member {name} is {state}, was {previous}")
--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -174,7 +174,7 @@
         removed: Mapping[str, int],
         revision: int,
         now: float,
-    ) -> None:
+    ) -> list[str]:
         """Applies changes since the last known revision.
 
         Args:
@@ -183,13 +183,21 @@
                 since, with the revision of the removal.
             revision: Revision of the directory after the changes.
             now: Monotonic time, seconds.
+
+        Returns:
+            Names of the entries that were ignored, as they are older than the
+            known ones.
         """
-        for endpoint in endpoints:
-            self._upsert(endpoint)
+        outdated = [
+            endpoint.name
+            for endpoint in endpoints
+            if not self._upsert(endpoint)
+        ]
         for name, removal in removed.items():
             self._remove(name, removal, now)
         self._revision = max(self._revision, revision)
         self._rebuild_index()
+        return outdated
 
     def expire(self, now: float) -> list[str]:
         """Removes the entries whose grace period has ended.
@@ -213,15 +221,17 @@
                 del self._departed[name]
         return expired
 
-    def _upsert(self, endpoint: Endpoint) -> None:
+    def _upsert(self, endpoint: Endpoint) -> bool:
+        """Adds or updates an endpoint unless the entry is outdated."""
         current = self._endpoints.get(endpoint.name)
         if current is not None and endpoint.revision < current.revision:
-            return
+            return False
         if endpoint.revision <= self._tombstones.get(endpoint.name, -1):
-            return
+            return False
         self._missing.pop(endpoint.name, None)
         self._departed.pop(endpoint.name, None)
         self._endpoints[endpoint.name] = endpoint
+        return True
 
     def _remove(self, name: str, revision: int, now: float) -> None:
         if len(self._tombstones) >= TOMBSTONES_MAX:
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -457,7 +457,9 @@
             case ports.CatalogPublished():
                 self._accept_configuration(update)
             case ports.EndpointsListed(endpoints, revision):
-                local_state.roster.replace(endpoints, revision, now)
+                known = local_state.roster.revision
+                if not local_state.roster.replace(endpoints, revision, now):
+                    _log_outdated(["*"], revision, known)
                 self._has_endpoints = True
                 self._endpoints_changed()
             case ports.EndpointsChanged(endpoints, removed, revision):
@@ -468,9 +470,12 @@
                     if endpoint.is_draining
                 }
                 names = set(before)
-                local_state.roster.apply_changes(
+                known = local_state.roster.revision
+                outdated = local_state.roster.apply_changes(
                     endpoints, removed, revision, now
                 )
+                if outdated:
+                    _log_outdated(outdated, revision, known)
                 after = local_state.roster.endpoints
                 if set(after) != names or leaving != {
                     name
@@ -593,5 +598,14 @@
                     return
 
 
+def _log_outdated(names: list[str], revision: int, known: int) -> None:
+    log.emit(
+        events.ENTRIES_OUTDATED,
+        names=" ".join(names),
+        revision=revision,
+        known=known,
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
