--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -94,8 +94,11 @@
         items: Current items, by key.
         changes: Changes that a watch can return, oldest first.
         revision: Current revision.
+        era: Number of times that it was restored from a copy, plus one.
         oldest_revision: Watches from an earlier revision get status 410.
         is_down: Whether it answers every request with status 503.
+        second_address: Another address that it listens on.
+        is_second_down: As is_down, for the requests to that address.
         request_count: Number of requests received.
     """
 
@@ -104,16 +107,24 @@
         self.items = {}
         self.changes = []
         self.revision = 1
+        self.era = 1
         self.oldest_revision = 0
         self.is_down = False
+        self.second_address = free_address()
+        self.is_second_down = False
         self.request_count = 0
         self._changed = asyncio.Event()
+        self._cut_count = 0
 
     async def start(self):
         self.server = await http_server.serve(
             vms.parse_address(self.address),
             http_server.responder(self._respond),
         )
+        self.second_server = await http_server.serve(
+            vms.parse_address(self.second_address),
+            http_server.responder(self._respond_at_second_address),
+        )
 
     def put(self, key, value):
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -140,6 +151,21 @@
         self.changes.clear()
         self._notify_watchers()
 
+    def cut_polls(self):
+        """Ends all requests that wait, without a result."""
+        self._cut_count += 1
+        self._notify_watchers()
+
+    def copy(self):
+        """Returns a copy of all that the store has, for `restore`."""
+        return self.revision, dict(self.items), list(self.changes)
+
+    def restore(self, copy):
+        """Goes back to a copy; requests that wait go on waiting."""
+        self.revision, items, changes = copy
+        self.items, self.changes = dict(items), list(changes)
+        self.era += 1
+
     def _append_change(self, change):
         self.changes.append(change)
         self._notify_watchers()
@@ -149,9 +175,20 @@
         self._changed = asyncio.Event()
 
     async def _respond(self, request):
+        return await self._respond_unless(self.is_down, request)
+
+    async def _respond_at_second_address(self, request):
+        return await self._respond_unless(self.is_second_down, request)
+
+    async def _respond_unless(self, is_down, request):
         self.request_count += 1
-        if self.is_down:
+        if is_down:
             return http_server.Response(503, [], b"")
+        status, fields, body = await self._read(request)
+        era = ("Store-Era", str(self.era))
+        return http_server.Response(status, [*fields, era], body)
+
+    async def _read(self, request):
         path, _, query = request.target.partition("?")
         values = dict(urllib.parse.parse_qsl(query))
         if path == "/api/kv-range":
@@ -172,12 +209,15 @@
 
     async def _watch(self, values):
         after = int(values["after"])
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             return http_server.Response(410, [], b"")
+        cut_count = self._cut_count
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(values["waitMs"]) / 1000):
                 while not self._changes_since(values["prefix"], after):
                     await self._changed.wait()
+                    if self._cut_count != cut_count:
+                        return http_server.Response(503, [], b"")
         return _json_response(
             {
                 "events": self._changes_since(values["prefix"], after),
