--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -240,11 +240,12 @@
         current = self._endpoints.get(name)
         if current is None:
             return
-        until = self._available_since + self._grace_s
-        if not current.is_draining and (
-            self._directory_unavailable or now < until
-        ):
-            self._missing.setdefault(name, max(until, now))
+        # A list that arrives during an outage, from a peer or before the
+        # outage counts as over, shows that the directory is back.
+        since = now if self._directory_unavailable else self._available_since
+        until = since + self._grace_s
+        if not current.is_draining and now < until:
+            self._missing.setdefault(name, until)
             return
         del self._endpoints[name]
         self._missing.pop(name, None)
--- a/packages/core/tests/test_roster.py
+++ b/packages/core/tests/test_roster.py
@@ -50,6 +50,15 @@
     assert _usable(entries) == ["b"]
 
 
+def test_entry_missing_in_a_list_that_ends_an_outage_is_retained():
+    entries = _roster("a", "b")
+    entries.mark_directory_unavailable()
+    entries.replace([_endpoint("b", 3)], 3, 10.0)
+    entries.mark_directory_available(10.1)
+    assert entries.expire(10.0 + GRACE_S - 0.1) == []
+    assert entries.expire(10.0 + GRACE_S) == ["a"]
+
+
 def test_entry_renewed_within_grace_period_is_retained():
     entries = _roster("a")
     entries.mark_directory_unavailable()
