Tell the revisions of a restored store from those before

Callers: after the store came back from a copy, an endpoint that announced its leaving got requests on, one that came was not used, and a configuration that was acknowledged was not in force, until the revisions had caught up or something else was published.

Cause: a revision was compared without asking which history issued it. The roster dropped entries, listings and lists of peers with a lower revision than it knew; a poll went on after a revision that the restored store had given out for something else, and skipped the changes up to it; a poll that the restore left waiting waited on.

Fix: a revision has the era that the store names in its answers, and compares by era first, at the roster and between gateways. What the first list of an era lacks has the grace of an outage. The copy also has entries that endpoints had replaced: of one instance (same start) the number that it gives to what it writes tells, so that the copy neither readmits an endpoint that leaves nor brings back one that is gone. Gateways of earlier versions are sent the list in the form that they know.

--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -4,8 +4,13 @@
 An entry missing after such an outage is retained for a grace period that starts
 when the directory is available again, and then removed.
 
-Lists can also come from peers and be partly out of date. A tombstone with the
-revision of each removal prevents an older entry from restoring the endpoint.
+Lists can also come from peers and be partly out of date. A tombstone of each
+removal prevents an older entry from restoring the endpoint.
+
+A directory that is restored from a copy issues its revisions again, so each
+revision has the era in which it was issued. The copy also has entries that the
+endpoints have replaced or removed since; these are recognized by the sequence
+numbers that the endpoints themselves give to what they write.
 """
 
 from collections.abc import Iterable, Mapping
@@ -13,7 +18,7 @@
 
 import xxhash
 
-__all__ = ["Endpoint", "Roster"]
+__all__ = ["Endpoint", "Revision", "Roster"]
 
 # Tombstones that are retained; the oldest are discarded first.
 TOMBSTONES_MAX = 10_000
@@ -22,6 +27,21 @@
 DEPARTED_RETENTION_S = 4.0
 
 
+class Revision(NamedTuple):
+    """Revision of the directory; later ones are greater.
+
+    Attributes:
+        era: Incremented each time the directory is restored from a copy.
+        number: Revision number; issued once in each era.
+    """
+
+    era: int = 0
+    number: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.era}/{self.number}"
+
+
 class Endpoint(NamedTuple):
     """One instance of an endpoint.
 
@@ -35,6 +55,7 @@
         warming_until: Monotonic time at which its warm-up ends, seconds.
         revision: Revision of its entry in the directory.
         started_ms: Start time, Unix milliseconds; 0 if unknown.
+        sequence: Number of the entry among those that this instance wrote.
     """
 
     name: str
@@ -44,8 +65,23 @@
     slots: int
     is_draining: bool
     warming_until: float
-    revision: int
+    revision: Revision
     started_ms: int = 0
+    sequence: int = 0
+
+
+class _Tombstone(NamedTuple):
+    """A removed entry.
+
+    Attributes:
+        revision: Revision of the removal.
+        started_ms: Start time of the instance, Unix milliseconds.
+        sequence: Number of its last known entry.
+    """
+
+    revision: Revision
+    started_ms: int
+    sequence: int
 
 
 class Roster:
@@ -61,15 +97,15 @@
         self._grace_s = grace_s
         self._endpoints: dict[str, Endpoint] = {}
         self._missing: dict[str, float] = {}
-        self._tombstones: dict[str, int] = {}
+        self._tombstones: dict[str, _Tombstone] = {}
         self._departed: dict[str, tuple[Endpoint, float]] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
-        self._revision = 0
+        self._revision = Revision()
         self._directory_unavailable = False
         self._available_since = float("-inf")
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """Revision of the directory that this view reflects."""
         return self._revision
 
@@ -145,10 +181,13 @@
             self._available_since = now
 
     def replace(
-        self, endpoints: Iterable[Endpoint], revision: int, now: float
+        self, endpoints: Iterable[Endpoint], revision: Revision, now: float
     ) -> bool:
         """Replaces the view by a complete list of entries.
 
+        Entries that are missing in the first list of a restored directory have
+        a grace period, in which the endpoints can write them again.
+
         Args:
             endpoints: All entries.
             revision: Revision of the list.
@@ -159,6 +198,8 @@
         """
         if revision < self._revision:
             return False
+        if revision.era > self._revision.era > 0:
+            self._available_since = now
         listed = {endpoint.name: endpoint for endpoint in endpoints}
         for name in set(self._endpoints) - set(listed):
             self._remove(name, revision, now)
@@ -171,8 +212,8 @@
     def apply_changes(
         self,
         endpoints: Iterable[Endpoint],
-        removed: Mapping[str, int],
-        revision: int,
+        removed: Mapping[str, Revision],
+        revision: Revision,
         now: float,
     ) -> list[str]:
         """Applies changes since the last known revision.
@@ -223,21 +264,31 @@
 
     def _upsert(self, endpoint: Endpoint) -> bool:
         """Adds or updates an endpoint unless the entry is outdated."""
-        current = self._endpoints.get(endpoint.name)
-        if current is not None and endpoint.revision < current.revision:
-            return False
-        if endpoint.revision <= self._tombstones.get(endpoint.name, -1):
+        if self._is_outdated(endpoint):
             return False
         self._missing.pop(endpoint.name, None)
         self._departed.pop(endpoint.name, None)
         self._endpoints[endpoint.name] = endpoint
         return True
 
-    def _remove(self, name: str, revision: int, now: float) -> None:
-        if len(self._tombstones) >= TOMBSTONES_MAX:
-            del self._tombstones[next(iter(self._tombstones))]
-        self._tombstones[name] = max(revision, self._tombstones.get(name, 0))
+    def _is_outdated(self, endpoint: Endpoint) -> bool:
+        current = self._endpoints.get(endpoint.name)
+        if current is not None:
+            return endpoint.revision < current.revision or (
+                _is_from_copy(endpoint, current)
+                and (
+                    endpoint.sequence < current.sequence or current.is_draining
+                )
+            )
+        tombstone = self._tombstones.get(endpoint.name)
+        return tombstone is not None and (
+            endpoint.revision <= tombstone.revision
+            or _is_from_copy(endpoint, tombstone)
+        )
+
+    def _remove(self, name: str, revision: Revision, now: float) -> None:
         current = self._endpoints.get(name)
+        self._add_tombstone(name, revision, current)
         if current is None:
             return
         # A list that arrives during an outage, from a peer or before the
@@ -251,6 +302,21 @@
         self._missing.pop(name, None)
         self._departed[name] = (current, now + DEPARTED_RETENTION_S)
 
+    def _add_tombstone(
+        self, name: str, revision: Revision, current: Endpoint | None
+    ) -> None:
+        known = self._tombstones.get(name)
+        if known is not None:
+            revision = max(revision, known.revision)
+        last = current or known
+        if len(self._tombstones) >= TOMBSTONES_MAX:
+            del self._tombstones[next(iter(self._tombstones))]
+        self._tombstones[name] = _Tombstone(
+            revision,
+            last.started_ms if last else 0,
+            last.sequence if last else 0,
+        )
+
     def _rebuild_index(self) -> None:
         self._by_service = {}
         for endpoint in self._endpoints.values():
@@ -259,3 +325,16 @@
                 group.append(endpoint)
         for group in self._by_service.values():
             group.sort()
+
+
+def _is_from_copy(entry: Endpoint, known: Endpoint | _Tombstone) -> bool:
+    """Returns whether an entry was written before a known one.
+
+    Within one era the revisions tell; in a later one, the copy from which the
+    directory was restored can have older entries of the same instance.
+    """
+    return (
+        entry.revision.era > known.revision.era
+        and 0 < entry.started_ms == known.started_ms
+        and entry.sequence <= known.sequence
+    )
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -33,6 +33,10 @@
 _PUBLISHED_PATH = "/published"
 # Query flag that requests the cache estimates too.
 _CACHES_FLAG = "caches"
+# Query flag of a gateway that knows eras of revisions.
+_ERAS_FLAG = "eras"
+# Fields of an endpoint that a gateway without this flag expects.
+_OLD_FIELDS_COUNT = 9
 
 
 class PeerSync:
@@ -109,12 +113,13 @@
     ) -> http_server.Response:
         """Answers the poll of a peer."""
         path, _, query = request.target.partition("?")
-        version, digest, flag, crashes_digest = [
+        version, digest, flag, crashes_digest, eras_flag = [
             *query.split("&"),
             "",
             "",
             "",
-        ][:4]
+            "",
+        ][:5]
         active_catalog = self._state.catalog
         if path != _PUBLISHED_PATH or active_catalog is None:
             return http_server.Response(404, [], b"")
@@ -125,17 +130,10 @@
             else b""
         )
         now = _now()
-        revision, listed = 0, []
+        revision: object = 0
+        listed: list[list[object]] = []
         if digest != self._state.roster.digest():
-            revision = self._state.roster.revision
-            listed = [
-                list(
-                    endpoint._replace(
-                        warming_until=endpoint.warming_until - now
-                    )
-                )
-                for endpoint in self._state.roster.listed
-            ]
+            revision, listed = self._encode_roster(eras_flag == _ERAS_FLAG, now)
         caches = {
             name: [list(part) for part in parts]
             for name, parts in self._state.prefixes.parts_by_endpoint().items()
@@ -148,6 +146,25 @@
         body = cbor2.dumps(content)
         return http_server.Response(200, [], body)
 
+    def _encode_roster(
+        self, has_eras: bool, now: float
+    ) -> tuple[object, list[list[object]]]:
+        """Returns the revision and the entries of the roster, for a peer."""
+        current = self._state.roster
+        listed = [
+            endpoint._replace(warming_until=endpoint.warming_until - now)
+            for endpoint in current.listed
+        ]
+        if has_eras:
+            return list(current.revision), [list(each) for each in listed]
+        return current.revision.number, [
+            [
+                field.number if isinstance(field, roster.Revision) else field
+                for field in endpoint[:_OLD_FIELDS_COUNT]
+            ]
+            for endpoint in listed
+        ]
+
     async def _poll_peers(self, count: int) -> None:
         addresses = self._addresses()
         self._state.rng.shuffle(addresses)
@@ -169,6 +186,7 @@
                 digest,
                 flag,
                 crashes_digest,
+                _ERAS_FLAG,
             ]
         )
         try:
@@ -207,14 +225,20 @@
                 document
             )
             self._updates.put_nowait(ports.CatalogPublished(decoded, document))
-        if revision > self._state.roster.revision:
+        list_revision = _decode_revision(revision)
+        if list_revision > self._state.roster.revision:
             now = _now()
             endpoints = [roster.Endpoint(*fields) for fields in listed]
             endpoints = [
-                endpoint._replace(warming_until=endpoint.warming_until + now)
+                endpoint._replace(
+                    warming_until=endpoint.warming_until + now,
+                    revision=_decode_revision(endpoint.revision),
+                )
                 for endpoint in endpoints
             ]
-            self._updates.put_nowait(ports.EndpointsListed(endpoints, revision))
+            self._updates.put_nowait(
+                ports.EndpointsListed(endpoints, list_revision)
+            )
         if caches and not self._state.caches_synced:
             self._updates.put_nowait(
                 ports.PeerCachesReceived(
@@ -226,5 +250,12 @@
             )
 
 
+def _decode_revision(encoded: object) -> roster.Revision:
+    """Returns a revision; earlier versions send a number without an era."""
+    if isinstance(encoded, int):
+        return roster.Revision(0, encoded)
+    return roster.Revision(*map(int, encoded))  # type: ignore[call-overload]
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -182,7 +182,7 @@
     """
 
     endpoints: list[roster.Endpoint]
-    revision: int
+    revision: roster.Revision
 
 
 class EndpointsChanged(NamedTuple):
@@ -195,8 +195,8 @@
     """
 
     endpoints: list[roster.Endpoint]
-    removed: dict[str, int]
-    revision: int
+    removed: dict[str, roster.Revision]
+    revision: roster.Revision
 
 
 class PlatformUnavailable(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -12,6 +12,7 @@
 from nutmegpost_core import events
 from nutmegpost_core import membership
 from nutmegpost_core import ratelimits
+from nutmegpost_core import roster
 from nutmegpost_core import vms
 from nutmegpost_router import gossip
 from nutmegpost_router import http_client
@@ -522,7 +523,7 @@
         endpoints = self._state.roster.endpoints.values()
         log.emit(
             events.ENDPOINTS_CHANGED,
-            revision=self._state.roster.revision,
+            revision=str(self._state.roster.revision),
             usable=" ".join(
                 endpoint.name
                 for endpoint in endpoints
@@ -598,12 +599,14 @@
                     return
 
 
-def _log_outdated(names: list[str], revision: int, known: int) -> None:
+def _log_outdated(
+    names: list[str], revision: roster.Revision, known: roster.Revision
+) -> None:
     log.emit(
         events.ENTRIES_OUTDATED,
         names=" ".join(names),
-        revision=revision,
-        known=known,
+        revision=str(revision),
+        known=str(known),
     )
 
 
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -133,7 +133,7 @@
             cost_ms=round(choice.cost * 1000),
             left_ms=round((call.deadline - now) * 1000),
             loads_age_ms=round(self._state.loads.age_s(now) * 1000),
-            endpoints_revision=self._state.roster.revision,
+            endpoints_revision=str(self._state.roster.revision),
             configuration=self._state.catalog.version
             if self._state.catalog
             else 0,
--- a/packages/standins/nutmegpost_standins/promptmodel.py
+++ b/packages/standins/nutmegpost_standins/promptmodel.py
@@ -323,4 +323,6 @@
 
 
 def _endpoint(name: str) -> roster.Endpoint:
-    return roster.Endpoint(name, "engines", name, "zone-a", 64, False, 0.0, 1)
+    return roster.Endpoint(
+        name, "engines", name, "zone-a", 64, False, 0.0, roster.Revision()
+    )
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -77,18 +77,18 @@
     async def scenario():
         runners = _runners("p1", "p2")
         async with standin.Fleet(runners) as fleet:
-            fleet.store.remove("servers/p2")
+            fleet.store.remove("servers/p1")
             copy = fleet.store.copy()
-            await _advance(fleet, "p1")
+            await _advance(fleet, "p2")
             fleet.store.is_down = True
             fleet.store.restore(copy)
             fleet.store.cut_polls()
-            fleet.store.put("servers/p2", fleet.runners["p2"].entry(seq=9))
+            fleet.store.put("servers/p1", fleet.runners["p1"].entry(seq=9))
             fleet.store.is_down = False
             await asyncio.sleep(SETTLE_S)
             for number in range(12):
                 await fleet.send_request("/look/1", f"id-{number}")
-            assert fleet.runners["p2"].received
+            assert fleet.runners["p1"].received
 
     standin.run_scenario(scenario)
 
