Log the software version of endpoints, and what a request resumes

No line of a log had the version of an endpoint or the attempt that a caller takes up, so a resume within one answer could not be told from a take-up at another gateway. 410 has software, resumes and after_event now. No decision changes.

--- a/packages/core/nutmegpost_core/calls.py
+++ b/packages/core/nutmegpost_core/calls.py
@@ -55,6 +55,8 @@
         resume_after: Id of the last event that the caller received; empty to
             start from the beginning.
         hints: Description of the prompt; None for a plain service.
+        resumed_attempt: Identity of the attempt that brought the caller the
+            first event of the stream; empty if the caller named none.
     """
 
     identity: str
@@ -66,6 +68,7 @@
     received: float
     resume_after: str = ""
     hints: PromptHints | None = None
+    resumed_attempt: str = ""
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -132,7 +132,8 @@
 REQUEST_SENT = Event(
     410,
     "INFO",
-    "{request} attempt {attempt} of {route} sent to {endpoint}: prompt parts "
+    "{request} attempt {attempt} of {route} sent to {endpoint} of software "
+    "{software}, to resume {resumes} after event {after_event}: prompt parts "
     "{parts}, running {running} of {bound}, cached {cached} tokens, {fetched} "
     "fetched, {reread} recomputed, cost {cost_ms} ms, deadline in {left_ms} "
     "ms, loads {loads_age_ms} ms old, endpoints at revision "
--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -56,6 +56,8 @@
         revision: Revision of its entry in the directory.
         started_ms: Start time, Unix milliseconds; 0 if unknown.
         sequence: Number of the entry among those that this instance wrote.
+        software: Version of its software; versions have no order. The weights
+            of its model have another.
     """
 
     name: str
@@ -68,6 +70,7 @@
     revision: Revision
     started_ms: int = 0
     sequence: int = 0
+    software: str = ""
 
 
 class _Tombstone(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -166,6 +166,7 @@
             now,
             metadata.resume_after,
             metadata.hints,
+            metadata.resumed_attempt,
         )
 
     async def _forward(
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -49,6 +49,8 @@
             not given.
         resume_after: Id of the last event that the caller received; empty to
             start from the beginning.
+        resumed_attempt: Identity of the attempt that brought the caller the
+            first event of the stream; empty if not given.
         hints: Description of the prompt; None if not given.
     """
 
@@ -57,6 +59,7 @@
     key: str
     timeout_s: float | None
     resume_after: str
+    resumed_attempt: str
     hints: calls.PromptHints | None
 
 
