Test, failing, that a stream goes on only at the version that began it

Within one answer, a stream that breaks off goes on at either version; a take-up goes to either, at the gateway that began the stream, at another, and at one that remembers nothing; also where the endpoints of the version that began it have just left.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -251,12 +251,14 @@
         crashing_parts: Ids of the prompt parts that crash it.
         rate_limit: Requests per second that its answers name as the limit;
             None for no limit.
+        version: Version of its software.
         cached_parts: Prompt parts in its cache, pairs of id and tokens.
         cache_list_count: Number of times that its cache was listed.
     """
 
-    def __init__(self, name, service, slots=4):
+    def __init__(self, name, service, slots=4, version="v1"):
         self.name = name
+        self.version = version
         self.service = service
         self.slots = slots
         self.address = free_address()
@@ -283,7 +285,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": "ready",
             "coldRemainingMs": 0,
@@ -516,6 +518,12 @@
         self.tasks.append(asyncio.create_task(gateway.run()))
         return gateway
 
+    async def kill_gateway(self, index):
+        """Ends a gateway as SIGKILL does; it keeps its place in the list."""
+        self.tasks[index].cancel()
+        await asyncio.gather(self.tasks[index], return_exceptions=True)
+        await self.gateways[index].close()
+
     async def wait_until_all_met(self):
         """Waits until each gateway knows all others."""
         for gateway in self.gateways:
--- /dev/null
+++ b/tests/platform/test_two_versions.py
@@ -0,0 +1,277 @@
+"""Streams of a service whose endpoints run two versions of their software."""
+
+import asyncio
+
+import pytest
+import standin
+
+COMPLETE_STREAM = b"".join(
+    b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)
+)
+REST_OF_STREAM = COMPLETE_STREAM[COMPLETE_STREAM.index(b"id: 3") :]
+OWN_PART = "cc"
+
+
+def _runners(**versions):
+    return [
+        standin.Runner(name, "engines", 8, version=version)
+        for name, version in versions.items()
+    ]
+
+
+def _two_versions(gateways=1):
+    runners = _runners(e1="v1", e2="v2", e3="v1", e4="v2")
+    return standin.Fleet(runners, gateways=gateways)
+
+
+async def _restart_all(fleet):
+    """Kills all gateways and starts one that remembers nothing."""
+    for index in range(len(fleet.gateways)):
+        await fleet.kill_gateway(index)
+    gateway = fleet.start_gateway(first_start=False, seeds=[])
+    await fleet.wait_until(lambda: gateway.ready)
+    return len(fleet.gateways) - 1
+
+
+class _Cut:
+    """Cuts the first stream after two events.
+
+    Attributes:
+        runner: The endpoint that began the stream.
+    """
+
+    def __init__(self, fleet, later=standin.respond):
+        """Sets the behavior of all endpoints.
+
+        Args:
+            fleet: The endpoints.
+            later: Behavior for the requests after the first.
+        """
+        self.runner = None
+        self._later = later
+        for runner in fleet.runners.values():
+            runner.behaviors = [self._behave] * 4
+
+    async def _behave(self, runner, exchange):
+        if self.runner is not None:
+            await self._later(runner, exchange)
+            return
+        self.runner = runner
+        await standin.cut_stream_after(2)(runner, exchange)
+
+
+async def _begin_and_break_off(fleet, identity, gateway_index=0):
+    """Begins a stream whose answer ends after two events.
+
+    Returns:
+        The endpoint that began it.
+    """
+    cut = _Cut(fleet, standin.drop_connection)
+    with pytest.raises(standin.http_client.ExchangeError):
+        await fleet.send_stream_request(
+            "/draft/1", identity, gateway_index=gateway_index
+        )
+    for runner in fleet.runners.values():
+        runner.behaviors = []
+    return cut.runner
+
+
+async def _take_up(fleet, identity, begun, gateway_index):
+    return await fleet.send_stream_request(
+        "/draft/1",
+        identity,
+        gateway_index=gateway_index,
+        Last_Event_Id="2",
+        Resumes=begun,
+    )
+
+
+def _versions_that_ran(fleet, identity):
+    return {
+        runner.version
+        for runner in fleet.runners.values()
+        if identity in runner.executed
+    }
+
+
+def test_answer_goes_on_at_the_version_that_began_it():
+    async def scenario():
+        async with _two_versions() as fleet:
+            for number in range(6):
+                _Cut(fleet)
+                identity = f"id-{number}"
+                response = await fleet.send_stream_request("/draft/1", identity)
+                assert response.body == COMPLETE_STREAM
+                assert len(_versions_that_ran(fleet, identity)) == 1
+
+    standin.run_scenario(scenario)
+
+
+def test_answer_ends_where_its_version_serves_nowhere_else():
+    async def scenario():
+        async with standin.Fleet(_runners(e1="v1", e2="v2")) as fleet:
+            _Cut(fleet)
+            with pytest.raises(standin.http_client.ExchangeError):
+                await fleet.send_stream_request("/draft/1", "id-1")
+            assert len(_versions_that_ran(fleet, "id-1")) == 1
+
+    standin.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("gateway_index", [0, 1, 2])
+def test_taken_up_stream_goes_on_at_the_version_that_began_it(gateway_index):
+    async def scenario():
+        async with _two_versions(gateways=3) as fleet:
+            await fleet.wait_until_all_met()
+            for number in range(6):
+                begun = f"begun-{number}"
+                first = await _begin_and_break_off(fleet, begun)
+                again = f"again-{number}"
+                response = await _take_up(fleet, again, begun, gateway_index)
+                assert response.status == 200
+                assert response.body == REST_OF_STREAM
+                assert _versions_that_ran(fleet, again) == {first.version}
+
+    standin.run_scenario(scenario)
+
+
+def test_stream_that_is_taken_up_twice_stays_at_its_version():
+    async def scenario():
+        async with _two_versions(gateways=3) as fleet:
+            await fleet.wait_until_all_met()
+            first = await _begin_and_break_off(fleet, "begun")
+            for runner in fleet.runners.values():
+                runner.behaviors = [standin.cut_stream_after(1)]
+            with pytest.raises(standin.http_client.ExchangeError):
+                await _take_up(fleet, "second", "begun", 1)
+            for runner in fleet.runners.values():
+                runner.behaviors = []
+            response = await _take_up(fleet, "third", "begun", 2)
+            assert response.status == 200
+            assert _versions_that_ran(fleet, "second") == {first.version}
+            assert _versions_that_ran(fleet, "third") == {first.version}
+
+    standin.run_scenario(scenario)
+
+
+def test_stream_of_a_gateway_that_was_killed_goes_on_at_its_version():
+    async def scenario():
+        async with _two_versions(gateways=3) as fleet:
+            await fleet.wait_until_all_met()
+            began = [
+                await _begin_and_break_off(fleet, f"begun-{number}")
+                for number in range(6)
+            ]
+            await fleet.kill_gateway(0)
+            for number, runner in enumerate(began):
+                again = f"again-{number}"
+                response = await _take_up(fleet, again, f"begun-{number}", 1)
+                assert response.status == 200
+                assert _versions_that_ran(fleet, again) == {runner.version}
+
+    standin.run_scenario(scenario)
+
+
+def test_stream_goes_on_at_no_other_version_after_all_gateways_were_killed():
+    async def scenario():
+        async with _two_versions() as fleet:
+            await _begin_and_break_off(fleet, "begun")
+            index = await _restart_all(fleet)
+            response = await _take_up(fleet, "again", "begun", index)
+            assert response.status == 503
+            assert not _versions_that_ran(fleet, "again")
+
+    standin.run_scenario(scenario)
+
+
+def test_stream_of_a_version_that_just_left_is_not_joined_with_another():
+    async def scenario():
+        runners = _runners(e1="v1", e2="v1")
+        async with standin.Fleet(runners) as fleet:
+            await _begin_and_break_off(fleet, "begun")
+            newer = standin.Runner("e3", "engines", 8, version="v2")
+            fleet.runners["e3"] = newer
+            await newer.start()
+            fleet.store.put("servers/e3", newer.entry())
+            fleet.store.remove("servers/e1")
+            fleet.store.remove("servers/e2")
+            index = await _restart_all(fleet)
+            response = await _take_up(fleet, "again", "begun", index)
+            assert response.status == 503
+            assert not _versions_that_ran(fleet, "again")
+
+    standin.run_scenario(scenario)
+
+
+def test_stream_without_the_attempt_that_began_it_is_not_joined():
+    async def scenario():
+        async with _two_versions() as fleet:
+            response = await _take_up(fleet, "again", "", 0)
+            assert response.status == 503
+            assert not _versions_that_ran(fleet, "again")
+
+    standin.run_scenario(scenario)
+
+
+def test_taken_up_stream_goes_on_where_one_version_serves():
+    async def scenario():
+        runners = _runners(e1="v1", e2="v1")
+        async with standin.Fleet(runners, gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            await _begin_and_break_off(fleet, "begun")
+            await fleet.kill_gateway(0)
+            response = await _take_up(fleet, "again", "begun", 1)
+            assert response.status == 200
+
+    standin.run_scenario(scenario)
+
+
+def test_restarted_gateway_learns_from_a_peer_that_one_version_serves():
+    async def scenario():
+        runners = _runners(e1="v1", e2="v1")
+        async with standin.Fleet(runners, gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            await _begin_and_break_off(fleet, "begun")
+            await fleet.kill_gateway(0)
+            gateway = fleet.start_gateway(
+                first_start=False,
+                seeds=[fleet.gateways[1].config["control_address"]],
+            )
+            await fleet.wait_until(lambda: gateway.ready)
+            await asyncio.sleep(1.0)
+            response = await _take_up(fleet, "again", "begun", 2)
+            assert response.status == 200
+
+    standin.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("newer", ["v1", "v2"])
+def test_prompt_in_a_cache_tells_the_version_after_all_were_killed(newer):
+    async def scenario():
+        runners = _runners(e1="v1", e2=newer, e3="v1")
+        async with standin.Fleet(runners) as fleet:
+            await fleet.gateways[0].close()
+            holder = fleet.runners["e1"]
+            holder.cached_parts = [("aa", 20), ("bb", 30), (OWN_PART, 10)]
+            index = await _restart_all(fleet)
+            for number in range(6):
+                again = f"again-{number}"
+                response = await _take_up(fleet, again, "begun", index)
+                assert response.status == 200
+                assert _versions_that_ran(fleet, again) == {"v1"}
+
+    standin.run_scenario(scenario)
+
+
+def test_prompt_in_caches_of_two_versions_tells_nothing():
+    async def scenario():
+        runners = _runners(e1="v1", e2="v2")
+        async with standin.Fleet(runners) as fleet:
+            for runner in fleet.runners.values():
+                runner.cached_parts = [("aa", 20), ("bb", 30), (OWN_PART, 10)]
+            index = await _restart_all(fleet)
+            response = await _take_up(fleet, "again", "begun", index)
+            assert response.status == 503
+            assert not _versions_that_ran(fleet, "again")
+
+    standin.run_scenario(scenario)
