Continue a stream only at the software version that began it

Cause: an event id was trusted without asking which version had issued it. The version in an endpoint's entry was not read, so a stream that broke off was resumed wherever the cost was lowest; Resumes was not read, and a gateway knew nothing of the streams that others had begun.

Fix: the version of the endpoint that sends the first event is kept with the request, and only its endpoints are chosen from then on. It is also kept under the identity of the attempt for as long as its caller can take the stream up, and while more than one version has served lately three peers, named by rendezvous hashing, are told. A take-up is answered by what is recorded, by what these peers know, by the directory where one version alone has served since the stream can have begun (a gateway that starts asks its peers how long they have watched), or by the caches: the last part of a prompt is the request's own, so endpoints that have it cached have run it. If all that says nothing, the request is refused, not run. 416 has the source.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -111,6 +111,11 @@
 PEER_REFUSED = Event(352, "WARNING", "peer refused: {reason}")
 
 PEERS_ASKED = Event(305, "INFO", "querying peers for newer state: {reason}")
+ORIGINS_UNSENT = Event(
+    306,
+    "INFO",
+    "cannot exchange origins of streams with peer {peer}: {reason}",
+)
 
 # 4xx requests
 REQUEST_REFUSED = Event(401, "INFO", "request refused, {code}: {reason}")
@@ -163,6 +168,12 @@
 REQUEST_UNREADABLE = Event(
     415, "INFO", "request refused with {status}: {reason}"
 )
+STREAM_TAKEN_UP = Event(
+    416,
+    "INFO",
+    "{request} takes up the stream of {resumes}, which began at {service} of "
+    "software {software}, by {source}",
+)
 
 # 5xx endpoints and placement
 ENGINE_OWNED = Event(501, "INFO", "this router now owns endpoint {engine}")
--- a/packages/core/nutmegpost_core/ownership.py
+++ b/packages/core/nutmegpost_core/ownership.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-__all__ = ["Owners", "owner"]
+__all__ = ["Owners", "first", "owner"]
 
 
 def owner(endpoint: str, routers: Sequence[str]) -> str:
@@ -27,6 +27,19 @@
     return max(routers, key=lambda router: (_score(endpoint, router), router))
 
 
+def first(key: str, routers: Sequence[str], count: int) -> list[str]:
+    """Returns the routers that come first for a key.
+
+    Args:
+        key: Any key, such as the name of an endpoint.
+        routers: Names of the routers, in any order.
+        count: Maximum number of routers to return.
+    """
+    return sorted(
+        routers, key=lambda router: (_score(key, router), router), reverse=True
+    )[:count]
+
+
 def _score(endpoint: str, router: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{router}|{endpoint}".encode())
 
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -31,3 +31,15 @@
         ownership.owner("engine", [])
     with pytest.raises(LookupError):
         ownership.Owners([], ENDPOINTS).owner_of("engine-1")
+
+
+def test_first_routers_of_a_key_begin_with_its_owner():
+    routers = ["a", "b", "c", "d", "e"]
+    for number in range(20):
+        key = f"key-{number}"
+        first = ownership.first(key, routers, 3)
+        assert len(set(first)) == 3
+        assert first[0] == ownership.owner(key, routers)
+        rest = [router for router in routers if router != first[0]]
+        assert ownership.first(key, rest, 2) == first[1:]
+    assert ownership.first("key", ["a"], 3) == ["a"]
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -26,6 +26,7 @@
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import sending
 from nutmegpost_router.gateway import state
+from nutmegpost_router.gateway import stream_origins
 
 __all__ = ["Forwarder"]
 
@@ -54,6 +55,7 @@
 _RETRY_AFTER_FULL_S = 0.3
 _RETRY_AFTER_STARTING_S = 0.3
 _RETRY_AFTER_CRASHING_S = 30.0
+_RETRY_AFTER_UNKNOWN_ORIGIN_S = 30.0
 # Requests per slot at which an endpoint is full; those above one per slot wait
 # in its queue.
 _LOAD_PER_SLOT_MAX = 2.0
@@ -84,6 +86,7 @@
         counters: metrics.GatewayMetrics,
         load_exchange: loads.LoadExchange,
         crashes: crash_guard.CrashGuard,
+        origins: stream_origins.OriginExchange,
     ):
         """Creates a forwarder with no request in flight.
 
@@ -94,6 +97,7 @@
             counters: Metrics.
             load_exchange: Sends down endpoints to the peers.
             crashes: Refuses requests that crash endpoints.
+            origins: Knows what began the streams that callers take up.
         """
         self._state = local_state
         self._protocols = protocols
@@ -101,8 +105,14 @@
         self._counters = counters
         self._load_exchange = load_exchange
         self._crashes = crashes
+        self._origins = origins
         self._sender = sending.Sender(
-            local_state, protocols, client, counters, self._handle_endpoint_down
+            local_state,
+            protocols,
+            client,
+            counters,
+            self._handle_endpoint_down,
+            origins,
         )
         self._probes: set[asyncio.Task[None]] = set()
         self._lost_attempts: dict[str, list[_LostAttempt]] = {}
@@ -181,8 +191,12 @@
             raise errors.UnavailableError(
                 refusal, retry_after=_RETRY_AFTER_CRASHING_S
             )
+        software = None
+        if call.resume_after and call.route.resumable:
+            call, software = await self._find_origin(call)
         self._state.budget.record_request(call.service, call.received)
         pending = pending_request.PendingRequest(exchange, call, fingerprint)
+        pending.software = software
         while True:
             choice = await self._choose_after_prefill(pending)
             result = await self._sender.send(pending, choice)
@@ -192,6 +206,28 @@
             if result.end is sending.AttemptEnd.ANSWERED:
                 return
 
+    async def _find_origin(
+        self, call: calls.Call
+    ) -> tuple[calls.Call, str | None]:
+        """Returns a take-up, at the service that began its stream if allowed.
+
+        Returns:
+            The call, and the only software version that can run it; None if
+            the route has moved to another service.
+
+        Raises:
+            errors.UnavailableError: It is not known what began the stream.
+        """
+        origin = await self._origins.find(call)
+        if origin is None:
+            raise errors.UnavailableError(
+                "it is not known which software began the stream",
+                retry_after=_RETRY_AFTER_UNKNOWN_ORIGIN_S,
+            )
+        if origin.service in {share.service for share in call.route.shares}:
+            return call._replace(service=origin.service), origin.software
+        return call, None
+
     async def _choose_after_prefill(
         self, pending: pending_request.PendingRequest
     ) -> dispatch.Choice:
@@ -214,7 +250,9 @@
             if not self._state.is_prefilling(call, choice.endpoint.name):
                 break
         # The wait may have used up the limit of the endpoint.
-        current = self._state.choose(call, pending.tried_endpoints)
+        current = self._state.choose(
+            call, pending.tried_endpoints, pending.software
+        )
         if current is None and self._state.is_exhausted(choice.endpoint.name):
             self._end_without_endpoint(pending)
         return current or choice
@@ -231,7 +269,9 @@
         now = _now()
         if pending.attempts and self._is_exhausted(pending, now):
             self._give_up(pending)
-        choice = self._state.choose(call, pending.tried_endpoints)
+        choice = self._state.choose(
+            call, pending.tried_endpoints, pending.software
+        )
         if choice is None:
             self._end_without_endpoint(pending)
         if self._is_full(choice):
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -30,11 +30,15 @@
 _TIMEOUT_S = 0.4
 # Peers polled in one round when the platform or a newer version is missing.
 _PEERS_POLLED_MAX = 3
+# Time of observation after which peers have no more to tell of the versions.
+_VERSIONS_OBSERVED_S = 300.0
 _PUBLISHED_PATH = "/published"
 # Query flag that requests the cache estimates too.
 _CACHES_FLAG = "caches"
-# Query flag of a gateway that knows eras of revisions.
+# Query flag of a gateway that knows eras of revisions, and of one that also
+# requests the software versions that have served.
 _ERAS_FLAG = "eras"
+_VERSIONS_FLAG = "versions"
 # Fields of an endpoint that a gateway without this flag expects.
 _OLD_FIELDS_COUNT = 9
 
@@ -113,7 +117,7 @@
     ) -> http_server.Response:
         """Answers the poll of a peer."""
         path, _, query = request.target.partition("?")
-        version, digest, flag, crashes_digest, eras_flag = [
+        version, digest, flag, crashes_digest, newer_flag = [
             *query.split("&"),
             "",
             "",
@@ -133,7 +137,7 @@
         revision: object = 0
         listed: list[list[object]] = []
         if digest != self._state.roster.digest():
-            revision, listed = self._encode_roster(eras_flag == _ERAS_FLAG, now)
+            revision, listed = self._encode_roster(bool(newer_flag), now)
         caches = {
             name: [list(part) for part in parts]
             for name, parts in self._state.prefixes.parts_by_endpoint().items()
@@ -143,6 +147,10 @@
         # Earlier versions send no digest and expect no charges.
         if crashes_digest and crashes_digest != self._crashes.digest(now):
             content.append(self._crashes.encode(now))
+        elif newer_flag:
+            content.append(None)
+        if newer_flag == _VERSIONS_FLAG:
+            content.append(self._state.versions.encode(now))
         body = cbor2.dumps(content)
         return http_server.Response(200, [], body)
 
@@ -186,7 +194,7 @@
                 digest,
                 flag,
                 crashes_digest,
-                _ERAS_FLAG,
+                self._newer_flag(),
             ]
         )
         try:
@@ -216,10 +224,19 @@
                 reason=str(caught),
             )
 
+    def _newer_flag(self) -> str:
+        since = _now() - _VERSIONS_OBSERVED_S
+        if self._state.versions.is_observed(since):
+            return _ERAS_FLAG
+        return _VERSIONS_FLAG
+
     def _apply(self, body: bytes) -> None:
-        document, revision, listed, caches, *charges = cbor2.loads(body)
-        for encoded in charges:
-            self._crashes.merge(encoded, _now())
+        document, revision, listed, caches, *rest = cbor2.loads(body)
+        charges, history = [*rest, None, None][:2]
+        if charges is not None:
+            self._crashes.merge(charges, _now())
+        if history is not None:
+            self._state.versions.merge(history, _now())
         if document:
             decoded = self._protocols.publications.decode_configuration(
                 document
--- a/packages/router/nutmegpost_router/gateway/pending_request.py
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -48,6 +48,8 @@
         runs: Number of attempts in which an endpoint may have run the request.
         tried_endpoints: Names of the endpoints that it was sent to.
         last_event_id: Id of the last event that the caller has; empty for none.
+        software: Software version that began the stream, which alone can
+            continue it; None while any version can run the request.
         failure_response: Last failure response of an endpoint, or None.
         reason: Why the last attempt failed; empty before the first failure.
     """
@@ -73,6 +75,7 @@
         self.runs = 0
         self.tried_endpoints: set[str] = set()
         self.last_event_id = call.resume_after
+        self.software: str | None = None
         self.failure_response: http_server.Response | None = None
         self.reason = ""
 
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -27,6 +27,7 @@
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import settings
 from nutmegpost_router.gateway import state
+from nutmegpost_router.gateway import stream_origins
 
 __all__ = ["Gateway"]
 
@@ -93,6 +94,9 @@
         self._state.on_placement = self._load_exchange.queue_placement
         self._state.on_rate_limit = self._publish_rate_limit
         self._crashes = crash_guard.CrashGuard(self._gossip.send)
+        self._origins = stream_origins.OriginExchange(
+            self._state, self._client, self._origin_peers
+        )
         self._forwarder = forwarding.Forwarder(
             self._state,
             protocols,
@@ -100,6 +104,7 @@
             self._counters,
             self._load_exchange,
             self._crashes,
+            self._origins,
         )
         self._peer_sync = peers.PeerSync(
             self._state,
@@ -228,6 +233,7 @@
             ("peers", self._peer_sync.run),
             ("clock", self._tick),
             ("caches", self._cache_sync.run),
+            ("origins", self._origins.run),
         ]
 
     async def _supervise(
@@ -244,7 +250,7 @@
 
     async def _listen(self) -> None:
         for key, handler in (
-            ("control_address", self._peer_sync.handle),
+            ("control_address", self._answer_peer),
             ("directory_address", self._answer_directory),
             ("readiness_address", self._answer_directory),
             ("metrics_address", self._answer_metrics),
@@ -308,6 +314,13 @@
             )
         return http_server.Response(404, [], b"")
 
+    async def _answer_peer(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        if request.target.partition("?")[0] == stream_origins.PATH:
+            return await self._origins.handle(request)
+        return await self._peer_sync.handle(request)
+
     async def _answer_metrics(
         self, request: http_server.Request
     ) -> http_server.Response:
@@ -382,8 +395,31 @@
             and members[name].state in _REACHABLE
         ]
 
+    def _origin_peers(self) -> dict[str, vms.Address]:
+        """Returns the control addresses of the live peers by name.
+
+        A gateway that has met none yet takes the addresses that it knows.
+        """
+        members = self._members.members
+        live = {
+            name: vms.Address(
+                vms.parse_address(members[name].peer_address).host,
+                self._control_port,
+            )
+            for name in self._members.alive
+            if name != self._config["name"]
+        }
+        return live or {
+            str(address): address for address in self._control_addresses()
+        }
+
+    @property
+    def _control_port(self) -> int:
+        """Port of the control address, the same at all gateways."""
+        return vms.parse_address(self._config["control_address"]).port
+
     def _control_addresses(self) -> list[vms.Address]:
-        port = vms.parse_address(self._config["control_address"]).port
+        port = self._control_port
         hosts = self._peer_hosts()
         hosts += [
             vms.parse_address(seed).host for seed in self._config["seeds"]
@@ -457,33 +493,10 @@
         match update:
             case ports.CatalogPublished():
                 self._accept_configuration(update)
-            case ports.EndpointsListed(endpoints, revision):
-                known = local_state.roster.revision
-                if not local_state.roster.replace(endpoints, revision, now):
-                    _log_outdated(["*"], revision, known)
-                self._has_endpoints = True
-                self._endpoints_changed()
-            case ports.EndpointsChanged(endpoints, removed, revision):
-                before = local_state.roster.endpoints
-                leaving = {
-                    name
-                    for name, endpoint in before.items()
-                    if endpoint.is_draining
-                }
-                names = set(before)
-                known = local_state.roster.revision
-                outdated = local_state.roster.apply_changes(
-                    endpoints, removed, revision, now
-                )
-                if outdated:
-                    _log_outdated(outdated, revision, known)
-                after = local_state.roster.endpoints
-                if set(after) != names or leaving != {
-                    name
-                    for name, endpoint in after.items()
-                    if endpoint.is_draining
-                }:
-                    self._endpoints_changed()
+            case ports.EndpointsListed():
+                self._replace_endpoints(update, now)
+            case ports.EndpointsChanged():
+                self._change_endpoints(update, now)
             case ports.PeerCachesReceived(caches_by_endpoint):
                 local_state.merge_caches(caches_by_endpoint)
             case ports.PlatformUnavailable(reason):
@@ -495,6 +508,44 @@
                 self._peer_sync.mark_platform_available()
                 log.emit(events.PLATFORM_RECOVERED)
 
+    def _replace_endpoints(
+        self, update: ports.EndpointsListed, now: float
+    ) -> None:
+        endpoints, revision = update
+        entries = self._state.roster
+        known = entries.revision
+        if not entries.replace(endpoints, revision, now):
+            _log_outdated(["*"], revision, known)
+        elif self._has_endpoints:
+            # Endpoints may have come and gone since the last change.
+            self._state.versions.record_gap(now)
+        self._has_endpoints = True
+        self._update_versions(now)
+        self._endpoints_changed()
+
+    def _change_endpoints(
+        self, update: ports.EndpointsChanged, now: float
+    ) -> None:
+        endpoints, removed, revision = update
+        entries = self._state.roster
+        known = entries.revision
+        names = set(entries.endpoints)
+        leaving = _leaving(entries)
+        outdated = entries.apply_changes(endpoints, removed, revision, now)
+        if outdated:
+            _log_outdated(outdated, revision, known)
+        if removed.keys() - names:
+            # Came and went between two polls.
+            self._state.versions.record_gap(now)
+        self._update_versions(now)
+        if set(entries.endpoints) != names or _leaving(entries) != leaving:
+            self._endpoints_changed()
+
+    def _update_versions(self, now: float) -> None:
+        local_state = self._state
+        local_state.versions.update(local_state.roster.endpoints.values(), now)
+        self._origins.update_versions(now)
+
     def _accept_configuration(self, update: ports.CatalogPublished) -> None:
         local_state = self._state
         version = update.catalog.version
@@ -552,6 +603,7 @@
             expired = self._state.roster.expire(now)
             if expired:
                 self._endpoints_changed()
+                self._update_versions(now)
             self._update_fleet_size(now)
             self._crashes.expire(now)
             self._state.rate_limits.set_routers(self._members.alive)
@@ -599,6 +651,14 @@
                     return
 
 
+def _leaving(entries: roster.Roster) -> set[str]:
+    return {
+        name
+        for name, endpoint in entries.endpoints.items()
+        if endpoint.is_draining
+    }
+
+
 def _log_outdated(
     names: list[str], revision: roster.Revision, known: roster.Revision
 ) -> None:
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -20,6 +20,7 @@
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import state
+from nutmegpost_router.gateway import stream_origins
 
 __all__ = ["AttemptEnd", "AttemptResult", "Sender"]
 
@@ -75,6 +76,7 @@
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
         on_endpoint_down: Callable[[roster.Endpoint], None],
+        origins: stream_origins.OriginExchange,
     ):
         """Creates a sender.
 
@@ -85,8 +87,10 @@
             counters: Metrics.
             on_endpoint_down: Called with each endpoint that refuses
                 connections.
+            origins: Is told what began each stream.
         """
         self._state = local_state
+        self._origins = origins
         self._protocols = protocols
         self._client = client
         self._counters = counters
@@ -295,6 +299,7 @@
         try:
             await self._relay_first_event(pending, stream, relay)
             if relay.event_count:
+                self._record_origin(pending, choice.endpoint)
                 load.finish_prefill()
                 self._state.record_prefilled(
                     pending.call, choice, _now() - load.started
@@ -312,6 +317,17 @@
         stream.close_with_idle_timeout(head.idle_s)
         return AttemptResult(AttemptEnd.ANSWERED)
 
+    def _record_origin(
+        self,
+        pending: pending_request.PendingRequest,
+        endpoint: roster.Endpoint,
+    ) -> None:
+        """Records the endpoint that sent the first event of an attempt."""
+        if pending.software is None:
+            pending.software = endpoint.software
+        if pending.call.route.resumable:
+            self._origins.record(pending.call, pending.software)
+
     async def _relay_first_event(
         self,
         pending: pending_request.PendingRequest,
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -15,6 +15,7 @@
 from nutmegpost_core import ratelimits
 from nutmegpost_core import retrybudget
 from nutmegpost_core import roster
+from nutmegpost_core import software_versions
 from nutmegpost_core import timeouts
 from nutmegpost_router import log
 from nutmegpost_router.gateway import loads
@@ -45,6 +46,7 @@
         self.catalog: catalog.Catalog | None = None
         self.document = b""
         self.roster = roster.Roster(config["entry_grace_s"])
+        self.versions = software_versions.VersionHistory(config["first_start"])
         self.loads = loads.LoadTable()
         self.prefixes = prefixes.PrefixCaches()
         self.outliers = outliers.OutlierDetector(
@@ -79,9 +81,18 @@
         return self._config
 
     def choose(
-        self, call: calls.Call, excluded: Iterable[str]
+        self,
+        call: calls.Call,
+        excluded: Iterable[str],
+        software: str | None = None,
     ) -> dispatch.Choice | None:
-        """Chooses the endpoint of a request; see `dispatch.choose`."""
+        """Chooses the endpoint of a request; see `dispatch.choose`.
+
+        Args:
+            call: The request.
+            excluded: Names of endpoints already tried for it.
+            software: The only software version that can run it; None for any.
+        """
         now = asyncio.get_running_loop().time()
         service = self.catalog and self.catalog.services.get(call.service)
         policy = dispatch.Policy(
@@ -99,7 +110,14 @@
             self._config["zone"],
             now,
             policy,
-            set(excluded),
+            {
+                *excluded,
+                *(
+                    endpoint.name
+                    for endpoint in usable
+                    if software not in (None, endpoint.software)
+                ),
+            },
             self.outliers.ejected(now)
             | self.liveness.avoided(call.route.repeatable, now),
             self.roster.draining(call.service),
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -0,0 +1,319 @@
+"""Finds the software version that began a stream that a caller takes up.
+
+Each gateway records what began the streams that it relays. While several
+versions serve, or have served recently, it also tells a few peers, which
+rendezvous hashing names for the attempt, so that the origin is known after its
+loss. A gateway that does not know an origin asks these peers, and goes by what
+it knows of the service otherwise: its only version, or the version of the
+endpoints that have the whole prompt of the request cached.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+import cbor2
+
+from nutmegpost_core import calls
+from nutmegpost_core import errors
+from nutmegpost_core import events
+from nutmegpost_core import ownership
+from nutmegpost_core import stream_origins
+from nutmegpost_core import vms
+from nutmegpost_router import http_client
+from nutmegpost_router import http_server
+from nutmegpost_router import log
+from nutmegpost_router.gateway import state
+
+__all__ = ["PATH", "OriginExchange"]
+
+PATH = "/stream-origins"
+# Delay before peers are told, so that origins within it share a message.
+_BATCH_DELAY_S = 0.03
+_TIMEOUT_S = 0.4
+# Time to wait for the peers that may know an origin.
+_ASK_TIMEOUT_S = 0.2
+# Time to wait for the peers and the contents of the caches after a start.
+_SYNC_WAIT_S = 1.0
+_EXPIRY_INTERVAL_S = 10.0
+_POLL_S = 0.02
+_ENTRIES_PER_MESSAGE_MAX = 500
+
+
+class OriginExchange:
+    """The origins of streams, shared with a few peers."""
+
+    def __init__(
+        self,
+        local_state: state.State,
+        client: http_client.Client,
+        peers: Callable[[], Mapping[str, vms.Address]],
+    ):
+        """Creates an exchange that knows no origin.
+
+        Args:
+            local_state: State of the gateway.
+            client: Connections to peers.
+            peers: Returns the control addresses of the live peers by name.
+        """
+        self._state = local_state
+        self._client = client
+        self._peers = peers
+        self._origins = stream_origins.StreamOrigins()
+        self._untold: dict[bytes, stream_origins.OriginEntry] = {}
+        self._untold_event = asyncio.Event()
+        self._messages: set[asyncio.Task[None]] = set()
+        self._services_told: set[str] = set()
+
+    def record(self, call: calls.Call, software: str) -> None:
+        """Records what began the stream of a call, or goes on with it.
+
+        Args:
+            call: The call; its caller can take the stream up.
+            software: Version of the endpoint that sends the events.
+        """
+        begun = call.resumed_attempt if call.resume_after else call.identity
+        entry = stream_origins.OriginEntry(
+            stream_origins.attempt_digest(begun),
+            stream_origins.Origin(call.service, software),
+            stream_origins.expiry(call),
+        )
+        self._origins.record(entry)
+        since = stream_origins.earliest_begin(call)
+        # All gateways know the only version that has served.
+        if self._state.versions.sole_version(call.service, since) is None:
+            self._queue([entry])
+
+    def update_versions(self, now: float) -> None:
+        """Tells peers all origins of a service that has another version now.
+
+        Args:
+            now: Monotonic time, seconds.
+        """
+        since = now - stream_origins.TAKE_UP_S
+        services = {
+            endpoint.service
+            for endpoint in self._state.roster.endpoints.values()
+        }
+        several = {
+            service
+            for service in services
+            if len(self._state.versions.versions(service, since)) > 1
+        }
+        for service in several - self._services_told:
+            self._queue(self._origins.of_service(service))
+        self._services_told = several
+
+    async def find(self, call: calls.Call) -> stream_origins.Origin | None:
+        """Returns what began the stream that a call takes up.
+
+        Returns:
+            The origin, or None if it is not known.
+        """
+        origin, source = await self._find(call)
+        log.emit(
+            events.STREAM_TAKEN_UP,
+            request=call.identity,
+            resumes=call.resumed_attempt,
+            service=origin.service if origin else "",
+            software=origin.software if origin else "",
+            source=source,
+        )
+        return origin
+
+    async def _find(
+        self, call: calls.Call
+    ) -> tuple[stream_origins.Origin | None, str]:
+        attempt = stream_origins.attempt_digest(call.resumed_attempt)
+        entry = self._origins.find(attempt)
+        if entry is not None:
+            return entry.origin, "record"
+        # After a start, this gateway knows its peers when it is synced.
+        until = _now() + _SYNC_WAIT_S
+        while not self._state.caches_synced and _now() < until:
+            await asyncio.sleep(_POLL_S)
+        entry = await self._ask_holders(attempt)
+        if entry is not None:
+            self._origins.record(entry)
+            return entry.origin, "peer"
+        software = self._state.versions.sole_version(
+            call.service, stream_origins.earliest_begin(call)
+        )
+        if software is not None:
+            return stream_origins.Origin(call.service, software), "directory"
+        software = self._version_with_prompt(call)
+        if software is not None:
+            return stream_origins.Origin(call.service, software), "caches"
+        return None, "nothing"
+
+    def _version_with_prompt(self, call: calls.Call) -> str | None:
+        """Returns the only version whose endpoints have the prompt cached.
+
+        The last part of a prompt is the request's own, so that an endpoint that
+        has it cached has run the request.
+        """
+        if (
+            call.hints is None
+            or not call.hints.parts
+            or not self._state.caches_synced
+        ):
+            return None
+        holders = self._state.prefixes.holders(call.hints.parts[-1])
+        versions = {
+            endpoint.software
+            for endpoint in self._state.roster.endpoints.values()
+            if endpoint.name in holders and endpoint.service == call.service
+        }
+        return versions.pop() if len(versions) == 1 else None
+
+    # Peers.
+
+    async def run(self) -> None:
+        """Tells peers about new origins until it is cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(_EXPIRY_INTERVAL_S):
+                    await self._untold_event.wait()
+            except TimeoutError:
+                self._origins.expire(_now())
+                continue
+            await asyncio.sleep(_BATCH_DELAY_S)
+            self._untold_event.clear()
+            untold, self._untold = list(self._untold.values()), {}
+            self._tell(untold)
+
+    async def handle(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        """Answers a peer that tells origins, or asks for one."""
+        try:
+            if request.method == "POST":
+                self._merge(request.body)
+                return http_server.Response(200, [], b"")
+            attempt = bytes.fromhex(request.target.partition("?")[2])
+        except (cbor2.CBORDecodeError, TypeError, ValueError) as caught:
+            log.emit(
+                events.DATAGRAM_MALFORMED,
+                source="origins of streams",
+                reason=str(caught),
+            )
+            return http_server.Response(400, [], b"")
+        entry = self._origins.find(attempt)
+        if entry is None:
+            return http_server.Response(404, [], b"")
+        return http_server.Response(200, [], _encode([entry]))
+
+    def _merge(self, body: bytes) -> None:
+        for entry in _decode(body):
+            self._origins.record(entry)
+
+    def _queue(self, entries: list[stream_origins.OriginEntry]) -> None:
+        self._untold |= {entry.attempt: entry for entry in entries}
+        if self._untold:
+            self._untold_event.set()
+
+    def _holders(
+        self, attempt: bytes, peers: Mapping[str, vms.Address]
+    ) -> list[str]:
+        return ownership.first(
+            attempt.hex(), list(peers), stream_origins.HOLDERS
+        )
+
+    def _tell(self, entries: list[stream_origins.OriginEntry]) -> None:
+        peers = self._peers()
+        by_holder: dict[str, list[stream_origins.OriginEntry]] = {}
+        for entry in entries:
+            for holder in self._holders(entry.attempt, peers):
+                by_holder.setdefault(holder, []).append(entry)
+        for holder, told in by_holder.items():
+            for start in range(0, len(told), _ENTRIES_PER_MESSAGE_MAX):
+                batch = told[start : start + _ENTRIES_PER_MESSAGE_MAX]
+                self._start(self._post(holder, peers[holder], _encode(batch)))
+
+    def _start(self, message: Coroutine[Any, Any, None]) -> None:
+        """Sends a message in a task, so that no peer delays the others."""
+        task = asyncio.create_task(message)
+        self._messages.add(task)
+        task.add_done_callback(self._messages.discard)
+
+    async def _post(self, name: str, address: vms.Address, body: bytes) -> None:
+        try:
+            await self._client.request(
+                address, "POST", PATH, {}, body, timeout_s=_TIMEOUT_S
+            )
+        except errors.PeerError as caught:
+            log.emit(events.ORIGINS_UNSENT, peer=name, reason=str(caught))
+
+    async def _ask_holders(
+        self, attempt: bytes
+    ) -> stream_origins.OriginEntry | None:
+        """Asks the peers that may know an origin."""
+        peers = self._peers()
+        questions = [
+            asyncio.create_task(self._ask(holder, peers[holder], attempt))
+            for holder in self._holders(attempt, peers)
+        ]
+        try:
+            for answer in asyncio.as_completed(
+                questions, timeout=_ASK_TIMEOUT_S
+            ):
+                entry = await answer
+                if entry is not None:
+                    return entry
+        except TimeoutError:
+            log.emit(
+                events.ORIGINS_UNSENT,
+                peer="all",
+                reason="no answer about the origin of a stream in time",
+            )
+        finally:
+            for question in questions:
+                question.cancel()
+        return None
+
+    async def _ask(
+        self, name: str, address: vms.Address, attempt: bytes
+    ) -> stream_origins.OriginEntry | None:
+        try:
+            answer = await self._client.request(
+                address, "GET", f"{PATH}?{attempt.hex()}", {}
+            )
+            entries = _decode(answer.body) if answer.status == 200 else []
+        except errors.PeerError as caught:
+            log.emit(events.ORIGINS_UNSENT, peer=name, reason=str(caught))
+            return None
+        except (cbor2.CBORDecodeError, TypeError, ValueError) as caught:
+            log.emit(events.DATAGRAM_MALFORMED, source=name, reason=str(caught))
+            return None
+        return entries[0] if entries else None
+
+
+def _encode(entries: list[stream_origins.OriginEntry]) -> bytes:
+    now = _now()
+    return cbor2.dumps(
+        [
+            [attempt, *origin, int((expires - now) * 1000)]
+            for attempt, origin, expires in entries
+        ]
+    )
+
+
+def _decode(body: bytes) -> list[stream_origins.OriginEntry]:
+    """Returns the entries that a peer sent.
+
+    Raises:
+        cbor2.CBORDecodeError, TypeError, ValueError: They are malformed.
+    """
+    now = _now()
+    return [
+        stream_origins.OriginEntry(
+            bytes(attempt),
+            stream_origins.Origin(str(service), str(software)),
+            now + int(lifetime_ms) / 1000,
+        )
+        for attempt, service, software, lifetime_ms in cbor2.loads(body)
+    ]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -632,7 +632,7 @@
             assert listed[0][7] == revision
             assert len(listed[0]) == 9
             assert len((await read_published("1&another"))[2]) == 1
-            _, revision, listed, _ = await read_published("0&&&&eras")
+            _, revision, listed, *_ = await read_published("0&&&&eras")
             assert revision == listed[0][7] == [1, fleet.store.revision]
 
     standin.run_scenario(scenario)
