Believe a refusal only if it is that of the request

A faulty endpoint wrote an earlier refusal once more on a kept connection: a call that may run once only ran at a second endpoint (TWICE), or its caller was told that it had not run (REFUSED).

Cause: a response with Not-Executed or status 421 was taken for a promise about the request just sent, without asking which request it answers.

Fix: a refusal with the id of another request is no answer to this one, and one without any id counts only as the first response of its connection, where there is nothing to repeat. Both end the attempt as lost, so that a call that may run once is not sent again. The stand-in endpoints echo the id, as real ones do.

--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -110,6 +110,9 @@
         load: Requests that the endpoint runs or queues; None if not given.
         rate_limit: Requests per second that the endpoint takes from all
             gateways together; None if it names no limit.
+        names_request: Whether the response has the identity of the request. A
+            response without one may be a late copy of an earlier response on
+            the same connection.
     """
 
     verdict: Verdict
@@ -117,6 +120,7 @@
     idle_s: float | None = None
     load: int | None = None
     rate_limit: float | None = None
+    names_request: bool = True
 
 
 class CallerProtocol(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -237,6 +237,10 @@
         head = self._protocols.endpoint_protocol.read_response_head(
             call, stream.status, stream.fields
         )
+        is_copy = not (head.names_request or stream.is_first)
+        if head.verdict is ports.Verdict.FOREIGN or is_copy:
+            stream.abort()
+            return AttemptResult(AttemptEnd.LOST, "answer to another request")
         if head.load is not None:
             self._state.loads.record_observation(
                 load.endpoint, head.load, _now()
@@ -244,9 +248,6 @@
         # A rejection may come from another instance and names no limit then.
         if head.rate_limit is not None or head.verdict is ports.Verdict.RUN:
             self._state.record_rate_limit(load.endpoint, head.rate_limit)
-        if head.verdict is ports.Verdict.FOREIGN:
-            stream.abort()
-            return AttemptResult(AttemptEnd.LOST, "answer to another request")
         if (
             call.route.kind is catalog.RequestKind.STREAM
             and stream.status == 200
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -479,6 +479,11 @@
         """Header values by lower-case name."""
         return dict(self.fields)
 
+    @property
+    def is_first(self) -> bool:
+        """Whether this is the first response on its connection."""
+        return self._connection.exchange_count == 0
+
     async def read(self, timeout_s: float) -> bytes:
         """Returns the body data received so far, waiting for some if none.
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -304,7 +304,7 @@
             return
         self.received.append(request)
         if request.headers.get("expect-instance") != self.name:
-            headers = [("Instance-Id", self.name)]
+            headers = [("Instance-Id", self.name), attempt_field(request)]
             exchange.send(http_server.Response(421, headers, b""))
             return
         behavior = self.behaviors.pop(0) if self.behaviors else respond
@@ -316,7 +316,7 @@
 
     def response_fields(self, request):
         fields = [
-            ("Attempt-Id", request.headers["attempt-id"]),
+            attempt_field(request),
             ("Server-Seal", f"seal-of-{self.name}"),
             ("Server-Load", "1,0,4"),
         ]
@@ -335,17 +335,34 @@
         )
 
     async def _accept(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            head = await reader.readuntil(b"\r\n\r\n")
-            attempt = head.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
-            self.executed.append(attempt.decode())
-            await self.write_answer(writer, attempt)
-        self.end_connection(writer)
+        try:
+            with contextlib.suppress(
+                ConnectionError, asyncio.IncompleteReadError
+            ):
+                await self.serve(reader, writer)
+        finally:
+            self.end_connection(writer)
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        attempt = attempt_of(head)
+        self.executed.append(attempt.decode())
+        await self.write_answer(writer, attempt)
 
     def end_connection(self, writer):
         writer.close()
 
 
+def attempt_field(request):
+    """Returns the header field that echoes the id of a request."""
+    return "Attempt-Id", request.headers["attempt-id"]
+
+
+def attempt_of(head):
+    """Returns the id of the attempt in the head of a request."""
+    return head.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
+
+
 async def respond(runner, exchange):
     """Executes the request and answers it, or crashes on one of its parts."""
     request = exchange.request
@@ -392,7 +409,7 @@
 
 async def reject(runner, exchange):
     """Rejects the request without executing it."""
-    headers = [("Not-Executed", "1")]
+    headers = [("Not-Executed", "1"), attempt_field(exchange.request)]
     exchange.send(http_server.Response(503, headers, b""))
 
 
