Relay the events before a spoilt one

Callers: an endpoint that wrote events and then bytes that are no event, in one piece, cost the caller those events: the stream went on at the next endpoint after them (ORDER, a piece is missing).

Cause: an event id was recorded as known to the caller when it was read, and the error of a later event in the same piece threw the events away.

Fix: the events before the spoilt one are written, then the attempt ends. What began the stream is recorded before the first event is written, whichever way the attempt ends after it.

--- a/packages/router/nutmegpost_router/gateway/event_relay.py
+++ b/packages/router/nutmegpost_router/gateway/event_relay.py
@@ -1,6 +1,7 @@
 """Relay of the events of a stream from an endpoint to a caller."""
 
 import asyncio
+from collections.abc import Callable
 
 from nutmegpost_core import errors
 from nutmegpost_core import sse
@@ -26,6 +27,7 @@
         status: int,
         fields: ports.Fields,
         load: pending_request.InFlightLoad,
+        on_begun: Callable[[], None],
     ):
         """Creates a relay that has relayed nothing.
 
@@ -34,9 +36,11 @@
             status: Status of the response.
             fields: Header fields of the response to relay.
             load: Load of the attempt; is told of each event.
+            on_begun: Called before the first event is relayed.
         """
         self._pending = pending
         self._load = load
+        self._on_begun = on_begun
         self._status = status
         self._fields = list(fields)
         self._splitter = sse.Splitter()
@@ -58,12 +62,22 @@
         if _now() >= self._pending.call.deadline:
             raise errors.PeerError("the stream goes on after the deadline")
         self._bytes_since_event += len(data)
-        events_data = self._new_events(self._splitter.feed(data))
+        events_data, malformed_id = self._new_events(self._splitter.feed(data))
+        consumed = self._relay(events_data)
+        if malformed_id is not None:
+            raise errors.PeerError(
+                f"event id is not a number: {malformed_id[:40]!r}"
+            )
+        return consumed
+
+    def _relay(self, events_data: list[bytes]) -> http_client.Consumed:
         if not events_data:
             if self._bytes_since_event > sse.EVENT_BYTES_MAX:
                 raise errors.PeerError("too much data without an event")
             return http_client.Consumed.NOTHING
         self._bytes_since_event = 0
+        if not self.event_count:
+            self._on_begun()
         self._load.record_sign()
         exchange = self._pending.exchange
         if not exchange.started:
@@ -74,31 +88,32 @@
             return http_client.Consumed.FULL
         return http_client.Consumed.PROGRESS
 
-    def _new_events(self, received: list[sse.RawEvent]) -> list[bytes]:
+    def _new_events(
+        self, received: list[sse.RawEvent]
+    ) -> tuple[list[bytes], bytes | None]:
         """Returns the events that the caller does not have yet.
 
         Records the id of the last one in the pending request.
 
-        Raises:
-            errors.PeerError: The id of an event is missing or not a number.
+        Returns:
+            The events up to the first whose id is missing or not a number, and
+            that id; None if there is no such event.
         """
         pending = self._pending
-        new_events = []
+        new_events: list[bytes] = []
         for event in received:
             if event.data.startswith(b":"):
                 # A comment; it is no part of the answer.
                 continue
             event_id = event.event_id
             if not (event_id.isdigit() and len(event_id) <= _ID_DIGITS_MAX):
-                raise errors.PeerError(
-                    f"event id is not a number: {event_id[:40]!r}"
-                )
+                return new_events, event_id
             last_id = pending.last_event_id
             if last_id and int(event_id) <= int(last_id):
                 continue
             pending.last_event_id = event_id.decode("ascii")
             new_events.append(event.data)
-        return new_events
+        return new_events, None
 
 
 def _now() -> float:
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -295,12 +295,15 @@
         load: pending_request.InFlightLoad,
     ) -> AttemptResult:
         relay = event_relay.EventRelay(
-            pending, stream.status, head.fields, load
+            pending,
+            stream.status,
+            head.fields,
+            load,
+            lambda: self._record_origin(pending, choice.endpoint),
         )
         try:
             await self._relay_first_event(pending, stream, relay)
             if relay.event_count:
-                self._record_origin(pending, choice.endpoint)
                 load.finish_prefill()
                 self._state.record_prefilled(
                     pending.call, choice, _now() - load.started
@@ -323,7 +326,7 @@
         pending: pending_request.PendingRequest,
         endpoint: roster.Endpoint,
     ) -> None:
-        """Records the endpoint that sent the first event of an attempt."""
+        """Records the endpoint that sends the first event of an attempt."""
         if pending.software is None:
             pending.software = endpoint.software
         if pending.call.route.resumable:
--- a/packages/router/tests/gateway/test_event_relay.py
+++ b/packages/router/tests/gateway/test_event_relay.py
@@ -35,7 +35,9 @@
         last_event_id=last_event_id,
         call=types.SimpleNamespace(deadline=now + deadline_s),
     )
-    relay = event_relay.EventRelay(pending, 200, [("a", "b")], mock.Mock())
+    relay = event_relay.EventRelay(
+        pending, 200, [("a", "b")], mock.Mock(), mock.Mock()
+    )
     return relay, pending, exchange
 
 
