--- a/tests/platform/faultsoak.py
+++ b/tests/platform/faultsoak.py
@@ -4,9 +4,10 @@
 runners are stand-ins in this process, each behind a relay on loopback. Faults
 are injected one after the other and overlap: signals to gateways, relays that
 cut, silence or delay connections, runners that crash, also on a part of a
-prompt, limit their requests or respond incorrectly, and an unavailable store.
-The responses that callers received are compared with the requests that runners
-executed.
+prompt, limit their requests, respond incorrectly or are replaced by another
+version of their software, and a store that is unavailable or restored from a
+copy. Callers take up streams that broke off. The responses that callers
+received are compared with the requests that runners executed.
 
 Run it with `make soak-faults SEED=...`; a seed fixes the order of the faults.
 """
@@ -14,10 +15,12 @@
 import argparse
 import asyncio
 import collections
+from collections.abc import Callable
 import functools
 import json
 import pathlib
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -39,6 +42,7 @@
 CALLER_COUNT = 8
 CALL_TIMEOUT_S = 6.0
 CRASHING_REQUESTS = 10
+TAKE_UPS_MAX = 3
 RECOVERY_TIMEOUT_S = 15.0
 EVENT_COUNT = 5
 # Statuses that guarantee that a request has not run and never will.
@@ -58,6 +62,22 @@
     seal: str
 
 
+class _StreamPart(NamedTuple):
+    """What a caller received of a stream in one attempt.
+
+    Attributes:
+        status: Status of the response; 0 for none.
+        events: The complete events.
+        seal: Signature of the response.
+        is_complete: Whether the response was complete.
+    """
+
+    status: int = 0
+    events: bytes = b""
+    seal: str = ""
+    is_complete: bool = False
+
+
 class Soak:
     """Gateways, stand-ins, callers and faults of one seed."""
 
@@ -67,6 +87,9 @@
         self._client = http_client.Client()
         self._version = 1
         self._down: set[str] = set()
+        self._entries: dict[str, dict[str, object]] = {}
+        # Slots of the instances, of which each runs in several over time.
+        self._slots = {name: name for name in RUNNERS}
         self.outcomes: list[Outcome] = []
         self.faults: collections.Counter[str] = collections.Counter()
 
@@ -105,6 +128,7 @@
         self._relays["store"] = await self._start_relay(self._store.address)
         self._store.put("op/config", standin.configuration(1))
         for name, runner in self._runners.items():
+            runner.event_text = b"piece-" + runner.version.encode()
             await runner.start()
             runner.crash = functools.partial(self._end_runner, name)
             self._relays[name] = await self._start_relay(runner.address)
@@ -137,10 +161,15 @@
         return server
 
     def _publish_entry(self, name: str, **fields: object) -> None:
-        entry = self._runners[name].entry(
-            address=self._addresses[name], **fields
+        """Writes the entry of a runner, with the next sequence number."""
+        runner = self._runners[name]
+        known = self._entries.get(runner.name, {"seq": 0, "born": 1})
+        entry = runner.entry(
+            address=self._addresses[name],
+            **{"seq": known["seq"] + 1, "born": known["born"]} | fields,
         )
-        self._store.put(f"servers/{name}", entry)
+        self._entries[runner.name] = entry
+        self._store.put(f"servers/{runner.name}", entry)
 
     # Callers.
 
@@ -173,6 +202,10 @@
                 f"{identity}:10",
             }
         outcome = Outcome(identity, path, 0, b"", "")
+        if path.startswith("/draft"):
+            outcome = await self._send_stream(outcome, headers, gateway)
+            self.outcomes.append(outcome)
+            return outcome
         try:
             response = await self._client.request(
                 vms.parse_address(self._configs[gateway]["public_address"]),
@@ -193,6 +226,58 @@
         self.outcomes.append(outcome)
         return outcome
 
+    async def _send_stream(
+        self, outcome: Outcome, headers: dict[str, str], gateway: int
+    ) -> Outcome:
+        """Requests a stream, and takes it up again when it breaks off."""
+        body, seal, begun = b"", "", outcome.identity
+        for count in range(TAKE_UPS_MAX + 1):
+            if count:
+                headers["Attempt-Id"] = f"{outcome.identity}-{count}"
+                gateway = self._rng.randrange(GATEWAY_COUNT)
+            if body:
+                last_id = re.findall(rb"^id: (\d+)$", body, re.M)[-1]
+                headers |= {"Last-Event-Id": last_id.decode()}
+                headers |= {"Resumes": begun}
+            part = await self._read_stream(outcome.path, headers, gateway)
+            if part.events and not body:
+                begun, seal = headers["Attempt-Id"], part.seal
+            body += part.events
+            if part.is_complete:
+                identity = begun if body else headers["Attempt-Id"]
+                return Outcome(identity, outcome.path, part.status, body, seal)
+            await asyncio.sleep(self._rng.uniform(0, 0.3))
+        return outcome
+
+    async def _read_stream(
+        self, path: str, headers: dict[str, str], gateway: int
+    ) -> _StreamPart:
+        address = self._configs[gateway]["public_address"]
+        data = b""
+        part = _StreamPart()
+        try:
+            stream = await self._client.stream(
+                vms.parse_address(address),
+                "POST",
+                path,
+                headers,
+                b"{}",
+                CALL_TIMEOUT_S,
+                fresh=True,
+            )
+            part = _StreamPart(
+                stream.status, seal=stream.headers.get("server-seal", "")
+            )
+            if stream.status != 200:
+                stream.abort()
+                return part._replace(is_complete=stream.status < 500)
+            while piece := await stream.read(CALL_TIMEOUT_S):
+                data += piece
+            stream.close()
+        except (http_client.ConnectError, http_client.ExchangeError):
+            return part._replace(events=data[: data.rfind(b"\n\n") + 2])
+        return part._replace(events=data, is_complete=True)
+
     # Faults.
 
     async def _inject_faults(self, seconds: float) -> None:
@@ -211,6 +296,9 @@
             *[self._script_bad_behaviors] * 6,
             self._take_store_down,
             self._forget_history,
+            self._restore_store,
+            self._replace_runner,
+            self._replace_runner,
             self._drain_runner,
             self._publish_configuration,
         ]
@@ -257,7 +345,9 @@
     async def _crash_runner(self) -> None:
         await self._end_runner(self._rng.choice(list(self._runners)))
 
-    async def _end_runner(self, name: str) -> None:
+    async def _end_runner(
+        self, name: str, while_down: Callable[[], None] = lambda: None
+    ) -> None:
         """Ends a runner, so that its address refuses connections."""
         if name in self._down:
             return
@@ -266,6 +356,7 @@
         await link.close()
         await self._runners[name].server.close()
         await asyncio.sleep(self._random_duration_s(1.0))
+        while_down()
         await self._runners[name].start()
         await link.start()
         self._down.discard(name)
@@ -325,11 +416,51 @@
     async def _forget_history(self) -> None:
         self._store.forget_history()
 
+    async def _restore_store(self) -> None:
+        """Restores the store from a copy; all is written again soon."""
+        copy = self._store.copy()
+        await asyncio.sleep(self._random_duration_s(2.0))
+        self._store.is_down = True
+        self._store.restore(copy)
+        self._store.cut_polls()
+        await asyncio.sleep(self._random_duration_s(0.5))
+        self._store.is_down = False
+        await asyncio.sleep(self._random_duration_s(0.5))
+        self._store.put("op/config", standin.configuration(self._version))
+        live = {runner.name for runner in self._runners.values()}
+        for key in list(self._store.items):
+            if key.startswith("servers/") and key[8:] not in live:
+                self._store.remove(key)
+        for name in self._runners:
+            self._publish_entry(name)
+
+    async def _replace_runner(self) -> None:
+        """Ends an engine; another one, of any version, takes its place."""
+        name = self._rng.choice(
+            [name for name, service in RUNNERS.items() if service == "engines"]
+        )
+        if name in self._down:
+            return
+        runner = self._runners[name]
+        old = runner.name
+        await self._end_runner(name, functools.partial(self._renew, name))
+        if runner.name != old:
+            self._store.remove(f"servers/{old}")
+            self._publish_entry(name)
+
+    def _renew(self, name: str) -> None:
+        """Makes a runner that is down another instance."""
+        runner = self._runners[name]
+        runner.name = f"{name}-{len(self._slots)}"
+        runner.version = self._rng.choice(["v1", "v2"])
+        runner.event_text = b"piece-" + runner.version.encode()
+        self._slots[runner.name] = name
+
     async def _drain_runner(self) -> None:
         name = self._rng.choice(list(self._runners))
-        self._publish_entry(name, state="draining", seq=2)
+        self._publish_entry(name, state="draining")
         await asyncio.sleep(self._random_duration_s(1.5))
-        self._publish_entry(name, seq=3)
+        self._publish_entry(name)
 
     async def _publish_configuration(self) -> None:
         self._version += self._rng.randrange(1, 4)
@@ -408,10 +539,16 @@
         self, outcome: Outcome, executed_at: set[tuple[str, str]]
     ) -> bool:
         body = b"answer to " + outcome.path.encode()
+        received = outcome.body
         if outcome.path.startswith(("/draft", "/ask")):
             body = _COMPLETE_STREAM
-        name = outcome.seal.removeprefix("seal-of-")
-        return outcome.body == body and (name, outcome.identity) in executed_at
+            texts = set(re.findall(rb"piece-\w+", received))
+            if len(texts) > 1:
+                return False
+            for text in texts:
+                received = received.replace(text, b"piece")
+        name = self._slots.get(outcome.seal.removeprefix("seal-of-"), "")
+        return received == body and (name, outcome.identity) in executed_at
 
 
 def run_seed(seed: int, seconds: float) -> tuple[list[str], Soak]:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -252,6 +252,7 @@
         rate_limit: Requests per second that its answers name as the limit;
             None for no limit.
         version: Version of its software.
+        event_text: Text of its events, before their number.
         cached_parts: Prompt parts in its cache, pairs of id and tokens.
         cache_list_count: Number of times that its cache was listed.
     """
@@ -259,6 +260,7 @@
     def __init__(self, name, service, slots=4, version="v1"):
         self.name = name
         self.version = version
+        self.event_text = b"piece"
         self.service = service
         self.slots = slots
         self.address = free_address()
@@ -391,7 +393,9 @@
     ]
     exchange.start(200, headers)
     for event_id in range(first_id, last_id + 1):
-        exchange.write(b"id: %d\ndata: piece %d\n\n" % (event_id, event_id))
+        exchange.write(
+            b"id: %d\ndata: %s %d\n\n" % (event_id, runner.event_text, event_id)
+        )
         await asyncio.sleep(0.005)
 
 
