Send nothing to an endpoint that says in its answers that it leaves

Callers' requests reached endpoints that had said in an answer that they leave (DRAIN): only the entry in the store was heeded, and while the store is away, slow or restored, an answer is the only true word.

Peers are told by an urgent gossip item, with the start of the instance; the next instance under the name inherits nothing, for which a change of an entry's start now counts as a change of the endpoints (the estimate of its cache was kept too long as well).

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -200,6 +200,11 @@
 ENDPOINT_UNLIMITED = Event(
     512, "INFO", "endpoint {endpoint} names no limit any more"
 )
+ENDPOINT_LEAVES = Event(
+    513,
+    "INFO",
+    "endpoint {endpoint} leaves, by {source}; it gets no more requests",
+)
 CACHE_LEARNT = Event(
     508, "INFO", "cache of {endpoint} holds {count} prompt parts"
 )
--- a/packages/core/tests/test_charts.py
+++ b/packages/core/tests/test_charts.py
@@ -21,6 +21,7 @@
         "refused failed"
     ),
     "link": "connecting proving open silent closed",
+    "notice": "open paused leaving",
     "rollout": "settled draining ordered checking failed",
 }
 
@@ -67,6 +68,7 @@
         ("endpoint", set()),
         ("request", {"answered", "withdrawn", "refused", "failed"}),
         ("link", {"closed"}),
+        ("notice", {"leaving"}),
     ],
 )
 def test_final_states_have_no_transitions(name, finals):
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -253,7 +253,7 @@
         current = self._state.choose(
             call, pending.tried_endpoints, pending.software
         )
-        if current is None and self._state.is_exhausted(choice.endpoint.name):
+        if current is None and self._state.is_closed(choice.endpoint.name):
             self._end_without_endpoint(pending)
         return current or choice
 
@@ -300,7 +300,7 @@
         return_after_s = self._state.return_after_s(pending.call.service)
         if return_after_s is not None:
             raise errors.UnavailableError(
-                "all endpoints are at the request limits that they named",
+                "all endpoints are at their limits or asked for a pause",
                 retry_after=return_after_s,
             )
         raise errors.UnavailableError(
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -113,6 +113,7 @@
         names_request: Whether the response has the identity of the request. A
             response without one may be a late copy of an earlier response on
             the same connection.
+        is_leaving: Whether the endpoint says that it leaves.
     """
 
     verdict: Verdict
@@ -121,6 +122,7 @@
     load: int | None = None
     rate_limit: float | None = None
     names_request: bool = True
+    is_leaving: bool = False
 
 
 class CallerProtocol(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -37,6 +37,8 @@
 # Time after the stop signal during which new connections are still accepted,
 # as a multiple of the address TTL: callers cache addresses for one TTL.
 _LINGER_TTLS = 2.0
+# Time for which peers tell each other that an endpoint leaves.
+_LEAVING_LIFETIME_S = 60.0
 # Part of the grace period reserved for the exit of the process.
 _STOP_MARGIN_S = 0.4
 _RESTART_DELAY_S = 0.2
@@ -93,6 +95,7 @@
         )
         self._state.on_placement = self._load_exchange.queue_placement
         self._state.on_rate_limit = self._publish_rate_limit
+        self._state.on_leaving = self._publish_leaving
         self._crashes = crash_guard.CrashGuard(self._gossip.send)
         self._origins = stream_origins.OriginExchange(
             self._state, self._client, self._origin_peers
@@ -444,6 +447,10 @@
                     dissemination.Kind.ENDPOINT_LIMIT, key, payload
                 ):
                     self._apply_rate_limit(key, payload)
+                case gossip.ItemReceived(
+                    dissemination.Kind.ENDPOINT_LEAVING, key, payload
+                ):
+                    self._apply_leaving(key, payload)
                 case gossip.ItemReceived():
                     self._crashes.receive(notice, _now())
 
@@ -474,6 +481,29 @@
             return
         self._state.apply_peer_rate_limit(endpoint, requests_per_s)
 
+    def _publish_leaving(self, endpoint: roster.Endpoint) -> None:
+        """Tells the peers that an endpoint said that it leaves."""
+        self._gossip.send(
+            gossip.Publish(
+                dissemination.Kind.ENDPOINT_LEAVING,
+                endpoint.name.encode(),
+                str(endpoint.started_ms).encode(),
+                _LEAVING_LIFETIME_S,
+            )
+        )
+
+    def _apply_leaving(self, key: bytes, payload: bytes) -> None:
+        try:
+            name, started_ms = key.decode(), int(payload)
+        except ValueError as caught:
+            log.emit(
+                events.DATAGRAM_MALFORMED,
+                source="endpoint that leaves",
+                reason=str(caught),
+            )
+            return
+        self._state.apply_peer_leaving(name, started_ms)
+
     # Publications of the platform.
 
     async def _read_publications(self) -> None:
@@ -530,7 +560,7 @@
         entries = self._state.roster
         known = entries.revision
         names = set(entries.endpoints)
-        leaving = _leaving(entries)
+        instances = _instances(entries)
         outdated = entries.apply_changes(endpoints, removed, revision, now)
         if outdated:
             _log_outdated(outdated, revision, known)
@@ -538,7 +568,7 @@
             # Came and went between two polls.
             self._state.versions.record_gap(now)
         self._update_versions(now)
-        if set(entries.endpoints) != names or _leaving(entries) != leaving:
+        if _instances(entries) != instances:
             self._endpoints_changed()
 
     def _update_versions(self, now: float) -> None:
@@ -651,11 +681,11 @@
                     return
 
 
-def _leaving(entries: roster.Roster) -> set[str]:
+def _instances(entries: roster.Roster) -> set[tuple[str, int, bool]]:
+    """Returns name, start time and whether it drains of all endpoints."""
     return {
-        name
-        for name, endpoint in entries.endpoints.items()
-        if endpoint.is_draining
+        (endpoint.name, endpoint.started_ms, endpoint.is_draining)
+        for endpoint in entries.endpoints.values()
     }
 
 
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -34,6 +34,8 @@
 _SILENCE_POLL_S = 0.25
 # Time to read the body of a rejection, to reuse the connection.
 _REJECTION_BODY_TIMEOUT_S = 0.1
+# Misdirected Request: another instance has the address of the endpoint.
+_MISDIRECTED_STATUS = 421
 
 
 class AttemptEnd(enum.StrEnum):
@@ -245,6 +247,8 @@
             self._state.loads.record_observation(
                 load.endpoint, head.load, _now()
             )
+        if stream.status != _MISDIRECTED_STATUS:
+            self._record_notices(choice.endpoint, head)
         # A rejection may come from another instance and names no limit then.
         if head.rate_limit is not None or head.verdict is ports.Verdict.RUN:
             self._state.record_rate_limit(load.endpoint, head.rate_limit)
@@ -273,6 +277,13 @@
         pending.exchange.send(response)
         return AttemptResult(AttemptEnd.ANSWERED)
 
+    def _record_notices(
+        self, endpoint: roster.Endpoint, head: ports.ResponseHead
+    ) -> None:
+        """Records what the endpoint says of itself in a response."""
+        if head.is_leaving:
+            self._state.record_leaving(endpoint)
+
     async def _read_rejection(
         self, stream: http_client.Stream, head: ports.ResponseHead
     ) -> AttemptResult:
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -1,12 +1,13 @@
 """State of a gateway, shared by the tasks of its event loop."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 import random
 
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
 from nutmegpost_core import dispatch
+from nutmegpost_core import endpoint_notices
 from nutmegpost_core import events
 from nutmegpost_core import liveness
 from nutmegpost_core import outliers
@@ -70,10 +71,13 @@
         self.caches_synced = config["first_start"]
         self._started_ms: dict[str, int] = {}
         self.rate_limits = ratelimits.EndpointLimits(config["name"])
+        self.notices = endpoint_notices.EndpointNotices()
         self._prefill_rates: dict[str, prefill.PrefillRate] = {}
         self.on_placement: Callable[[loads.Placement], None] = lambda _: None
         # Called with the name of an endpoint and the limit that it named.
         self.on_rate_limit: _RateLimitCallback = lambda *_: None
+        # Called with an endpoint that said that it leaves.
+        self.on_leaving: Callable[[roster.Endpoint], None] = lambda _: None
 
     @property
     def config(self) -> settings.GatewaySettings:
@@ -122,28 +126,53 @@
             | self.liveness.avoided(call.route.repeatable, now),
             self.roster.draining(call.service),
             call.route.target_s,
-            self.rate_limits.exhausted(
-                (endpoint.name for endpoint in usable), now
-            ),
+            self._closed([endpoint.name for endpoint in usable], now),
         )
 
-    def is_exhausted(self, endpoint: str) -> bool:
-        """Returns whether the request limit of an endpoint is used up."""
+    def _closed(self, endpoints: Collection[str], now: float) -> set[str]:
+        """Returns the endpoints to which this gateway may not send now."""
+        return self.rate_limits.exhausted(endpoints, now) | self.notices.closed(
+            endpoints, now
+        )
+
+    def is_closed(self, endpoint: str) -> bool:
+        """Returns whether this gateway may not send to an endpoint now."""
         now = asyncio.get_running_loop().time()
-        return bool(self.rate_limits.exhausted([endpoint], now))
+        return bool(self._closed([endpoint], now))
 
     def return_after_s(self, service: str) -> float | None:
         """Returns when the caller of a refused request should return.
 
         Returns:
-            Seconds, or None if not all endpoints of the service are at the
-            request limits that they named.
+            Seconds, or None if it is not known when an endpoint of the service
+            takes requests again.
         """
         now = asyncio.get_running_loop().time()
         names = {endpoint.name for endpoint in self.roster.usable(service)}
-        if not names or self.rate_limits.exhausted(names, now) != names:
+        if not names or self._closed(names, now) != names:
             return None
-        return self.rate_limits.return_after_s(service, names, now)
+        limited = names - self.notices.closed(names, now)
+        if limited:
+            return self.rate_limits.return_after_s(service, limited, now)
+        return self.notices.return_after_s(service, names, now)
+
+    def record_leaving(self, endpoint: roster.Endpoint) -> None:
+        """Records that an endpoint said in an answer that it leaves."""
+        if self.notices.record_leaving(endpoint.name, endpoint.started_ms):
+            log.emit(
+                events.ENDPOINT_LEAVES,
+                endpoint=endpoint.name,
+                source="its answer",
+            )
+            self.on_leaving(endpoint)
+
+    def apply_peer_leaving(self, name: str, started_ms: int) -> None:
+        """Records that an endpoint told a peer that it leaves."""
+        entry = self.roster.endpoints.get(name)
+        if entry is None or entry.started_ms != started_ms:
+            return
+        if self.notices.record_leaving(name, started_ms):
+            log.emit(events.ENDPOINT_LEAVES, endpoint=name, source="a peer")
 
     def record_dispatch(
         self, call: calls.Call, choice: dispatch.Choice
@@ -269,6 +298,7 @@
         self.prefixes.retain(self.roster.names_with_cache())
         self.outliers.set_engines(set(self.roster.endpoints))
         self.liveness.retain(set(self.roster.endpoints))
+        self.notices.retain(self.roster.endpoints)
         for name, endpoint in self.roster.endpoints.items():
             started_ms = self._started_ms.get(name, endpoint.started_ms)
             if started_ms != endpoint.started_ms:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -253,6 +253,7 @@
             None for no limit.
         version: Version of its software.
         event_text: Text of its events, before their number.
+        is_leaving: Whether its answers say that it leaves.
         cached_parts: Prompt parts in its cache, pairs of id and tokens.
         cache_list_count: Number of times that its cache was listed.
     """
@@ -271,6 +272,7 @@
         self.event_count = 5
         self.crashing_parts = set()
         self.rate_limit = None
+        self.is_leaving = False
         self.cached_parts = []
         self.cache_list_count = 0
 
@@ -324,6 +326,8 @@
         ]
         if self.rate_limit is not None:
             fields.append(("Server-Limit", str(self.rate_limit)))
+        if self.is_leaving:
+            fields.append(("Server-Leaving", "1"))
         return fields
 
 
@@ -413,7 +417,10 @@
 
 async def reject(runner, exchange):
     """Rejects the request without executing it."""
-    headers = [("Not-Executed", "1"), attempt_field(exchange.request)]
+    headers = [
+        ("Not-Executed", "1"),
+        *runner.response_fields(exchange.request),
+    ]
     exchange.send(http_server.Response(503, headers, b""))
 
 
