Leave an endpoint alone for the pause that it asks for

With all endpoints paused, each request was sent to all of them in turn, and its caller was told to come back at once.

Fix: the pause is kept with the instance at the gateway that was asked, and at no other.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -205,6 +205,15 @@
     "INFO",
     "endpoint {endpoint} leaves, by {source}; it gets no more requests",
 )
+ENDPOINT_PAUSED = Event(
+    514,
+    "INFO",
+    "endpoint {endpoint} wants no requests for {seconds} s, by its answer to "
+    "{request}",
+)
+ENDPOINT_HEADER_REFUSED = Event(
+    515, "WARNING", "endpoint {endpoint} sent a Retry-After of {text}; ignored"
+)
 CACHE_LEARNT = Event(
     508, "INFO", "cache of {endpoint} holds {count} prompt parts"
 )
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -114,6 +114,8 @@
             response without one may be a late copy of an earlier response on
             the same connection.
         is_leaving: Whether the endpoint says that it leaves.
+        pause_text: Time in seconds for which the endpoint wants no requests
+            from this gateway, as it was sent; empty for none.
     """
 
     verdict: Verdict
@@ -123,6 +125,7 @@
     rate_limit: float | None = None
     names_request: bool = True
     is_leaving: bool = False
+    pause_text: str = ""
 
 
 class CallerProtocol(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -5,6 +5,7 @@
 import enum
 from typing import NamedTuple
 
+from nutmegpost_core import calls
 from nutmegpost_core import catalog
 from nutmegpost_core import dispatch
 from nutmegpost_core import errors
@@ -248,7 +249,7 @@
                 load.endpoint, head.load, _now()
             )
         if stream.status != _MISDIRECTED_STATUS:
-            self._record_notices(choice.endpoint, head)
+            self._record_notices(call, choice.endpoint, head)
         # A rejection may come from another instance and names no limit then.
         if head.rate_limit is not None or head.verdict is ports.Verdict.RUN:
             self._state.record_rate_limit(load.endpoint, head.rate_limit)
@@ -278,11 +279,16 @@
         return AttemptResult(AttemptEnd.ANSWERED)
 
     def _record_notices(
-        self, endpoint: roster.Endpoint, head: ports.ResponseHead
+        self,
+        call: calls.Call,
+        endpoint: roster.Endpoint,
+        head: ports.ResponseHead,
     ) -> None:
         """Records what the endpoint says of itself in a response."""
         if head.is_leaving:
             self._state.record_leaving(endpoint)
+        if head.pause_text:
+            self._state.record_pause(endpoint, head.pause_text, call.identity)
 
     async def _read_rejection(
         self, stream: http_client.Stream, head: ports.ResponseHead
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable, Mapping
+import math
 import random
 
 from nutmegpost_core import calls
@@ -174,6 +175,35 @@
         if self.notices.record_leaving(name, started_ms):
             log.emit(events.ENDPOINT_LEAVES, endpoint=name, source="a peer")
 
+    def record_pause(
+        self, endpoint: roster.Endpoint, text: str, request: str
+    ) -> None:
+        """Records that an endpoint asked this gateway for a pause.
+
+        Args:
+            endpoint: The endpoint.
+            text: The time that it asked for, seconds.
+            request: Identity of the request that it refused, for the log.
+        """
+        now = asyncio.get_running_loop().time()
+        seconds = _parse_pause_s(text)
+        if seconds is None:
+            log.emit(
+                events.ENDPOINT_HEADER_REFUSED,
+                endpoint=endpoint.name,
+                text=text[:40],
+            )
+            return
+        if self.notices.record_pause(
+            endpoint.name, endpoint.started_ms, now + seconds
+        ):
+            log.emit(
+                events.ENDPOINT_PAUSED,
+                endpoint=endpoint.name,
+                seconds=seconds,
+                request=request,
+            )
+
     def record_dispatch(
         self, call: calls.Call, choice: dispatch.Choice
     ) -> None:
@@ -325,6 +355,15 @@
             self.prefixes.touch(endpoint, parts, service.cache_tokens)
 
 
+def _parse_pause_s(text: str) -> float | None:
+    """Returns seconds; None if the text is no positive number of them."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if 0 < seconds < math.inf else None
+
+
 def _log_silence(silence: liveness.Silence) -> None:
     log.emit(
         events.ENDPOINT_SILENT,
