Count what endpoints say of themselves, and let the soak say it

The fault soak lets runners say that they leave, after which another instance takes their place, and ask for pauses, also in forms that cannot be read; it checks the promises that it checked before, not yet what such a runner receives.

--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -29,6 +29,12 @@
             ["end"],
             registry=self._registry,
         )
+        self._notices = prometheus_client.Counter(
+            "nutmegpost_gateway_endpoint_notices",
+            "Responses in which endpoints said that they leave or pause.",
+            ["notice"],
+            registry=self._registry,
+        )
         self._first_event = prometheus_client.Histogram(
             "nutmegpost_gateway_first_event_seconds",
             "Time from the receipt of a request to its first event.",
@@ -65,6 +71,10 @@
         """Counts a failed attempt by how it ended."""
         self._attempts.labels(end).inc()
 
+    def notice_received(self, notice: str) -> None:
+        """Counts a response by what the endpoint said of itself."""
+        self._notices.labels(notice).inc()
+
     def first_event(self, route: str, seconds: float) -> None:
         """Records the time to the first event of a stream."""
         self._first_event.labels(route).observe(seconds)
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -286,8 +286,10 @@
     ) -> None:
         """Records what the endpoint says of itself in a response."""
         if head.is_leaving:
+            self._counters.notice_received("leaving")
             self._state.record_leaving(endpoint)
         if head.pause_text:
+            self._counters.notice_received("pause")
             self._state.record_pause(endpoint, head.pause_text, call.identity)
 
     async def _read_rejection(
--- a/tests/platform/faultsoak.py
+++ b/tests/platform/faultsoak.py
@@ -299,6 +299,8 @@
             self._restore_store,
             self._replace_runner,
             self._replace_runner,
+            self._leave_by_answer,
+            self._ask_for_pause,
             self._drain_runner,
             self._publish_configuration,
         ]
@@ -448,6 +450,25 @@
             self._store.remove(f"servers/{old}")
             self._publish_entry(name)
 
+    async def _leave_by_answer(self) -> None:
+        """Lets a runner say that it leaves; another one takes its place."""
+        name = self._rng.choice(list(self._runners))
+        runner = self._runners[name]
+        old = runner.name
+        runner.is_leaving = True
+        await asyncio.sleep(self._random_duration_s(2.0))
+        await self._end_runner(name, functools.partial(self._renew, name))
+        runner.is_leaving = False
+        if runner.name != old:
+            self._store.remove(f"servers/{old}")
+            self._publish_entry(name)
+
+    async def _ask_for_pause(self) -> None:
+        runner = self._rng.choice(list(self._runners.values()))
+        seconds = self._rng.choice(["0.3", "1.5", "soon", "-1"])
+        count = self._rng.randrange(1, 10)
+        runner.behaviors = [standin.refuse_for(seconds)] * count
+
     def _renew(self, name: str) -> None:
         """Makes a runner that is down another instance."""
         runner = self._runners[name]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -424,6 +424,20 @@
     exchange.send(http_server.Response(503, headers, b""))
 
 
+def refuse_for(retry_after):
+    """Returns a behavior that refuses the request and asks for a pause."""
+
+    async def behavior(runner, exchange):
+        headers = [
+            ("Not-Executed", "1"),
+            ("Retry-After", retry_after),
+            *runner.response_fields(exchange.request),
+        ]
+        exchange.send(http_server.Response(503, headers, b""))
+
+    return behavior
+
+
 async def drop_connection(runner, exchange):
     """Executes the request and aborts the connection without a response."""
     runner.executed.append(exchange.request.headers["attempt-id"])
--- a/tests/platform/test_paused_endpoints.py
+++ b/tests/platform/test_paused_endpoints.py
@@ -5,8 +5,6 @@
 import pytest
 import standin
 
-from nutmegpost_router import http_server
-
 # Requests that may reach an endpoint from half a second after it asked.
 RECEIVED_MAX = 2
 
@@ -15,18 +13,6 @@
     return [standin.Runner(name, "plain", 8) for name in names]
 
 
-def _pause(retry_after):
-    async def behavior(runner, exchange):
-        headers = [
-            ("Not-Executed", "1"),
-            ("Retry-After", retry_after),
-            standin.attempt_field(exchange.request),
-        ]
-        exchange.send(http_server.Response(503, headers, b""))
-
-    return behavior
-
-
 async def _send_for(fleet, seconds, name, gateway_index=0):
     responses = []
     loop = asyncio.get_running_loop()
@@ -48,7 +34,7 @@
     async def scenario():
         async with standin.Fleet(_runners("p1", "p2")) as fleet:
             paused = fleet.runners["p1"]
-            paused.behaviors = [_pause(str(seconds))] * 100
+            paused.behaviors = [standin.refuse_for(str(seconds))] * 100
             loop = asyncio.get_running_loop()
             started = loop.time()
             await _send_for(fleet, 0.3, "first")
@@ -70,7 +56,7 @@
         async with standin.Fleet(_runners("p1", "p2"), gateways=2) as fleet:
             await fleet.wait_until_all_met()
             paused = fleet.runners["p1"]
-            paused.behaviors = [_pause("30")]
+            paused.behaviors = [standin.refuse_for("30")]
             await fleet.send_request("/look/1", "id-1")
             paused.received.clear()
             await _send_for(fleet, 0.3, "other", gateway_index=1)
@@ -82,8 +68,8 @@
 def test_callers_are_told_when_the_first_pause_of_all_ends():
     async def scenario():
         async with standin.Fleet(_runners("p1", "p2")) as fleet:
-            fleet.runners["p1"].behaviors = [_pause("3")] * 20
-            fleet.runners["p2"].behaviors = [_pause("2")] * 20
+            fleet.runners["p1"].behaviors = [standin.refuse_for("3")] * 20
+            fleet.runners["p2"].behaviors = [standin.refuse_for("2")] * 20
             first = await fleet.send_request("/look/1", "id-0")
             assert first.status == 503
             waits = []
@@ -107,7 +93,7 @@
 def test_pause_that_cannot_be_read_is_ignored(text):
     async def scenario():
         async with standin.Fleet(_runners("p1")) as fleet:
-            fleet.runners["p1"].behaviors = [_pause(text)]
+            fleet.runners["p1"].behaviors = [standin.refuse_for(text)]
             await fleet.send_request("/look/1", "id-0")
             response = await fleet.send_request("/look/1", "id-1")
             assert response.status == 200
@@ -119,7 +105,7 @@
     async def scenario():
         async with standin.Fleet(_runners("p1")) as fleet:
             paused = fleet.runners["p1"]
-            paused.behaviors = [_pause("1000000000")]
+            paused.behaviors = [standin.refuse_for("1000000000")]
             await fleet.send_request("/look/1", "id-0")
             response = await fleet.send_request("/look/1", "id-1")
             assert response.status == 503
