--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -11,8 +11,6 @@
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import membership
-from nutmegpost_core import ratelimits
-from nutmegpost_core import roster
 from nutmegpost_core import vms
 from nutmegpost_router import gossip
 from nutmegpost_router import http_client
@@ -20,11 +18,13 @@
 from nutmegpost_router import log
 from nutmegpost_router.gateway import caches
 from nutmegpost_router.gateway import crash_guard
+from nutmegpost_router.gateway import endpoint_news
 from nutmegpost_router.gateway import forwarding
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import peers
 from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import publications
 from nutmegpost_router.gateway import settings
 from nutmegpost_router.gateway import state
 from nutmegpost_router.gateway import stream_origins
@@ -37,8 +37,6 @@
 # Time after the stop signal during which new connections are still accepted,
 # as a multiple of the address TTL: callers cache addresses for one TTL.
 _LINGER_TTLS = 2.0
-# Time for which peers tell each other that an endpoint leaves.
-_LEAVING_LIFETIME_S = 60.0
 # Part of the grace period reserved for the exit of the process.
 _STOP_MARGIN_S = 0.4
 _RESTART_DELAY_S = 0.2
@@ -94,8 +92,9 @@
             self._state.apply_peer_update,
         )
         self._state.on_placement = self._load_exchange.queue_placement
-        self._state.on_rate_limit = self._publish_rate_limit
-        self._state.on_leaving = self._publish_leaving
+        self._endpoint_news = endpoint_news.EndpointNews(
+            self._state, self._gossip.send
+        )
         self._crashes = crash_guard.CrashGuard(self._gossip.send)
         self._origins = stream_origins.OriginExchange(
             self._state, self._client, self._origin_peers
@@ -117,6 +116,14 @@
             self._control_addresses,
             self._crashes,
         )
+        self._publications = publications.Publications(
+            self._state,
+            self._updates,
+            self._counters,
+            self._gossip.send,
+            self._peer_sync,
+            self._origins,
+        )
         self._cache_sync = caches.CacheSync(
             self._state,
             protocols.endpoint_protocol,
@@ -125,7 +132,6 @@
         )
         self._caller_server: http_server.HttpServer | None = None
         self._servers: list[http_server.HttpServer] = []
-        self._has_endpoints = False
         self._stopping_at: float | None = None
         self._stopped = asyncio.Event()
         self._last_alive: dict[str, float] = {}
@@ -141,7 +147,7 @@
         return (
             self.listening
             and self._state.catalog is not None
-            and self._has_endpoints
+            and self._publications.has_endpoints
             and self._stopping_at is None
         )
 
@@ -229,7 +235,7 @@
     ) -> list[tuple[str, Callable[[], Coroutine[None, None, None]]]]:
         return [
             ("publications", self._read_publications),
-            ("news", self._apply_updates),
+            ("news", self._publications.run),
             ("gossip", self._gossip.run),
             ("notices", self._handle_notices),
             ("loads", self._load_exchange.run),
@@ -443,66 +449,9 @@
                         self._peer_sync.request_sync(name, version)
                 case gossip.Paused():
                     self._peer_sync.request_sync("all", 0)
-                case gossip.ItemReceived(
-                    dissemination.Kind.ENDPOINT_LIMIT, key, payload
-                ):
-                    self._apply_rate_limit(key, payload)
-                case gossip.ItemReceived(
-                    dissemination.Kind.ENDPOINT_LEAVING, key, payload
-                ):
-                    self._apply_leaving(key, payload)
                 case gossip.ItemReceived():
-                    self._crashes.receive(notice, _now())
-
-    def _publish_rate_limit(
-        self, endpoint: str, requests_per_s: float | None
-    ) -> None:
-        """Tells the peers the limit that an endpoint named, or its end."""
-        text = "" if requests_per_s is None else str(requests_per_s)
-        self._gossip.send(
-            gossip.Publish(
-                dissemination.Kind.ENDPOINT_LIMIT,
-                endpoint.encode(),
-                text.encode(),
-                ratelimits.LIMIT_LIFETIME_S,
-            )
-        )
-
-    def _apply_rate_limit(self, key: bytes, payload: bytes) -> None:
-        try:
-            endpoint = key.decode()
-            requests_per_s = float(payload) if payload else None
-        except ValueError as caught:
-            log.emit(
-                events.DATAGRAM_MALFORMED,
-                source="limit of an endpoint",
-                reason=str(caught),
-            )
-            return
-        self._state.apply_peer_rate_limit(endpoint, requests_per_s)
-
-    def _publish_leaving(self, endpoint: roster.Endpoint) -> None:
-        """Tells the peers that an endpoint said that it leaves."""
-        self._gossip.send(
-            gossip.Publish(
-                dissemination.Kind.ENDPOINT_LEAVING,
-                endpoint.name.encode(),
-                str(endpoint.started_ms).encode(),
-                _LEAVING_LIFETIME_S,
-            )
-        )
-
-    def _apply_leaving(self, key: bytes, payload: bytes) -> None:
-        try:
-            name, started_ms = key.decode(), int(payload)
-        except ValueError as caught:
-            log.emit(
-                events.DATAGRAM_MALFORMED,
-                source="endpoint that leaves",
-                reason=str(caught),
-            )
-            return
-        self._state.apply_peer_leaving(name, started_ms)
+                    if not self._endpoint_news.receive(notice):
+                        self._crashes.receive(notice, _now())
 
     # Publications of the platform.
 
@@ -513,108 +462,6 @@
             self._updates,
         )
 
-    async def _apply_updates(self) -> None:
-        while True:
-            self._apply(await self._updates.get())
-
-    def _apply(self, update: ports.StateUpdate) -> None:
-        now = _now()
-        local_state = self._state
-        match update:
-            case ports.CatalogPublished():
-                self._accept_configuration(update)
-            case ports.EndpointsListed():
-                self._replace_endpoints(update, now)
-            case ports.EndpointsChanged():
-                self._change_endpoints(update, now)
-            case ports.PeerCachesReceived(caches_by_endpoint):
-                local_state.merge_caches(caches_by_endpoint)
-            case ports.PlatformUnavailable(reason):
-                local_state.roster.mark_directory_unavailable()
-                self._peer_sync.mark_platform_unavailable()
-                log.emit(events.PLATFORM_FAILED, reason=reason)
-            case ports.PlatformAvailable():
-                local_state.roster.mark_directory_available(now)
-                self._peer_sync.mark_platform_available()
-                log.emit(events.PLATFORM_RECOVERED)
-
-    def _replace_endpoints(
-        self, update: ports.EndpointsListed, now: float
-    ) -> None:
-        endpoints, revision = update
-        entries = self._state.roster
-        known = entries.revision
-        if not entries.replace(endpoints, revision, now):
-            _log_outdated(["*"], revision, known)
-        elif self._has_endpoints:
-            # Endpoints may have come and gone since the last change.
-            self._state.versions.record_gap(now)
-        self._has_endpoints = True
-        self._update_versions(now)
-        self._endpoints_changed()
-
-    def _change_endpoints(
-        self, update: ports.EndpointsChanged, now: float
-    ) -> None:
-        endpoints, removed, revision = update
-        entries = self._state.roster
-        known = entries.revision
-        names = set(entries.endpoints)
-        instances = _instances(entries)
-        outdated = entries.apply_changes(endpoints, removed, revision, now)
-        if outdated:
-            _log_outdated(outdated, revision, known)
-        if removed.keys() - names:
-            # Came and went between two polls.
-            self._state.versions.record_gap(now)
-        self._update_versions(now)
-        if _instances(entries) != instances:
-            self._endpoints_changed()
-
-    def _update_versions(self, now: float) -> None:
-        local_state = self._state
-        local_state.versions.update(local_state.roster.endpoints.values(), now)
-        self._origins.update_versions(now)
-
-    def _accept_configuration(self, update: ports.CatalogPublished) -> None:
-        local_state = self._state
-        version = update.catalog.version
-        if (
-            local_state.catalog is not None
-            and version <= local_state.catalog.version
-        ):
-            if version < local_state.catalog.version:
-                log.emit(
-                    events.CONFIGURATION_OLD, source="platform", version=version
-                )
-            return
-        local_state.catalog = update.catalog
-        local_state.document = update.document
-        self._counters.set_configuration_version(version)
-        self._gossip.send(gossip.SetConfiguration(version, ""))
-        log.emit(
-            events.CONFIGURATION_ACCEPTED,
-            version=version,
-            digest="",
-            source="platform",
-        )
-
-    def _endpoints_changed(self) -> None:
-        self._state.remove_stale_endpoints()
-        endpoints = self._state.roster.endpoints.values()
-        log.emit(
-            events.ENDPOINTS_CHANGED,
-            revision=str(self._state.roster.revision),
-            usable=" ".join(
-                endpoint.name
-                for endpoint in endpoints
-                if not endpoint.is_draining
-            ),
-            leaving=" ".join(
-                endpoint.name for endpoint in endpoints if endpoint.is_draining
-            ),
-        )
-
     # Periodic work and shutdown.
 
     async def _tick(self) -> None:
@@ -630,10 +477,7 @@
                 self._peer_sync.request_sync("all", 0)
             last_boot_s = boot_s
             now = _now()
-            expired = self._state.roster.expire(now)
-            if expired:
-                self._endpoints_changed()
-                self._update_versions(now)
+            self._publications.expire(now)
             self._update_fleet_size(now)
             self._crashes.expire(now)
             self._state.rate_limits.set_routers(self._members.alive)
@@ -681,24 +525,5 @@
                     return
 
 
-def _instances(entries: roster.Roster) -> set[tuple[str, int, bool]]:
-    """Returns name, start time and whether it drains of all endpoints."""
-    return {
-        (endpoint.name, endpoint.started_ms, endpoint.is_draining)
-        for endpoint in entries.endpoints.values()
-    }
-
-
-def _log_outdated(
-    names: list[str], revision: roster.Revision, known: roster.Revision
-) -> None:
-    log.emit(
-        events.ENTRIES_OUTDATED,
-        names=" ".join(names),
-        revision=str(revision),
-        known=str(known),
-    )
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -0,0 +1,184 @@
+"""Applies what the platform, or a peer, publishes to the state of a gateway."""
+
+import asyncio
+from collections.abc import Callable
+
+from nutmegpost_core import events
+from nutmegpost_core import roster
+from nutmegpost_router import gossip
+from nutmegpost_router import log
+from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import peers
+from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import state
+from nutmegpost_router.gateway import stream_origins
+
+__all__ = ["Publications"]
+
+
+class Publications:
+    """The task that applies configurations and changes of endpoints."""
+
+    def __init__(
+        self,
+        local_state: state.State,
+        updates: "asyncio.Queue[ports.StateUpdate]",
+        counters: metrics.GatewayMetrics,
+        send: Callable[[gossip.SetConfiguration], None],
+        peer_sync: peers.PeerSync,
+        origins: stream_origins.OriginExchange,
+    ):
+        """Creates the task; no list of endpoints has been read.
+
+        Args:
+            local_state: State of the gateway.
+            updates: Queue of the updates to apply.
+            counters: Metrics.
+            send: Tells the peers the configuration in force.
+            peer_sync: Is told whether the platform responds.
+            origins: Is told when endpoints change.
+        """
+        self._state = local_state
+        self._updates = updates
+        self._counters = counters
+        self._send = send
+        self._peer_sync = peer_sync
+        self._origins = origins
+        self._has_endpoints = False
+
+    @property
+    def has_endpoints(self) -> bool:
+        """Whether a list of endpoints has been read."""
+        return self._has_endpoints
+
+    async def run(self) -> None:
+        """Applies updates until it is cancelled."""
+        while True:
+            self._apply(await self._updates.get())
+
+    def _apply(self, update: ports.StateUpdate) -> None:
+        now = _now()
+        local_state = self._state
+        match update:
+            case ports.CatalogPublished():
+                self._accept_configuration(update)
+            case ports.EndpointsListed():
+                self._replace_endpoints(update, now)
+            case ports.EndpointsChanged():
+                self._change_endpoints(update, now)
+            case ports.PeerCachesReceived(caches_by_endpoint):
+                local_state.merge_caches(caches_by_endpoint)
+            case ports.PlatformUnavailable(reason):
+                local_state.roster.mark_directory_unavailable()
+                self._peer_sync.mark_platform_unavailable()
+                log.emit(events.PLATFORM_FAILED, reason=reason)
+            case ports.PlatformAvailable():
+                local_state.roster.mark_directory_available(now)
+                self._peer_sync.mark_platform_available()
+                log.emit(events.PLATFORM_RECOVERED)
+
+    def _replace_endpoints(
+        self, update: ports.EndpointsListed, now: float
+    ) -> None:
+        endpoints, revision = update
+        entries = self._state.roster
+        known = entries.revision
+        if not entries.replace(endpoints, revision, now):
+            _log_outdated(["*"], revision, known)
+        elif self._has_endpoints:
+            # Endpoints may have come and gone since the last change.
+            self._state.versions.record_gap(now)
+        self._has_endpoints = True
+        self._update_versions(now)
+        self._endpoints_changed()
+
+    def _change_endpoints(
+        self, update: ports.EndpointsChanged, now: float
+    ) -> None:
+        endpoints, removed, revision = update
+        entries = self._state.roster
+        known = entries.revision
+        names = set(entries.endpoints)
+        instances = _instances(entries)
+        outdated = entries.apply_changes(endpoints, removed, revision, now)
+        if outdated:
+            _log_outdated(outdated, revision, known)
+        if removed.keys() - names:
+            # Came and went between two polls.
+            self._state.versions.record_gap(now)
+        self._update_versions(now)
+        if _instances(entries) != instances:
+            self._endpoints_changed()
+
+    def expire(self, now: float) -> None:
+        """Removes the endpoints whose entries have been missing too long."""
+        if self._state.roster.expire(now):
+            self._endpoints_changed()
+            self._update_versions(now)
+
+    def _update_versions(self, now: float) -> None:
+        local_state = self._state
+        local_state.versions.update(local_state.roster.endpoints.values(), now)
+        self._origins.update_versions(now)
+
+    def _accept_configuration(self, update: ports.CatalogPublished) -> None:
+        local_state = self._state
+        version = update.catalog.version
+        if (
+            local_state.catalog is not None
+            and version <= local_state.catalog.version
+        ):
+            if version < local_state.catalog.version:
+                log.emit(
+                    events.CONFIGURATION_OLD, source="platform", version=version
+                )
+            return
+        local_state.catalog = update.catalog
+        local_state.document = update.document
+        self._counters.set_configuration_version(version)
+        self._send(gossip.SetConfiguration(version, ""))
+        log.emit(
+            events.CONFIGURATION_ACCEPTED,
+            version=version,
+            digest="",
+            source="platform",
+        )
+
+    def _endpoints_changed(self) -> None:
+        self._state.remove_stale_endpoints()
+        endpoints = self._state.roster.endpoints.values()
+        log.emit(
+            events.ENDPOINTS_CHANGED,
+            revision=str(self._state.roster.revision),
+            usable=" ".join(
+                endpoint.name
+                for endpoint in endpoints
+                if not endpoint.is_draining
+            ),
+            leaving=" ".join(
+                endpoint.name for endpoint in endpoints if endpoint.is_draining
+            ),
+        )
+
+
+def _instances(entries: roster.Roster) -> set[tuple[str, int, bool]]:
+    """Returns name, start time and whether it drains of all endpoints."""
+    return {
+        (endpoint.name, endpoint.started_ms, endpoint.is_draining)
+        for endpoint in entries.endpoints.values()
+    }
+
+
+def _log_outdated(
+    names: list[str], revision: roster.Revision, known: roster.Revision
+) -> None:
+    log.emit(
+        events.ENTRIES_OUTDATED,
+        names=" ".join(names),
+        revision=str(revision),
+        known=str(known),
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
