Wait for a silent stream where no other endpoint can go on with it

Callers: a stream whose endpoint fell silent for longer than twice the pause that its route aims at was ended although no other endpoint of its version serves, so that nothing could go on with it.

Cause: whether a retry is allowed was asked, not whether anyone can take it; since a stream stays at its version, that is often no one.

Evidence: test_silent_stream_is_not_ended_where_no_other_endpoint_can_go_on failed before.

--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -229,6 +229,18 @@
             and retries_left >= 1
         )
 
+    def _can_resume(
+        self,
+        pending: pending_request.PendingRequest,
+        endpoint: roster.Endpoint,
+    ) -> bool:
+        """Returns whether a begun stream can go on at another endpoint."""
+        tried = {*pending.tried_endpoints, endpoint.name}
+        return self._can_retry(pending) and any(
+            other.software == pending.software and other.name not in tried
+            for other in self._state.roster.usable(pending.call.service)
+        )
+
     async def _read(
         self,
         pending: pending_request.PendingRequest,
@@ -327,7 +339,7 @@
                 self._state.record_prefilled(
                     pending.call, choice, _now() - load.started
                 )
-            await self._relay_rest(pending, stream, relay)
+            await self._relay_rest(pending, stream, relay, choice.endpoint)
         except errors.PeerError as caught:
             stream.abort()
             return AttemptResult(AttemptEnd.LOST, str(caught))
@@ -378,6 +390,7 @@
         pending: pending_request.PendingRequest,
         stream: http_client.Stream,
         relay: event_relay.EventRelay,
+        endpoint: roster.Endpoint,
     ) -> None:
         """Relays data until the end of the stream.
 
@@ -393,8 +406,10 @@
                 if await stream.consume(relay.add, silence_s):
                     return
             except http_client.ReadTimeoutError:
-                # Another endpoint can do better only if a retry is allowed.
-                if _now() >= call.deadline or self._can_retry(pending):
+                # A retry is allowed, and another endpoint can go on.
+                if _now() >= call.deadline or self._can_resume(
+                    pending, endpoint
+                ):
                     raise
             await pending.exchange.drain()
 
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -275,3 +275,24 @@
             assert not _versions_that_ran(fleet, "again")
 
     standin.run_scenario(scenario)
+
+
+def test_silent_stream_is_not_ended_where_no_other_endpoint_can_go_on():
+    async def scenario():
+        async with standin.Fleet(_runners(e1="v1", e2="v2")) as fleet:
+
+            async def fall_silent(runner, exchange):
+                runner.executed.append("silent")
+                await standin.send_events(runner, exchange, 1, 2)
+                await asyncio.sleep(2.2)
+                exchange.write(REST_OF_STREAM)
+                exchange.finish()
+
+            for runner in fleet.runners.values():
+                runner.behaviors = [fall_silent]
+            response = await fleet.send_stream_request(
+                "/draft/1", "id-1", Deadline_Ms="5000"
+            )
+            assert response.body == COMPLETE_STREAM
+
+    standin.run_scenario(scenario)
