Tell streams apart whose callers do not name the attempt that began them

It is neither recorded nor looked up now. test_streams_without_the_attempt_that_began_them_are_told_apart failed before; found by reading.

Also: the origins expire while peers are being told too, and a take-up that comes before a gateway that started is synced is told to return in 0.3 s rather than in 30.

--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -220,9 +220,12 @@
         """
         origin = await self._origins.find(call)
         if origin is None:
+            retry_after_s = _RETRY_AFTER_UNKNOWN_ORIGIN_S
+            if not self._state.caches_synced:
+                retry_after_s = _RETRY_AFTER_STARTING_S
             raise errors.UnavailableError(
                 "it is not known which software began the stream",
-                retry_after=_RETRY_AFTER_UNKNOWN_ORIGIN_S,
+                retry_after=retry_after_s,
             )
         if origin.service in {share.service for share in call.route.shares}:
             return call._replace(service=origin.service), origin.software
--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -34,7 +34,7 @@
 # Time to wait for the peers that may know an origin.
 _ASK_TIMEOUT_S = 0.2
 # Time to wait for the peers and the contents of the caches after a start.
-_SYNC_WAIT_S = 1.0
+_SYNC_WAIT_S = 1.5
 _EXPIRY_INTERVAL_S = 10.0
 _POLL_S = 0.02
 _ENTRIES_PER_MESSAGE_MAX = 500
@@ -73,6 +73,8 @@
             software: Version of the endpoint that sends the events.
         """
         begun = call.resumed_attempt if call.resume_after else call.identity
+        if not begun:
+            return
         entry = stream_origins.OriginEntry(
             stream_origins.attempt_digest(begun),
             stream_origins.Origin(call.service, software),
@@ -125,17 +127,17 @@
         self, call: calls.Call
     ) -> tuple[stream_origins.Origin | None, str]:
         attempt = stream_origins.attempt_digest(call.resumed_attempt)
-        entry = self._origins.find(attempt)
-        if entry is not None:
-            return entry.origin, "record"
+        known = self._origins.find(attempt) if call.resumed_attempt else None
+        if known is not None:
+            return known.origin, "record"
         # After a start, this gateway knows its peers when it is synced.
         until = _now() + _SYNC_WAIT_S
         while not self._state.caches_synced and _now() < until:
             await asyncio.sleep(_POLL_S)
-        entry = await self._ask_holders(attempt)
-        if entry is not None:
-            self._origins.record(entry)
-            return entry.origin, "peer"
+        told = call.resumed_attempt and await self._ask_holders(attempt)
+        if told:
+            self._origins.record(told)
+            return told.origin, "peer"
         software = self._state.versions.sole_version(
             call.service, stream_origins.earliest_begin(call)
         )
@@ -169,14 +171,19 @@
     # Peers.
 
     async def run(self) -> None:
-        """Tells peers about new origins until it is cancelled."""
+        """Tells peers about new origins, until it is cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._tell_peers())
+            group.create_task(self._expire())
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(_EXPIRY_INTERVAL_S)
+            self._origins.expire(_now())
+
+    async def _tell_peers(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(_EXPIRY_INTERVAL_S):
-                    await self._untold_event.wait()
-            except TimeoutError:
-                self._origins.expire(_now())
-                continue
+            await self._untold_event.wait()
             await asyncio.sleep(_BATCH_DELAY_S)
             self._untold_event.clear()
             untold, self._untold = list(self._untold.values()), {}
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -277,6 +277,30 @@
     standin.run_scenario(scenario)
 
 
+def test_streams_without_the_attempt_that_began_them_are_told_apart():
+    async def scenario():
+        runners = _runners(e1="v1", e2="v1")
+        async with standin.Fleet(runners) as fleet:
+            response = await _take_up(fleet, "first", "", 0)
+            assert response.status == 200
+            newer = standin.Runner("e3", "engines", 8, version="v2")
+            fleet.runners["e3"] = newer
+            await newer.start()
+            fleet.store.put("servers/e3", newer.entry())
+            await fleet.wait_until(
+                lambda: "e3" in fleet.gateways[0].local_state.roster.endpoints
+            )
+            response = await fleet.send_stream_request(
+                "/draft/1",
+                "second",
+                Last_Event_Id="2",
+                Prompt_Prefix="aa:20,bb:30,dd:10",
+            )
+            assert response.status == 503
+
+    standin.run_scenario(scenario)
+
+
 def test_silent_stream_is_not_ended_where_no_other_endpoint_can_go_on():
     async def scenario():
         async with standin.Fleet(_runners(e1="v1", e2="v2")) as fleet:
