Keep the deployed gateway free of the chart library

The two states of a notice are a flag and a time now. test_deployment imports the program while everything is hidden that deploy/requirements.txt does not name; it failed before.

--- a/packages/core/nutmegpost_core/charts.py
+++ b/packages/core/nutmegpost_core/charts.py
@@ -19,7 +19,7 @@
 
 __all__ = ["NAMES", "Chart", "Definition", "definition"]
 
-NAMES = ("endpoint", "link", "notice", "request", "rollout", "router")
+NAMES = ("endpoint", "link", "request", "rollout", "router")
 
 
 class _Transition(TypedDict):
--- a/packages/core/nutmegpost_core/endpoint_notices.py
+++ b/packages/core/nutmegpost_core/endpoint_notices.py
@@ -2,13 +2,11 @@
 
 An endpoint that leaves takes no new requests until its instance is gone. One
 that refused a request can ask the router that sent it for a pause.
-`charts/notice.json` has the states.
 """
 
 from collections.abc import Collection, Iterable, Mapping
 import math
 
-from nutmegpost_core import charts
 from nutmegpost_core import roster
 
 __all__ = ["RETURN_MAX_S", "EndpointNotices"]
@@ -25,16 +23,16 @@
     """What one instance of an endpoint said last.
 
     Attributes:
-        chart: Its state.
         started_ms: Start time of the instance, Unix milliseconds.
-        paused_until: Monotonic time, seconds; 0 if it does not pause.
+        is_leaving: Whether it leaves.
+        paused_until: Monotonic time, seconds; 0 if it never paused.
     """
 
-    __slots__ = ("chart", "paused_until", "started_ms")
+    __slots__ = ("is_leaving", "paused_until", "started_ms")
 
     def __init__(self, started_ms: int):
-        self.chart = charts.Chart("notice")
         self.started_ms = started_ms
+        self.is_leaving = False
         self.paused_until = 0.0
 
 
@@ -56,13 +54,12 @@
             Whether this is new.
         """
         notice = self._notice(endpoint, started_ms)
-        if not notice.chart.allows("leave"):
-            return False
-        notice.chart.fire("leave")
-        return True
+        is_new = not notice.is_leaving
+        notice.is_leaving = True
+        return is_new
 
     def record_pause(
-        self, endpoint: str, started_ms: int, until: float
+        self, endpoint: str, started_ms: int, until: float, now: float
     ) -> bool:
         """Records that an instance asked this router for a pause.
 
@@ -70,15 +67,13 @@
             endpoint: Name of the endpoint.
             started_ms: Start time of the instance, Unix milliseconds.
             until: End of the pause, monotonic seconds.
+            now: Monotonic time, seconds.
 
         Returns:
-            Whether the endpoint was open before.
+            Whether the endpoint took requests before.
         """
         notice = self._notice(endpoint, started_ms)
-        if not notice.chart.allows("pause"):
-            return False
-        was_open = notice.chart.state == "open"
-        notice.chart.fire("pause")
+        was_open = not _is_closed(notice, now)
         notice.paused_until = max(notice.paused_until, until)
         return was_open
 
@@ -88,7 +83,7 @@
             endpoint
             for endpoint in endpoints
             if endpoint in self._notices
-            and self._is_closed(self._notices[endpoint], now)
+            and _is_closed(self._notices[endpoint], now)
         }
 
     def return_after_s(
@@ -111,7 +106,8 @@
             notice.paused_until
             for endpoint in endpoints
             if (notice := self._notices.get(endpoint)) is not None
-            and notice.chart.state == "paused"
+            and not notice.is_leaving
+            and notice.paused_until > now
         ]
         if not ends:
             return None
@@ -138,7 +134,6 @@
             notice = self._notices[endpoint] = _Notice(started_ms)
         return notice
 
-    def _is_closed(self, notice: _Notice, now: float) -> bool:
-        if notice.chart.state == "paused" and notice.paused_until <= now:
-            notice.chart.fire("resume")
-        return notice.chart.state != "open"
+
+def _is_closed(notice: _Notice, now: float) -> bool:
+    return notice.is_leaving or notice.paused_until > now
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -195,7 +195,7 @@
             )
             return
         if self.notices.record_pause(
-            endpoint.name, endpoint.started_ms, now + seconds
+            endpoint.name, endpoint.started_ms, now + seconds, now
         ):
             log.emit(
                 events.ENDPOINT_PAUSED,
