--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 soak-faults: $(STAMP)
 	PYTHONPATH=tests:tests/platform $(BIN)/python tests/platform/faultsoak.py \
 	  --seed $(or $(SEED),1) --count $(or $(COUNT),1) \
-	  --seconds $(or $(SECONDS),10)
+	  --seconds $(or $(SECONDS),10) --gateways $(or $(GATEWAYS),3)
 
 bench: $(STAMP)
 	$(BIN)/python -m nutmegpost_standins.bench
--- a/tests/platform/faultsoak.py
+++ b/tests/platform/faultsoak.py
@@ -81,7 +81,13 @@
 class Soak:
     """Gateways, stand-ins, callers and faults of one seed."""
 
-    def __init__(self, seed: int, folder: pathlib.Path):
+    def __init__(
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        gateway_count: int = GATEWAY_COUNT,
+    ):
+        self._gateway_count = gateway_count
         self._rng = random.Random(seed)
         self._folder = folder
         self._client = http_client.Client()
@@ -134,8 +140,10 @@
             self._relays[name] = await self._start_relay(runner.address)
             self._addresses[name] = self._relays[name].address
             self._publish_entry(name)
-        self._configs = [self._settings(fleet) for _ in range(GATEWAY_COUNT)]
-        seeds = [config["control_address"] for config in self._configs]
+        self._configs = [
+            self._settings(fleet) for _ in range(self._gateway_count)
+        ]
+        seeds = [config["control_address"] for config in self._configs[:3]]
         self._gateways = []
         for config in self._configs:
             path = self._folder / f"{config['name']}.json"
@@ -146,7 +154,7 @@
             process = harness.Process(config["name"], command, log)
             process.start()
             self._gateways.append(process)
-        for number in range(GATEWAY_COUNT):
+        for number in range(self._gateway_count):
             await self._wait_until_served(number)
 
     def _settings(self, fleet: standin.Fleet) -> dict[str, object]:
@@ -178,7 +186,7 @@
         while True:
             count += 1
             path = self._rng.choice(["look", "issue", "draft", "ask"])
-            gateway = self._rng.randrange(GATEWAY_COUNT)
+            gateway = self._rng.randrange(self._gateway_count)
             await self._send_request(
                 f"/{path}/{count}", f"c{number}-{count}", gateway
             )
@@ -234,7 +242,7 @@
         for count in range(TAKE_UPS_MAX + 1):
             if count:
                 headers["Attempt-Id"] = f"{outcome.identity}-{count}"
-                gateway = self._rng.randrange(GATEWAY_COUNT)
+                gateway = self._rng.randrange(self._gateway_count)
             if body:
                 last_id = re.findall(rb"^id: (\d+)$", body, re.M)[-1]
                 headers |= {"Last-Event-Id": last_id.decode()}
@@ -371,7 +379,7 @@
             runner.crashing_parts.add(part)
         for count in range(CRASHING_REQUESTS):
             identity = f"x{number}-{count}"
-            gateway = self._rng.randrange(GATEWAY_COUNT)
+            gateway = self._rng.randrange(self._gateway_count)
             path = self._rng.choice(["draft", "ask"])
             await self._send_request(
                 f"/{path}/{identity}", identity, gateway, part
@@ -572,10 +580,12 @@
         return received == body and (name, outcome.identity) in executed_at
 
 
-def run_seed(seed: int, seconds: float) -> tuple[list[str], Soak]:
+def run_seed(
+    seed: int, seconds: float, gateway_count: int = GATEWAY_COUNT
+) -> tuple[list[str], Soak]:
     """Runs one seed; returns the violated guarantees and the soak."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, pathlib.Path(folder))
+        soak = Soak(seed, pathlib.Path(folder), gateway_count)
         return asyncio.run(soak.run(seconds)), soak
 
 
@@ -585,12 +595,13 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--gateways", type=int, default=GATEWAY_COUNT)
     options = parser.parse_args()
     # SIGTERM raises KeyboardInterrupt, so that the soak ends its gateways.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
-        violations, soak = run_seed(seed, options.seconds)
+        violations, soak = run_seed(seed, options.seconds, options.gateways)
         statuses = collections.Counter(
             outcome.status for outcome in soak.outcomes
         )
