Let the stand-in endpoint of the soak cut no stream after its end

Cause: a behavior of the stand-in that cuts a stream wrote two more events whatever was left; it is reached now that callers take streams up after their last event. The gateway relayed what the endpoint sent.

The behavior stops at the last event. Seen beside it and open: a caller that has all events, but not the end, gets no complete answer when it takes the stream up, as the gateway takes an answer without events for a lost one.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -466,8 +466,10 @@
     async def behavior(runner, exchange):
         runner.executed.append(exchange.request.headers["attempt-id"])
         first_id = int(exchange.request.headers.get("last-event-id", "0")) + 1
-        await send_events(runner, exchange, first_id, first_id + count - 1)
-        exchange.write(b"id: %d\ndata: pie" % (first_id + count))
+        last_id = min(first_id + count - 1, runner.event_count)
+        await send_events(runner, exchange, first_id, last_id)
+        if last_id < runner.event_count:
+            exchange.write(b"id: %d\ndata: pie" % (last_id + 1))
         await asyncio.sleep(0.02)
         exchange.abort()
 
