--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -46,6 +46,20 @@
     return config
 
 
+async def _restore(fleet, copy):
+    """Restores the store, and waits until the gateways have read it."""
+    fleet.store.restore(copy)
+    fleet.store.cut_polls()
+    await asyncio.sleep(SETTLE_S)
+
+
+async def _assert_used(fleet, name):
+    """Sends requests, some of which must reach an endpoint."""
+    for number in range(12):
+        await fleet.send_request("/look/1", f"id-{number}")
+    assert fleet.runners[name].received
+
+
 async def _assert_unused(fleet, name, gateway_index=0):
     """Sends requests, none of which may reach an endpoint."""
     runner = fleet.runners[name]
@@ -63,9 +77,7 @@
         async with standin.Fleet(_runners("p1", "p2")) as fleet:
             copy = fleet.store.copy()
             await _advance(fleet, "p1")
-            fleet.store.restore(copy)
-            fleet.store.cut_polls()
-            await asyncio.sleep(SETTLE_S)
+            await _restore(fleet, copy)
             _write_draining(fleet, "p1")
             await asyncio.sleep(LEAVING_S)
             await _assert_unused(fleet, "p1")
@@ -86,9 +98,7 @@
             fleet.store.put("servers/p1", fleet.runners["p1"].entry(seq=9))
             fleet.store.is_down = False
             await asyncio.sleep(SETTLE_S)
-            for number in range(12):
-                await fleet.send_request("/look/1", f"id-{number}")
-            assert fleet.runners["p1"].received
+            await _assert_used(fleet, "p1")
 
     standin.run_scenario(scenario)
 
@@ -159,9 +169,7 @@
             copy = fleet.store.copy()
             fleet.store.remove("servers/p1")
             await _advance(fleet, "p2")
-            fleet.store.restore(copy)
-            fleet.store.cut_polls()
-            await asyncio.sleep(SETTLE_S)
+            await _restore(fleet, copy)
             await _assert_unused(fleet, "p1")
 
     standin.run_scenario(scenario)
@@ -173,9 +181,7 @@
             copy = fleet.store.copy()
             _write_draining(fleet, "p1")
             await _advance(fleet, "p2")
-            fleet.store.restore(copy)
-            fleet.store.cut_polls()
-            await asyncio.sleep(SETTLE_S)
+            await _restore(fleet, copy)
             await _assert_unused(fleet, "p1")
 
     standin.run_scenario(scenario)
@@ -187,14 +193,10 @@
             copy = fleet.store.copy()
             fleet.store.remove("servers/p1")
             await _advance(fleet, "p2")
-            fleet.store.restore(copy)
-            fleet.store.cut_polls()
-            await asyncio.sleep(SETTLE_S)
+            await _restore(fleet, copy)
             fleet.store.put("servers/p1", fleet.runners["p1"].entry(seq=7))
             await asyncio.sleep(SETTLE_S)
-            for number in range(12):
-                await fleet.send_request("/look/1", f"id-{number}")
-            assert fleet.runners["p1"].received
+            await _assert_used(fleet, "p1")
 
     standin.run_scenario(scenario)
 
