Read what a misdirected response says of an endpoint in the adapter

The sender asked for status 421 before it heeded what a response says of its endpoint; the meaning of this status was known twice, once outside the adapter of the platform. read_response_head names no leaving there now.

--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -35,8 +35,6 @@
 _SILENCE_POLL_S = 0.25
 # Time to read the body of a rejection, to reuse the connection.
 _REJECTION_BODY_TIMEOUT_S = 0.1
-# Misdirected Request: another instance has the address of the endpoint.
-_MISDIRECTED_STATUS = 421
 
 
 class AttemptEnd(enum.StrEnum):
@@ -260,8 +258,7 @@
             self._state.loads.record_observation(
                 load.endpoint, head.load, _now()
             )
-        if stream.status != _MISDIRECTED_STATUS:
-            self._record_notices(call, choice.endpoint, head)
+        self._record_notices(call, choice.endpoint, head)
         # A rejection may come from another instance and names no limit then.
         if head.rate_limit is not None or head.verdict is ports.Verdict.RUN:
             self._state.record_rate_limit(load.endpoint, head.rate_limit)
--- a/tests/platform/test_leaving_endpoints.py
+++ b/tests/platform/test_leaving_endpoints.py
@@ -5,6 +5,8 @@
 import pytest
 import standin
 
+from nutmegpost_router import http_server
+
 
 def _runners(*names, service="plain"):
     return [standin.Runner(name, service, 8) for name in names]
@@ -69,6 +71,27 @@
     standin.run_scenario(scenario)
 
 
+async def _misdirect_as_leaving(runner, exchange):
+    headers = [
+        ("Instance-Id", "another"),
+        ("Server-Leaving", "1"),
+        standin.attempt_field(exchange.request),
+    ]
+    exchange.send(http_server.Response(421, headers, b""))
+
+
+def test_another_instance_at_the_address_does_not_say_it():
+    async def scenario():
+        async with standin.Fleet(_runners("p1", "p2")) as fleet:
+            fleet.runners["p1"].behaviors = [_misdirect_as_leaving]
+            await _send(fleet, "told", 1)
+            received = len(fleet.runners["p1"].received)
+            await _send(fleet, "id")
+            assert len(fleet.runners["p1"].received) > received
+
+    standin.run_scenario(scenario)
+
+
 def test_stream_goes_on_elsewhere_when_its_endpoint_left():
     async def scenario():
         runners = _runners("e1", "e2", service="engines")
