Replace runners of the soak in one place

Two faults of the soak ended with the same lines, which read the name of the runner before a wait in one of them, so that another replacement meanwhile left its entry in the store. Two tests of two versions share the start of the newer endpoint.

--- a/tests/platform/faultsoak.py
+++ b/tests/platform/faultsoak.py
@@ -446,27 +446,25 @@
 
     async def _replace_runner(self) -> None:
         """Ends an engine; another one, of any version, takes its place."""
-        name = self._rng.choice(
-            [name for name, service in RUNNERS.items() if service == "engines"]
-        )
-        if name in self._down:
-            return
-        runner = self._runners[name]
-        old = runner.name
-        await self._end_runner(name, functools.partial(self._renew, name))
-        if runner.name != old:
-            self._store.remove(f"servers/{old}")
-            self._publish_entry(name)
+        engines = [
+            name for name, service in RUNNERS.items() if service == "engines"
+        ]
+        await self._replace(self._rng.choice(engines))
 
     async def _leave_by_answer(self) -> None:
         """Lets a runner say that it leaves; another one takes its place."""
         name = self._rng.choice(list(self._runners))
         runner = self._runners[name]
-        old = runner.name
         runner.is_leaving = True
         await asyncio.sleep(self._random_duration_s(2.0))
-        await self._end_runner(name, functools.partial(self._renew, name))
+        await self._replace(name)
         runner.is_leaving = False
+
+    async def _replace(self, name: str) -> None:
+        """Replaces a runner by another instance, unless it is down."""
+        runner = self._runners[name]
+        old = runner.name
+        await self._end_runner(name, functools.partial(self._renew, name))
         if runner.name != old:
             self._store.remove(f"servers/{old}")
             self._publish_entry(name)
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -33,6 +33,14 @@
     return len(fleet.gateways) - 1
 
 
+async def _add_newer(fleet):
+    """Starts and publishes an endpoint of another version, e3."""
+    newer = standin.Runner("e3", "engines", 8, version="v2")
+    fleet.runners["e3"] = newer
+    await newer.start()
+    fleet.store.put("servers/e3", newer.entry())
+
+
 class _Cut:
     """Cuts the first stream after two events.
 
@@ -189,10 +197,7 @@
         runners = _runners(e1="v1", e2="v1")
         async with standin.Fleet(runners) as fleet:
             await _begin_and_break_off(fleet, "begun")
-            newer = standin.Runner("e3", "engines", 8, version="v2")
-            fleet.runners["e3"] = newer
-            await newer.start()
-            fleet.store.put("servers/e3", newer.entry())
+            await _add_newer(fleet)
             fleet.store.remove("servers/e1")
             fleet.store.remove("servers/e2")
             index = await _restart_all(fleet)
@@ -283,10 +288,7 @@
         async with standin.Fleet(runners) as fleet:
             response = await _take_up(fleet, "first", "", 0)
             assert response.status == 200
-            newer = standin.Runner("e3", "engines", 8, version="v2")
-            fleet.runners["e3"] = newer
-            await newer.start()
-            fleet.store.put("servers/e3", newer.entry())
+            await _add_newer(fleet)
             await fleet.wait_until(
                 lambda: "e3" in fleet.gateways[0].local_state.roster.endpoints
             )
