--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -141,7 +141,8 @@
     "{software}, to resume {resumes} after event {after_event}: prompt parts "
     "{parts}, running {running} of {bound}, cached {cached} tokens, {fetched} "
     "fetched, {reread} recomputed, cost {cost_ms} ms, deadline in {left_ms} "
-    "ms, loads {loads_age_ms} ms old, endpoints at revision "
+    "ms, loads {loads_age_ms} ms old, that of the endpoint {load_age_ms} ms "
+    "(-1: only its own requests are known), endpoints at revision "
     "{endpoints_revision}, configuration {configuration}",
 )
 REQUEST_ANSWERED = Event(
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterable, Mapping
 import functools
 import hmac
+import math
 from typing import NamedTuple
 
 import cbor2
@@ -198,6 +199,17 @@
             (now - report.at for report in self._reports.values()), default=0
         )
 
+    def endpoint_age_s(self, endpoint: str, now: float) -> float | None:
+        """Returns the age of the peers' part of an endpoint's load, seconds.
+
+        Returns:
+            None if nothing is known of that part.
+        """
+        at = self._observations.get(endpoint, (-math.inf, 0))[0]
+        if self._reports:
+            at = max(at, now - self.age_s(now))
+        return now - at if at > -math.inf else None
+
     def total(self, endpoint: str) -> dispatch.Load:
         """Returns the load of an endpoint over all gateways.
 
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -8,6 +8,7 @@
 __all__ = ["CONTENT_TYPE", "GatewayMetrics"]
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+_BUCKETS_REQUESTS = (0, 1, 2, 4, 8, 16, 32)
 _BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.5, 0.8, 1.0, 2.5, 5.0, 10.0)
 
 
@@ -42,6 +43,12 @@
             buckets=_BUCKETS_S,
             registry=self._registry,
         )
+        self._load_error = prometheus_client.Histogram(
+            "nutmegpost_gateway_load_error_requests",
+            "Requests by which the reported load exceeds the estimate.",
+            buckets=_BUCKETS_REQUESTS,
+            registry=self._registry,
+        )
         self._configuration = prometheus_client.Gauge(
             "nutmegpost_gateway_configuration_version",
             "Version of the configuration in force.",
@@ -79,6 +86,14 @@
         """Records the time to the first event of a stream."""
         self._first_event.labels(route).observe(seconds)
 
+    def load_reported(self, excess: int) -> None:
+        """Records by how many requests a load exceeds its estimate.
+
+        Args:
+            excess: Load that an endpoint reported, less the estimate.
+        """
+        self._load_error.observe(max(0, excess))
+
     def set_configuration_version(self, version: int) -> None:
         """Sets the version of the active configuration."""
         self._configuration.set(version)
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -141,6 +141,9 @@
             cost_ms=round(choice.cost * 1000),
             left_ms=round((call.deadline - now) * 1000),
             loads_age_ms=round(self._state.loads.age_s(now) * 1000),
+            load_age_ms=_age_ms(
+                self._state.loads.endpoint_age_s(endpoint.name, now)
+            ),
             endpoints_revision=str(self._state.roster.revision),
             configuration=self._state.catalog.version
             if self._state.catalog
@@ -255,6 +258,8 @@
             stream.abort()
             return AttemptResult(AttemptEnd.LOST, "answer to another request")
         if head.load is not None:
+            estimate = self._state.loads.total(load.endpoint).running
+            self._counters.load_reported(head.load - estimate)
             self._state.loads.record_observation(
                 load.endpoint, head.load, _now()
             )
@@ -420,5 +425,10 @@
     )
 
 
+def _age_ms(age_s: float | None) -> int:
+    """Returns an age in milliseconds; -1 for None."""
+    return -1 if age_s is None else round(age_s * 1000)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/router/tests/gateway/test_loads.py
+++ b/packages/router/tests/gateway/test_loads.py
@@ -106,3 +106,14 @@
     assert table.total("e-1").running == 9
     table.expire(11.0 + loads.OBSERVATION_LIFETIME_S + 0.1)
     assert table.total("e-1").running == 1
+
+
+def test_an_unknown_load_is_told_from_one_that_was_reported_just_now():
+    table = loads.LoadTable()
+    table.add("e-1", 1, 0)
+    assert table.endpoint_age_s("e-1", 10.0) is None
+    table.record_observation("e-1", 6, 10.0)
+    assert table.endpoint_age_s("e-1", 10.5) == 0.5
+    table.record_report("peer", {}, 10.4)
+    assert round(table.endpoint_age_s("e-1", 10.5), 3) == 0.1
+    assert round(table.endpoint_age_s("e-2", 10.5), 3) == 0.1
