--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -11,10 +11,9 @@
 
 import asyncio
 import bisect
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 import functools
 import hmac
-import math
 from typing import NamedTuple
 
 import cbor2
@@ -24,13 +23,13 @@
 from nutmegpost_core import calls
 from nutmegpost_core import dispatch
 from nutmegpost_core import events
+from nutmegpost_core import load_table
 from nutmegpost_core import vms
 from nutmegpost_router import log
 
 __all__ = [
     "SILENT_AFTER_REPORTS",
     "LoadExchange",
-    "LoadTable",
     "PeerUpdate",
     "Placement",
     "endpoint_digest",
@@ -49,13 +48,6 @@
 BUDGET_BYTES_PER_S = 2_000.0
 # Size of the token bucket, for bursts of placements.
 BUDGET_BURST_BYTES = 24_000.0
-# Time after which the last report of a silent gateway is discarded.
-REPORT_LIFETIME_S = 2.0
-# Time after which the load that an endpoint reported with a response is
-# discarded.
-OBSERVATION_LIFETIME_S = 1.0
-# Observations relayed in one report.
-OBSERVATIONS_PER_REPORT = 12
 DATAGRAM_BYTES_MAX = 1_200
 # Missed reports after which a peer is silent. A link with 20 % packet loss
 # loses this many in a row once in 125 times.
@@ -70,7 +62,6 @@
 _MAC_BYTES = 8
 _HEADER_BYTES = 28
 _MAC_CONTEXT = b"nutmegpost loads"
-_NO_LOAD = dispatch.Load()
 
 
 class Placement(NamedTuple):
@@ -87,161 +78,6 @@
     parts: tuple[calls.PromptPart, ...]
 
 
-class _Report(NamedTuple):
-    at: float
-    loads: dict[str, dispatch.Load]
-
-
-class LoadTable:
-    """The load of each endpoint over all gateways.
-
-    An endpoint's load is this gateway's part, which is exact, plus an estimate
-    of the part of all peers.
-    """
-
-    def __init__(self) -> None:
-        self._own: dict[str, dispatch.Load] = {}
-        self._reports: dict[str, _Report] = {}
-        # Sum of the reports, by endpoint.
-        self._reported: dict[str, dispatch.Load] = {}
-        self._observations: dict[str, tuple[float, int]] = {}
-        self._recent_observations: dict[str, tuple[float, int]] = {}
-
-    @property
-    def own(self) -> Mapping[str, dispatch.Load]:
-        """This gateway's part of the load, by endpoint."""
-        return self._own
-
-    def add(self, endpoint: str, running: int, prefill_tokens: int) -> None:
-        """Adds to this gateway's part of the load of an endpoint.
-
-        Args:
-            endpoint: Name of the endpoint.
-            running: Change of the number of requests in flight.
-            prefill_tokens: Change of the tokens that are not prefilled yet.
-        """
-        _add_load(self._own, endpoint, running, prefill_tokens)
-
-    def record_report(
-        self, peer: str, loads: dict[str, dispatch.Load], now: float
-    ) -> None:
-        """Stores the load report of a peer; it replaces the previous one."""
-        self._remove_report(peer)
-        self._reports[peer] = _Report(now, loads)
-        self._add_reported(loads, 1)
-
-    def record_observation(
-        self, endpoint: str, running: int, now: float
-    ) -> None:
-        """Records the total load that an endpoint reported in a response."""
-        own = self._own.get(endpoint, dispatch.Load()).running
-        self._observations[endpoint] = now, max(0, running - own)
-        self._recent_observations[endpoint] = now, running
-
-    def record_relayed_observation(
-        self, endpoint: str, running: int, at: float
-    ) -> None:
-        """Records the total load that an endpoint reported to a peer.
-
-        Args:
-            endpoint: Name of the endpoint.
-            running: Its load over all gateways.
-            at: Monotonic time of the observation, seconds.
-        """
-        if at > self._observations.get(endpoint, (0.0, 0))[0]:
-            own = self._own.get(endpoint, dispatch.Load()).running
-            self._observations[endpoint] = at, max(0, running - own)
-
-    def take_observations(self, now: float) -> list[tuple[str, int, float]]:
-        """Returns the observations since the last call, highest load first.
-
-        Returns:
-            Endpoint name, load over all gateways, and age in seconds of each;
-            at most as many as one report relays.
-        """
-        recent = [
-            (endpoint, running, now - at)
-            for endpoint, (at, running) in self._recent_observations.items()
-            if now - at <= OBSERVATION_LIFETIME_S
-        ]
-        self._recent_observations.clear()
-        recent.sort(key=lambda observation: -observation[1])
-        return recent[:OBSERVATIONS_PER_REPORT]
-
-    def expire(self, now: float) -> None:
-        """Discards the expired reports of peers and expired observations."""
-        for endpoint, (at, _) in list(self._observations.items()):
-            if now - at > OBSERVATION_LIFETIME_S:
-                del self._observations[endpoint]
-        for peer, report in list(self._reports.items()):
-            if now - report.at > REPORT_LIFETIME_S:
-                self._remove_report(peer)
-
-    def _remove_report(self, peer: str) -> None:
-        report = self._reports.pop(peer, None)
-        if report is not None:
-            self._add_reported(report.loads, -1)
-
-    def _add_reported(
-        self, loads: Mapping[str, dispatch.Load], sign: int
-    ) -> None:
-        for endpoint, load in loads.items():
-            _add_load(
-                self._reported,
-                endpoint,
-                sign * load.running,
-                sign * load.pending_prefill_tokens,
-            )
-
-    def age_s(self, now: float) -> float:
-        """Returns the age of the oldest peer report in use, seconds."""
-        return max(
-            (now - report.at for report in self._reports.values()), default=0
-        )
-
-    def endpoint_age_s(self, endpoint: str, now: float) -> float | None:
-        """Returns the age of the peers' part of an endpoint's load, seconds.
-
-        Returns:
-            None if nothing is known of that part.
-        """
-        at = self._observations.get(endpoint, (-math.inf, 0))[0]
-        if self._reports:
-            at = max(at, now - self.age_s(now))
-        return now - at if at > -math.inf else None
-
-    def total(self, endpoint: str) -> dispatch.Load:
-        """Returns the load of an endpoint over all gateways.
-
-        The peers' part is the sum of their reports or the last observation,
-        whichever is higher, because reports are infrequent in a large fleet.
-        """
-        own = self._own.get(endpoint, _NO_LOAD)
-        reported = self._reported.get(endpoint, _NO_LOAD)
-        _, observed_running = self._observations.get(endpoint, (0.0, 0))
-        return dispatch.Load(
-            own.running + max(reported.running, observed_running),
-            own.pending_prefill_tokens + reported.pending_prefill_tokens,
-        )
-
-
-def _add_load(
-    table: dict[str, dispatch.Load],
-    endpoint: str,
-    running: int,
-    prefill_tokens: int,
-) -> None:
-    """Adds to the load of an endpoint; drops an entry that becomes 0."""
-    load = table.get(endpoint, _NO_LOAD)
-    changed = dispatch.Load(
-        load.running + running, load.pending_prefill_tokens + prefill_tokens
-    )
-    if any(changed):
-        table[endpoint] = changed
-    else:
-        table.pop(endpoint, None)
-
-
 @functools.lru_cache(maxsize=_DIGESTS_CACHED_MAX)
 def endpoint_digest(name: str) -> bytes:
     """Returns the digest that stands for an endpoint name in datagrams."""
@@ -289,7 +125,7 @@
         name: str,
         address: str,
         key: str,
-        loads: LoadTable,
+        loads: load_table.LoadTable,
         peers: Callable[[], Iterable[str]],
         endpoints: Callable[[], Iterable[str]],
         on_peer_update: Callable[[PeerUpdate], None],
@@ -406,7 +242,7 @@
         self._report_interval_s = max(
             REPORT_INTERVAL_S, self._interval_s(datagram, hosts)
         )
-        if self._report_interval_s > REPORT_LIFETIME_S:
+        if self._report_interval_s > load_table.REPORT_LIFETIME_S:
             if now < self._next_report:
                 return
             recent = [
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -11,6 +11,7 @@
 from nutmegpost_core import endpoint_notices
 from nutmegpost_core import events
 from nutmegpost_core import liveness
+from nutmegpost_core import load_table
 from nutmegpost_core import outliers
 from nutmegpost_core import prefill
 from nutmegpost_core import prefixes
@@ -49,7 +50,7 @@
         self.document = b""
         self.roster = roster.Roster(config["entry_grace_s"])
         self.versions = software_versions.VersionHistory(config["first_start"])
-        self.loads = loads.LoadTable()
+        self.loads = load_table.LoadTable()
         self.prefixes = prefixes.PrefixCaches()
         self.outliers = outliers.OutlierDetector(
             eject_after_failures=_EJECT_AFTER_FAILURES,
