--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -215,6 +215,11 @@
 ENDPOINT_HEADER_REFUSED = Event(
     515, "WARNING", "endpoint {endpoint} sent a Retry-After of {text}; ignored"
 )
+LOAD_UNANSWERED = Event(
+    516,
+    "INFO",
+    "{tracker} did not tell the load of endpoint {endpoint} in time",
+)
 CACHE_LEARNT = Event(
     508, "INFO", "cache of {endpoint} holds {count} prompt parts"
 )
--- a/packages/core/nutmegpost_core/load_table.py
+++ b/packages/core/nutmegpost_core/load_table.py
@@ -1,7 +1,11 @@
 """Load of each endpoint over all routers, from what this router knows.
 
 A router's own part is exact. The part of its peers is the sum of their reports
-or what the endpoint itself reported last, whichever is higher.
+or what was last observed at the endpoint, whichever is higher.
+
+In a large fleet the budget allows no reports to all peers. There each router
+relays observations to a few peers at a time, also those that it received
+itself, so that they spread to all in a few steps.
 """
 
 from collections.abc import Mapping
@@ -11,7 +15,7 @@
 from nutmegpost_core import dispatch
 
 __all__ = [
-    "OBSERVATIONS_PER_REPORT",
+    "OBSERVATION_BESIDE_REPORTS_S",
     "OBSERVATION_LIFETIME_S",
     "REPORT_LIFETIME_S",
     "LoadTable",
@@ -19,11 +23,14 @@
 
 # Time after which the last report of a silent gateway is discarded.
 REPORT_LIFETIME_S = 2.0
-# Time after which the load that an endpoint reported with a response is
-# discarded.
-OBSERVATION_LIFETIME_S = 1.0
-# Observations relayed in one report.
-OBSERVATIONS_PER_REPORT = 12
+# Time after which an observation is discarded: with reports of the peers, which
+# are newer, and without.
+OBSERVATION_BESIDE_REPORTS_S = 1.0
+OBSERVATION_LIFETIME_S = 3.0
+# Observations relayed in one report: those of the highest loads, and those that
+# were not relayed for longest.
+_HIGHEST_PER_REPORT = 8
+_OTHERS_PER_REPORT = 8
 _NO_LOAD = dispatch.Load()
 
 
@@ -32,6 +39,23 @@
     loads: dict[str, dispatch.Load]
 
 
+class _Observation(NamedTuple):
+    """Load that was observed at an endpoint.
+
+    Attributes:
+        at: Monotonic time, seconds.
+        running: Requests of all routers.
+        of_peers: Requests of the peers.
+    """
+
+    at: float
+    running: int
+    of_peers: int
+
+
+_NO_OBSERVATION = _Observation(-math.inf, 0, 0)
+
+
 class LoadTable:
     """The load of each endpoint over all routers.
 
@@ -44,8 +68,9 @@
         self._reports: dict[str, _Report] = {}
         # Sum of the reports, by endpoint.
         self._reported: dict[str, dispatch.Load] = {}
-        self._observations: dict[str, tuple[float, int]] = {}
-        self._recent_observations: dict[str, tuple[float, int]] = {}
+        self._observations: dict[str, _Observation] = {}
+        # Time at which each endpoint was last relayed.
+        self._relayed_at: dict[str, float] = {}
 
     @property
     def own(self) -> Mapping[str, dispatch.Load]:
@@ -71,48 +96,68 @@
         self._add_reported(loads, 1)
 
     def record_observation(
-        self, endpoint: str, running: int, now: float
-    ) -> None:
-        """Records the total load that an endpoint reported in a response."""
-        own = self._own.get(endpoint, dispatch.Load()).running
-        self._observations[endpoint] = now, max(0, running - own)
-        self._recent_observations[endpoint] = now, running
-
-    def record_relayed_observation(
         self, endpoint: str, running: int, at: float
     ) -> None:
-        """Records the total load that an endpoint reported to a peer.
+        """Records the total load of an endpoint.
 
         Args:
             endpoint: Name of the endpoint.
             running: Its load over all routers.
-            at: Monotonic time of the observation, seconds.
+            at: Monotonic time of the observation, seconds; an older one than
+                the known one is ignored.
         """
-        if at > self._observations.get(endpoint, (0.0, 0))[0]:
-            own = self._own.get(endpoint, dispatch.Load()).running
-            self._observations[endpoint] = at, max(0, running - own)
+        if at > self._observations.get(endpoint, _NO_OBSERVATION).at:
+            own = self._own.get(endpoint, _NO_LOAD).running
+            self._observations[endpoint] = _Observation(
+                at, running, max(0, running - own)
+            )
+
+    def record_peers_load(self, endpoint: str, running: int, at: float) -> None:
+        """Records the requests of all peers at an endpoint.
+
+        Args:
+            endpoint: Name of the endpoint.
+            running: Their requests in flight.
+            at: Monotonic time of the count, seconds.
+        """
+        own = self._own.get(endpoint, _NO_LOAD).running
+        self._observations[endpoint] = _Observation(at, own + running, running)
 
-    def take_observations(self, now: float) -> list[tuple[str, int, float]]:
-        """Returns the observations since the last call, highest load first.
+    def select_observations(self, now: float) -> list[tuple[str, int, float]]:
+        """Returns the observations to relay next.
 
         Returns:
-            Endpoint name, load over all routers, and age in seconds of each;
-            at most as many as one report relays.
+            Endpoint name, load over all routers, and age in seconds of each:
+            the highest loads, and of the others those whose last relay was
+            longest ago.
         """
-        recent = [
-            (endpoint, running, now - at)
-            for endpoint, (at, running) in self._recent_observations.items()
-            if now - at <= OBSERVATION_LIFETIME_S
+        by_load = sorted(
+            self._observations,
+            key=lambda endpoint: -self._observations[endpoint].running,
+        )
+        others = sorted(
+            by_load[_HIGHEST_PER_REPORT:],
+            key=lambda endpoint: self._relayed_at.get(endpoint, -math.inf),
+        )[:_OTHERS_PER_REPORT]
+        self._relayed_at |= dict.fromkeys(others, now)
+        return [
+            (
+                endpoint,
+                self._observations[endpoint].running,
+                now - self._observations[endpoint].at,
+            )
+            for endpoint in (*by_load[:_HIGHEST_PER_REPORT], *others)
         ]
-        self._recent_observations.clear()
-        recent.sort(key=lambda observation: -observation[1])
-        return recent[:OBSERVATIONS_PER_REPORT]
 
     def expire(self, now: float) -> None:
         """Discards the expired reports of peers and expired observations."""
-        for endpoint, (at, _) in list(self._observations.items()):
-            if now - at > OBSERVATION_LIFETIME_S:
+        lifetime_s = OBSERVATION_LIFETIME_S
+        if self._reports:
+            lifetime_s = OBSERVATION_BESIDE_REPORTS_S
+        for endpoint, observation in list(self._observations.items()):
+            if now - observation.at > lifetime_s:
                 del self._observations[endpoint]
+                self._relayed_at.pop(endpoint, None)
         for peer, report in list(self._reports.items()):
             if now - report.at > REPORT_LIFETIME_S:
                 self._remove_report(peer)
@@ -145,7 +190,7 @@
         Returns:
             None if nothing is known of that part.
         """
-        at = self._observations.get(endpoint, (-math.inf, 0))[0]
+        at = self._observations.get(endpoint, _NO_OBSERVATION).at
         if self._reports:
             at = max(at, now - self.age_s(now))
         return now - at if at > -math.inf else None
@@ -154,13 +199,13 @@
         """Returns the load of an endpoint over all routers.
 
         The peers' part is the sum of their reports or the last observation,
-        whichever is higher, because reports are infrequent in a large fleet.
+        whichever is higher.
         """
         own = self._own.get(endpoint, _NO_LOAD)
         reported = self._reported.get(endpoint, _NO_LOAD)
-        _, observed_running = self._observations.get(endpoint, (0.0, 0))
+        observed = self._observations.get(endpoint, _NO_OBSERVATION)
         return dispatch.Load(
-            own.running + max(reported.running, observed_running),
+            own.running + max(reported.running, observed.of_peers),
             own.pending_prefill_tokens + reported.pending_prefill_tokens,
         )
 
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from nutmegpost_router import http_server
 from nutmegpost_router import log
 from nutmegpost_router.gateway import crash_guard
+from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import pending_request
@@ -85,6 +86,7 @@
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
         load_exchange: loads.LoadExchange,
+        queries: load_queries.LoadQueries,
         crashes: crash_guard.CrashGuard,
         origins: stream_origins.OriginExchange,
     ):
@@ -96,6 +98,7 @@
             client: Connections to endpoints.
             counters: Metrics.
             load_exchange: Sends down endpoints to the peers.
+            queries: Asks for the loads of endpoints.
             crashes: Refuses requests that crash endpoints.
             origins: Knows what began the streams that callers take up.
         """
@@ -104,6 +107,7 @@
         self._client = client
         self._counters = counters
         self._load_exchange = load_exchange
+        self._queries = queries
         self._crashes = crashes
         self._origins = origins
         self._sender = sending.Sender(
@@ -245,6 +249,11 @@
             if _now() >= until:
                 break
             await asyncio.sleep(_PREFILL_POLL_S)
+        await self._queries.learn(
+            lambda: self._state.choose(
+                call, pending.tried_endpoints, pending.software
+            )
+        )
         choice = self._choose_endpoint(pending)
         if not self._state.is_prefilling(call, choice.endpoint.name):
             return choice
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -2,18 +2,19 @@
 
 Each gateway reports its own part of each endpoint's load to every peer. In a
 large fleet these reports would be too infrequent; there it relays the total
-loads that endpoints report with their responses, since one such observation
-serves all gateways. Placements of prompts that the endpoint had not cached are
-sent at once, so that the peers can update their cache estimates, and so are
-endpoints that are down. A token bucket limits the bytes sent; when it runs
-short, load reports are delayed first.
+loads that are known of endpoints, and each report goes to one random peer.
+Placements of prompts that the endpoint had not cached are sent at once, so that
+the peers can update their cache estimates, and so are endpoints that are down.
+A token bucket limits the bytes sent; when it runs short, load reports are
+delayed first.
 """
 
 import asyncio
 import bisect
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 import functools
 import hmac
+import random
 from typing import NamedTuple
 
 import cbor2
@@ -26,6 +27,7 @@
 from nutmegpost_core import load_table
 from nutmegpost_core import vms
 from nutmegpost_router import log
+from nutmegpost_router.gateway import load_queries
 
 __all__ = [
     "SILENT_AFTER_REPORTS",
@@ -37,9 +39,13 @@
 
 # Shortest interval between load reports.
 REPORT_INTERVAL_S = 0.2
-# Share of the byte budget for load reports. If this makes the interval longer
-# than the lifetime of a report, observations are relayed instead.
+# Share of the byte budget for load reports.
 REPORT_BUDGET_SHARE = 0.6
+# If that share makes the interval between reports longer than this, they say
+# too little of the present load: observations are relayed, and queries sent.
+REPORT_INTERVAL_MAX_S = 1.0
+# Part of that share for relays; queries take the rest.
+RELAY_BUDGET_SHARE = 0.5
 # A placement that did not fit the budget for this time is discarded as stale.
 PLACEMENT_LIFETIME_S = 1.0
 # Delay before sending, so that placements within it share a datagram.
@@ -64,6 +70,9 @@
 _MAC_CONTEXT = b"nutmegpost loads"
 
 
+_EntriesCallback = Callable[[str, Sequence[load_queries.Entry]], None]
+
+
 class Placement(NamedTuple):
     """A prompt that was sent to an endpoint.
 
@@ -154,9 +163,17 @@
         self._queued_event = asyncio.Event()
         self._next_report = 0.0
         self._report_interval_s = REPORT_INTERVAL_S
+        self._rng = random.Random(name)
+        # Called with the name of a peer and the entries that it sent.
+        self.on_entries: _EntriesCallback = lambda *_: None
         self._last_received: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
+    @property
+    def is_sampling(self) -> bool:
+        """Whether the fleet is too large for reports to all peers."""
+        return self._report_interval_s > REPORT_INTERVAL_MAX_S
+
     def reset_silence(self) -> None:
         """Restarts silence detection after this process was paused.
 
@@ -195,6 +212,29 @@
         self._down.append(endpoint)
         self._queued_event.set()
 
+    def send_entries(
+        self, host: str, entries: Sequence[load_queries.Entry]
+    ) -> bool:
+        """Sends parts of loads, queries or answers to one peer.
+
+        Returns:
+            Whether the byte budget allowed it.
+        """
+        if self._transport is None:
+            return False
+        encoded = [
+            [int(entry.kind), endpoint_digest(entry.endpoint), entry.running]
+            for entry in entries
+        ]
+        datagram = self._datagram([None, [], [], encoded, []])
+        now = asyncio.get_running_loop().time()
+        # An answer that is not sent makes the peer wait in vain.
+        is_answer = any(
+            entry.kind is load_queries.EntryKind.ANSWER for entry in entries
+        )
+        kind = budget.Kind.ACK if is_answer else budget.Kind.PING
+        return self._send_to_peers(datagram, [host], kind, now)
+
     async def run(self) -> None:
         """Sends and receives reports and notices until it is cancelled.
 
@@ -242,20 +282,25 @@
         self._report_interval_s = max(
             REPORT_INTERVAL_S, self._interval_s(datagram, hosts)
         )
-        if self._report_interval_s > load_table.REPORT_LIFETIME_S:
+        if self.is_sampling:
             if now < self._next_report:
                 return
-            recent = [
+            observations = [
                 [endpoint_digest(endpoint), running, int(age_s * 1000)]
-                for endpoint, running, age_s in self._loads.take_observations(
+                for endpoint, running, age_s in self._loads.select_observations(
                     now
                 )
             ]
-            datagram = self._datagram([None, [], [], [], recent])
+            if not observations:
+                return
+            datagram = self._datagram([None, [], [], [], observations])
+            hosts = [self._rng.choice(hosts)]
         if now < self._next_report:
             return
         if self._send_to_peers(datagram, hosts, budget.Kind.LINK, now):
-            self._next_report = now + self._interval_s(datagram, hosts)
+            share = RELAY_BUDGET_SHARE if self.is_sampling else 1.0
+            interval_s = self._interval_s(datagram, hosts) / share
+            self._next_report = now + interval_s
 
     def _interval_s(self, datagram: bytes, hosts: list[str]) -> float:
         """Returns the time in which the report budget pays for one report."""
@@ -275,7 +320,6 @@
         down = self._down[:_NOTICES_PER_DATAGRAM_MAX]
         if not (placements or down):
             return
-        # The empty list stood for crash charges; earlier versions expect it.
         datagram = self._datagram([None, placements, down, [], []])
         hosts = list(self._peers())
         if self._send_to_peers(datagram, hosts, budget.Kind.UPDATE, now):
@@ -336,7 +380,7 @@
             )
 
     def _apply(self, body: bytes) -> None:
-        name, loads, placements, down, _, observations = cbor2.loads(body)
+        name, loads, placements, down, entries, observations = cbor2.loads(body)
         self._last_received[str(name)] = asyncio.get_running_loop().time()
         names_by_digest = {
             endpoint_digest(endpoint): endpoint
@@ -352,10 +396,21 @@
             self._loads.record_report(name, reported, now)
         for digest, running, age_ms in observations:
             if digest in names_by_digest:
-                at = asyncio.get_running_loop().time() - age_ms / 1000
-                self._loads.record_relayed_observation(
+                at = asyncio.get_running_loop().time() - max(0, age_ms) / 1000
+                self._loads.record_observation(
                     names_by_digest[digest], int(running), at
                 )
+        if entries:
+            received = [
+                load_queries.Entry(
+                    load_queries.EntryKind(kind),
+                    names_by_digest[digest],
+                    max(0, int(running)),
+                )
+                for kind, digest, running in entries
+                if digest in names_by_digest
+            ]
+            self.on_entries(str(name), received)
         received_placements = [
             Placement(
                 names_by_digest[digest], prefill_ms / 1000, _parts(fields)
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -20,6 +20,7 @@
 from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import endpoint_news
 from nutmegpost_router.gateway import forwarding
+from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import peers
@@ -91,6 +92,13 @@
             self._state.roster.names_with_cache,
             self._state.apply_peer_update,
         )
+        self._load_queries = load_queries.LoadQueries(
+            config["name"],
+            self._state.loads,
+            self._load_exchange.send_entries,
+            lambda: self._load_exchange.is_sampling,
+        )
+        self._load_exchange.on_entries = self._load_queries.receive
         self._state.on_placement = self._load_exchange.queue_placement
         self._endpoint_news = endpoint_news.EndpointNews(
             self._state, self._gossip.send
@@ -105,6 +113,7 @@
             self._client,
             self._counters,
             self._load_exchange,
+            self._load_queries,
             self._crashes,
             self._origins,
         )
@@ -239,6 +248,7 @@
             ("gossip", self._gossip.run),
             ("notices", self._handle_notices),
             ("loads", self._load_exchange.run),
+            ("load queries", self._load_queries.run),
             ("peers", self._peer_sync.run),
             ("clock", self._tick),
             ("caches", self._cache_sync.run),
@@ -404,6 +414,14 @@
             and members[name].state in _REACHABLE
         ]
 
+    def _alive_hosts(self) -> dict[str, str]:
+        """Returns the hosts of all live gateways by name, own one included."""
+        members = self._members.members
+        return {
+            name: vms.parse_address(members[name].peer_address).host
+            for name in self._members.alive
+        }
+
     def _origin_peers(self) -> dict[str, vms.Address]:
         """Returns the control addresses of the live peers by name.
 
@@ -481,6 +499,7 @@
             self._update_fleet_size(now)
             self._crashes.expire(now)
             self._state.rate_limits.set_routers(self._members.alive)
+            self._load_queries.set_hosts(self._alive_hosts())
             self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
     def _update_fleet_size(self, now: float) -> None:
--- a/packages/router/tests/gateway/test_loads_fleet.py
+++ b/packages/router/tests/gateway/test_loads_fleet.py
@@ -14,6 +14,7 @@
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
 from nutmegpost_core import roster
+from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import state
 from nutmegpost_standins import virtualtime
@@ -163,6 +164,13 @@
             self.state.apply_peer_update,
         )
         self.state.on_placement = self.exchange.queue_placement
+        self.queries = load_queries.LoadQueries(
+            host,
+            self.state.loads,
+            self.exchange.send_entries,
+            lambda: self.exchange.is_sampling,
+        )
+        self.exchange.on_entries = self.queries.receive
 
 
 class _Fleet:
@@ -191,13 +199,15 @@
 
     async def run(self, loop):
         """Plays the traffic; returns the most bytes that a gateway sent."""
-        exchanges = [
-            asyncio.create_task(gateway.exchange.run())
-            for gateway in self.gateways
-        ]
+        hosts = {gateway.host: gateway.host for gateway in self.gateways}
+        tasks = []
+        for gateway in self.gateways:
+            gateway.queries.set_hosts(hosts)
+            tasks.append(asyncio.create_task(gateway.exchange.run()))
+            tasks.append(asyncio.create_task(gateway.queries.run()))
         arrivals = asyncio.create_task(self._arrivals())
         await asyncio.sleep(LENGTH_S)
-        for task in (*exchanges, arrivals, *self.tasks):
+        for task in (*tasks, arrivals, *self.tasks):
             task.cancel()
         return max(loop.sent_bytes.values())
 
@@ -264,6 +274,7 @@
         local_state.loads.add(name, -1, 0)
 
     async def _choose(self, gateway, call):
+        await gateway.queries.learn(lambda: gateway.state.choose(call, ()))
         return gateway.state.choose(call, ())
 
     @staticmethod
