--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -632,3 +632,50 @@
 def run_scenario(scenario):
     """Runs a scenario with a time limit."""
     asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+class Cut:
+    """Cuts a gateway off from all runners, and from nothing else.
+
+    Attributes:
+        hangs: Whether connections hang; otherwise the open ones are reset and
+            new ones refused.
+    """
+
+    def __init__(self, fleet, gateway_index, hangs):
+        self.hangs = hangs
+        self._is_cut = False
+        self._client = fleet.gateways[gateway_index]._client
+        self._addresses = {
+            vms.parse_address(runner.address)
+            for runner in fleet.runners.values()
+        }
+        self._connections = []
+        self._connect = self._client._connect
+        self._client._connect = self._connect_unless_cut
+
+    def begin(self):
+        self._is_cut = True
+        for connection in self._connections:
+            if self.hangs:
+                transport = connection._transport
+                transport.pause_reading()
+                transport.write = lambda data: None
+            else:
+                connection.abort()
+
+    def end(self):
+        self._is_cut = False
+        for connection in self._connections:
+            connection.abort()
+
+    async def _connect_unless_cut(self, address):
+        if address not in self._addresses:
+            return await self._connect(address)
+        if not self._is_cut:
+            connection = await self._connect(address)
+            self._connections.append(connection)
+            return connection
+        if self.hangs:
+            await asyncio.sleep(http_client.CONNECT_TIMEOUT_S)
+        raise http_client.ConnectError("cut off", refused=not self.hangs)
