--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -220,6 +220,17 @@
     "INFO",
     "{tracker} did not tell the load of endpoint {endpoint} in time",
 )
+GATEWAY_ISOLATED = Event(
+    517,
+    "WARNING",
+    "no endpoint can be reached; failures are not held against endpoints",
+)
+GATEWAY_RECONNECTED = Event(
+    518, "INFO", "an endpoint can be reached again; requests go to endpoints"
+)
+ENDPOINT_UNREACHED = Event(
+    519, "INFO", "a probe did not reach endpoint {endpoint}: {reason}"
+)
 CACHE_LEARNT = Event(
     508, "INFO", "cache of {endpoint} holds {count} prompt parts"
 )
--- a/packages/core/nutmegpost_core/outliers.py
+++ b/packages/core/nutmegpost_core/outliers.py
@@ -115,6 +115,10 @@
         record = self._records.setdefault(engine, _Record())
         record.ejected_until = max(record.ejected_until, now + EJECTION_MIN_S)
 
+    def clear(self) -> None:
+        """Forgets all failures, which had another cause than the engines."""
+        self._records.clear()
+
     def ejected(self, now: float) -> set[str]:
         """Returns the engines that are ejected."""
         return {
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from nutmegpost_router import http_server
 from nutmegpost_router import log
 from nutmegpost_router.gateway import crash_guard
+from nutmegpost_router.gateway import links
 from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
@@ -89,6 +90,7 @@
         queries: load_queries.LoadQueries,
         crashes: crash_guard.CrashGuard,
         origins: stream_origins.OriginExchange,
+        endpoint_links: links.EndpointLinks,
     ):
         """Creates a forwarder with no request in flight.
 
@@ -101,6 +103,7 @@
             queries: Asks for the loads of endpoints.
             crashes: Refuses requests that crash endpoints.
             origins: Knows what began the streams that callers take up.
+            endpoint_links: Knows whether any endpoint can be reached.
         """
         self._state = local_state
         self._protocols = protocols
@@ -110,12 +113,12 @@
         self._queries = queries
         self._crashes = crashes
         self._origins = origins
+        self._links = endpoint_links
         self._sender = sending.Sender(
             local_state,
             protocols,
             client,
             counters,
-            self._handle_endpoint_down,
             origins,
         )
         self._probes: set[asyncio.Task[None]] = set()
@@ -198,12 +201,14 @@
         software = None
         if call.resume_after and call.route.resumable:
             call, software = await self._find_origin(call)
-        self._state.budget.record_request(call.service, call.received)
         pending = pending_request.PendingRequest(exchange, call, fingerprint)
         pending.software = software
+        self._state.budget.record_request(call.service, call.received)
         while True:
             choice = await self._choose_after_prefill(pending)
             result = await self._sender.send(pending, choice)
+            if result.is_unreachable:
+                await self._handle_unreachable(choice.endpoint, result)
             self._record_result(pending, choice, result)
             if result.end is sending.AttemptEnd.LOST:
                 await self._check_for_crash(pending, choice.endpoint)
@@ -392,7 +397,9 @@
             if result.end is sending.AttemptEnd.LOST
             else 1.0
         )
-        if self._state.outliers.record_result(name, False, now, weight):
+        if not self._links.is_isolated and self._state.outliers.record_result(
+            name, False, now, weight
+        ):
             log.emit(events.ENGINE_EJECTED, engine=name)
         if (
             result.end is sending.AttemptEnd.LOST
@@ -452,9 +459,18 @@
         try:
             await self._client.probe(vms.parse_address(endpoint.address))
         except http_client.ConnectError as caught:
-            if caught.refused:
+            is_isolated = await self._links.check(endpoint)
+            if caught.refused and not is_isolated:
                 self._handle_endpoint_down(endpoint)
 
+    async def _handle_unreachable(
+        self, endpoint: roster.Endpoint, result: sending.AttemptResult
+    ) -> None:
+        """Marks an endpoint as down unless none can be reached from here."""
+        is_isolated = await self._links.check(endpoint)
+        if result.is_refused and not is_isolated:
+            self._handle_endpoint_down(endpoint)
+
     def _handle_endpoint_down(self, endpoint: roster.Endpoint) -> None:
         """Marks an endpoint as down and charges the requests it just lost."""
         now = _now()
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -11,6 +11,7 @@
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import membership
+from nutmegpost_core import roster
 from nutmegpost_core import vms
 from nutmegpost_router import gossip
 from nutmegpost_router import http_client
@@ -20,6 +21,7 @@
 from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import endpoint_news
 from nutmegpost_router.gateway import forwarding
+from nutmegpost_router.gateway import links
 from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
@@ -107,6 +109,13 @@
         self._origins = stream_origins.OriginExchange(
             self._state, self._client, self._origin_peers
         )
+        self._links = links.EndpointLinks(
+            self._state.roster.ready,
+            self._probe_endpoint,
+            self._state.outliers.clear,
+            self._state.rng,
+        )
+        self._state.on_silence = self._links.suspect
         self._forwarder = forwarding.Forwarder(
             self._state,
             protocols,
@@ -116,6 +125,7 @@
             self._load_queries,
             self._crashes,
             self._origins,
+            self._links,
         )
         self._peer_sync = peers.PeerSync(
             self._state,
@@ -249,6 +259,7 @@
             ("notices", self._handle_notices),
             ("loads", self._load_exchange.run),
             ("load queries", self._load_queries.run),
+            ("links", self._links.run),
             ("peers", self._peer_sync.run),
             ("clock", self._tick),
             ("caches", self._cache_sync.run),
@@ -422,6 +433,9 @@
             for name in self._members.alive
         }
 
+    async def _probe_endpoint(self, endpoint: roster.Endpoint) -> None:
+        await self._client.probe(vms.parse_address(endpoint.address))
+
     def _origin_peers(self) -> dict[str, vms.Address]:
         """Returns the control addresses of the live peers by name.
 
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -1,7 +1,6 @@
 """One attempt of a request at an endpoint."""
 
 import asyncio
-from collections.abc import Callable
 import enum
 from typing import NamedTuple
 
@@ -60,11 +59,15 @@
         end: How the attempt ended.
         reason: Why it failed; empty if it was answered.
         response: Failure response of the endpoint, or None.
+        is_unreachable: Whether no connection to the endpoint could be made.
+        is_refused: Whether the connection was refused.
     """
 
     end: AttemptEnd
     reason: str = ""
     response: http_server.Response | None = None
+    is_unreachable: bool = False
+    is_refused: bool = False
 
 
 class Sender:
@@ -76,7 +79,6 @@
         protocols: ports.Ports,
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
-        on_endpoint_down: Callable[[roster.Endpoint], None],
         origins: stream_origins.OriginExchange,
     ):
         """Creates a sender.
@@ -86,8 +88,6 @@
             protocols: Protocol implementations of the deployment.
             client: Connections to endpoints.
             counters: Metrics.
-            on_endpoint_down: Called with each endpoint that refuses
-                connections.
             origins: Is told what began each stream.
         """
         self._state = local_state
@@ -95,7 +95,6 @@
         self._protocols = protocols
         self._client = client
         self._counters = counters
-        self._on_endpoint_down = on_endpoint_down
 
     async def send(
         self, pending: pending_request.PendingRequest, choice: dispatch.Choice
@@ -203,9 +202,12 @@
             )
             load.record_sign()
         except http_client.ConnectError as caught:
-            if caught.refused:
-                self._on_endpoint_down(choice.endpoint)
-            return AttemptResult(AttemptEnd.NOT_RUN, str(caught))
+            return AttemptResult(
+                AttemptEnd.NOT_RUN,
+                str(caught),
+                is_unreachable=True,
+                is_refused=caught.refused,
+            )
         except http_client.ExchangeError as caught:
             return AttemptResult(AttemptEnd.LOST, str(caught))
         try:
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -57,7 +57,7 @@
             ejected_share_max=_EJECTED_SHARE_MAX,
             failure_decay=_FAILURE_DECAY,
         )
-        self.liveness = liveness.LivenessDetector(_log_silence)
+        self.liveness = liveness.LivenessDetector(self._handle_silence)
         self.budget = retrybudget.RetryBudget(
             retrybudget.FleetBudget(
                 config["retry_ratio"],
@@ -78,6 +78,8 @@
         self.on_placement: Callable[[loads.Placement], None] = lambda _: None
         # Called with the name of an endpoint and the limit that it named.
         self.on_rate_limit: _RateLimitCallback = lambda *_: None
+        # Called when an endpoint falls silent.
+        self.on_silence: Callable[[], None] = lambda: None
         # Called with an endpoint that said that it leaves.
         self.on_leaving: Callable[[roster.Endpoint], None] = lambda _: None
 
@@ -339,6 +341,10 @@
             for name, endpoint in self.roster.endpoints.items()
         }
 
+    def _handle_silence(self, silence: liveness.Silence) -> None:
+        _log_silence(silence)
+        self.on_silence()
+
     def _begin_prefill(self, placement: loads.Placement) -> None:
         now = asyncio.get_running_loop().time()
         self.prefixes.begin_prefill(
