--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -223,7 +223,7 @@
 GATEWAY_ISOLATED = Event(
     517,
     "WARNING",
-    "no endpoint can be reached; failures are not held against endpoints",
+    "no endpoint can be reached; requests go through peers",
 )
 GATEWAY_RECONNECTED = Event(
     518, "INFO", "an endpoint can be reached again; requests go to endpoints"
@@ -231,6 +231,12 @@
 ENDPOINT_UNREACHED = Event(
     519, "INFO", "a probe did not reach endpoint {endpoint}: {reason}"
 )
+REQUEST_THROUGH_PEER = Event(
+    417,
+    "INFO",
+    "{request} sent through {peer}: no endpoint can be reached; deadline in "
+    "{left_ms} ms",
+)
 CACHE_LEARNT = Event(
     508, "INFO", "cache of {endpoint} holds {count} prompt parts"
 )
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import peer_relay
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import sending
@@ -91,6 +92,7 @@
         crashes: crash_guard.CrashGuard,
         origins: stream_origins.OriginExchange,
         endpoint_links: links.EndpointLinks,
+        relay: peer_relay.PeerRelay,
     ):
         """Creates a forwarder with no request in flight.
 
@@ -104,6 +106,7 @@
             crashes: Refuses requests that crash endpoints.
             origins: Knows what began the streams that callers take up.
             endpoint_links: Knows whether any endpoint can be reached.
+            relay: Sends requests through peers.
         """
         self._state = local_state
         self._protocols = protocols
@@ -114,6 +117,7 @@
         self._crashes = crashes
         self._origins = origins
         self._links = endpoint_links
+        self._relay = relay
         self._sender = sending.Sender(
             local_state,
             protocols,
@@ -203,8 +207,14 @@
             call, software = await self._find_origin(call)
         pending = pending_request.PendingRequest(exchange, call, fingerprint)
         pending.software = software
-        self._state.budget.record_request(call.service, call.received)
+        is_relayed = self._relay.is_relayed(request, call.identity)
+        if not is_relayed:
+            # The gateway that relays a request has counted it.
+            self._state.budget.record_request(call.service, call.received)
         while True:
+            if self._links.is_isolated:
+                await self._send_through_peers(pending, is_relayed)
+                return
             choice = await self._choose_after_prefill(pending)
             result = await self._sender.send(pending, choice)
             if result.is_unreachable:
@@ -215,6 +225,48 @@
             if result.end is sending.AttemptEnd.ANSWERED:
                 return
 
+    async def _send_through_peers(
+        self, pending: pending_request.PendingRequest, is_relayed: bool
+    ) -> None:
+        """Sends a request through a peer, as no endpoint can be reached.
+
+        Args:
+            pending: The request.
+            is_relayed: Whether a peer relays it to this gateway.
+
+        Raises:
+            errors.RequestError: The request ends without an answer.
+        """
+        call = pending.call
+        now = _now()
+        if pending.exchange.started or not pending.may_run_again:
+            self._give_up(pending)
+        if is_relayed:
+            raise errors.UnavailableError(
+                "no endpoint can be reached",
+                retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
+            )
+        if pending.runs and not self._state.budget.try_spend(
+            call.service, self._state.fleet_size, now
+        ):
+            pending.reason += "; no retry is left in the budget"
+            self._give_up(pending)
+        result = await self._relay.send(pending)
+        self._counters.sent_through_peer(result.end)
+        if result.end is sending.AttemptEnd.ANSWERED:
+            self._counters.request_ended(call.route.name, "answered")
+            return
+        pending.reason = result.reason
+        if result.end is not sending.AttemptEnd.NOT_RUN:
+            pending.runs += 1
+        elif not pending.runs:
+            raise errors.UnavailableError(
+                f"no endpoint can be reached, and no peer helps: "
+                f"{result.reason}",
+                retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
+            )
+        self._give_up(pending)
+
     async def _find_origin(
         self, call: calls.Call
     ) -> tuple[calls.Call, str | None]:
--- a/packages/router/nutmegpost_router/gateway/links.py
+++ b/packages/router/nutmegpost_router/gateway/links.py
@@ -2,7 +2,8 @@
 
 An endpoint that cannot be reached is most often down. If none of several others
 can be reached either, this gateway is isolated: it is cut off from all of them,
-and its failures say nothing of the endpoints until a probe reaches one again.
+its failures say nothing of the endpoints, and requests go through peers until a
+probe reaches an endpoint again.
 """
 
 import asyncio
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -43,6 +43,12 @@
             buckets=_BUCKETS_S,
             registry=self._registry,
         )
+        self._through_peers = prometheus_client.Counter(
+            "nutmegpost_gateway_sent_through_peers",
+            "Requests sent through a peer as no endpoint could be reached.",
+            ["end"],
+            registry=self._registry,
+        )
         self._load_error = prometheus_client.Histogram(
             "nutmegpost_gateway_load_error_requests",
             "Requests by which the reported load exceeds the estimate.",
@@ -78,6 +84,10 @@
         """Counts a failed attempt by how it ended."""
         self._attempts.labels(end).inc()
 
+    def sent_through_peer(self, end: str) -> None:
+        """Counts a request sent through a peer by how it ended."""
+        self._through_peers.labels(end).inc()
+
     def notice_received(self, notice: str) -> None:
         """Counts a response by what the endpoint said of itself."""
         self._notices.labels(notice).inc()
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -29,12 +29,16 @@
     "PlatformUnavailable",
     "Ports",
     "PublicationReader",
+    "RELAY_FIELD",
     "RequestMetadata",
     "ResponseHead",
     "StateUpdate",
     "Verdict",
 ]
 
+# Header field with the proof that a gateway relays a request for a peer.
+RELAY_FIELD = "nutmegpost-relay"
+
 Fields = Sequence[tuple[str, str]]
 
 
@@ -135,10 +139,14 @@
         parse_request: Returns the metadata of a request; raises
             InvalidRequestError.
         error_response: Returns the response for an error.
+        relay_fields: Returns the header fields of a request as it is sent to
+            another gateway, given its fields and the time until its deadline
+            in seconds.
     """
 
     parse_request: Callable[[http_server.Request], RequestMetadata]
     error_response: Callable[[errors.RequestError], http_server.Response]
+    relay_fields: Callable[[Fields, float], list[tuple[str, str]]]
 
 
 class EndpointProtocol(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -25,6 +25,7 @@
 from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import peer_relay
 from nutmegpost_router.gateway import peers
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import publications
@@ -126,6 +127,9 @@
             self._crashes,
             self._origins,
             self._links,
+            peer_relay.PeerRelay(
+                protocols, self._client, config["peer_key"], self._relay_peers
+            ),
         )
         self._peer_sync = peers.PeerSync(
             self._state,
@@ -433,6 +437,24 @@
             for name in self._members.alive
         }
 
+    def _relay_peers(self) -> list[peer_relay.Peer]:
+        """Returns the peers that may reach endpoints, nearest first."""
+        members = self._members.members
+        silent = self._load_exchange.silent_peers()
+        names = [
+            name
+            for name in self._members.alive
+            if name != self._config["name"] and name not in silent
+        ]
+        self._state.rng.shuffle(names)
+        names.sort(key=lambda name: members[name].zone != self._config["zone"])
+        return [
+            peer_relay.Peer(
+                name, vms.parse_address(members[name].public_address)
+            )
+            for name in names
+        ]
+
     async def _probe_endpoint(self, endpoint: roster.Endpoint) -> None:
         await self._client.probe(vms.parse_address(endpoint.address))
 
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -165,7 +165,11 @@
         fields = self._protocols.endpoint_protocol.request_fields(
             ports.OutboundRequest(
                 call,
-                request.fields,
+                [
+                    field
+                    for field in request.fields
+                    if field[0] != ports.RELAY_FIELD
+                ],
                 choice.endpoint.name,
                 remaining_s,
                 pending.last_event_id,
