--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -63,8 +63,10 @@
             case ports.CatalogPublished():
                 self._accept_configuration(update)
             case ports.EndpointsListed():
+                local_state.directory_read_at = now
                 self._replace_endpoints(update, now)
             case ports.EndpointsChanged():
+                local_state.directory_read_at = now
                 self._change_endpoints(update, now)
             case ports.PeerCachesReceived(caches_by_endpoint):
                 local_state.merge_caches(caches_by_endpoint)
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -49,6 +49,8 @@
         self.catalog: catalog.Catalog | None = None
         self.document = b""
         self.roster = roster.Roster(config["entry_grace_s"])
+        # Monotonic time at which the entries of endpoints were last read.
+        self.directory_read_at = -math.inf
         self.versions = software_versions.VersionHistory(config["first_start"])
         self.loads = load_table.LoadTable()
         self.prefixes = prefixes.PrefixCaches()
--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -35,6 +35,9 @@
 _ASK_TIMEOUT_S = 0.2
 # Time to wait for the peers and the contents of the caches after a start.
 _SYNC_WAIT_S = 1.5
+# Age of the list of endpoints above which it may lack a new version. Endpoints
+# write their entries more often.
+_DIRECTORY_AGE_MAX_S = 1.0
 _EXPIRY_INTERVAL_S = 10.0
 _POLL_S = 0.02
 _ENTRIES_PER_MESSAGE_MAX = 500
@@ -134,10 +137,13 @@
         until = _now() + _SYNC_WAIT_S
         while not self._state.caches_synced and _now() < until:
             await asyncio.sleep(_POLL_S)
-        told = call.resumed_attempt and await self._ask_holders(attempt)
-        if told:
-            self._origins.record(told)
-            return told.origin, "peer"
+        if call.resumed_attempt:
+            told, has_answer = await self._ask_holders(attempt)
+            if told:
+                self._origins.record(told)
+                return told.origin, "peer"
+            if not has_answer and self._may_lack_version():
+                return None, "out of step"
         software = self._state.versions.sole_version(
             call.service, stream_origins.earliest_begin(call)
         )
@@ -148,6 +154,14 @@
             return stream_origins.Origin(call.service, software), "caches"
         return None, "nothing"
 
+    def _may_lack_version(self) -> bool:
+        """Returns whether a version may have joined without being noticed.
+
+        Its streams can have begun at the peers, of which none answers.
+        """
+        age_s = _now() - self._state.directory_read_at
+        return age_s > _DIRECTORY_AGE_MAX_S and bool(self._peers())
+
     def _version_with_prompt(self, call: calls.Call) -> str | None:
         """Returns the only version whose endpoints have the prompt cached.
 
@@ -253,8 +267,13 @@
 
     async def _ask_holders(
         self, attempt: bytes
-    ) -> stream_origins.OriginEntry | None:
-        """Asks the peers that may know an origin."""
+    ) -> tuple[stream_origins.OriginEntry | None, bool]:
+        """Asks the peers that may know an origin.
+
+        Returns:
+            The origin, or None; and whether any peer answered.
+        """
+        has_answer = False
         peers = self._peers()
         questions = [
             asyncio.create_task(self._ask(holder, peers[holder], attempt))
@@ -264,9 +283,10 @@
             for answer in asyncio.as_completed(
                 questions, timeout=_ASK_TIMEOUT_S
             ):
-                entry = await answer
-                if entry is not None:
-                    return entry
+                entries = await answer
+                has_answer = has_answer or entries is not None
+                if entries:
+                    return entries[0], True
         except TimeoutError:
             log.emit(
                 events.ORIGINS_UNSENT,
@@ -276,23 +296,23 @@
         finally:
             for question in questions:
                 question.cancel()
-        return None
+        return None, has_answer
 
     async def _ask(
         self, name: str, address: vms.Address, attempt: bytes
-    ) -> stream_origins.OriginEntry | None:
+    ) -> list[stream_origins.OriginEntry] | None:
+        """Returns what a peer knows; None if it did not answer."""
         try:
             answer = await self._client.request(
                 address, "GET", f"{PATH}?{attempt.hex()}", {}
             )
-            entries = _decode(answer.body) if answer.status == 200 else []
+            return _decode(answer.body) if answer.status == 200 else []
         except errors.PeerError as caught:
             log.emit(events.ORIGINS_UNSENT, peer=name, reason=str(caught))
             return None
         except (cbor2.CBORDecodeError, TypeError, ValueError) as caught:
             log.emit(events.DATAGRAM_MALFORMED, source=name, reason=str(caught))
             return None
-        return entries[0] if entries else None
 
 
 def _encode(entries: list[stream_origins.OriginEntry]) -> bytes:
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -322,3 +322,67 @@
             assert response.body == COMPLETE_STREAM
 
     standin.run_scenario(scenario)
+
+
+def _allow_connections(gateway, is_allowed):
+    """Cuts the connections of a gateway to all other addresses."""
+    client = gateway._client
+    take_idle, connect = client._take_idle, client._connect
+
+    def take_idle_if_allowed(address, limit_s):
+        return take_idle(address, limit_s) if is_allowed(address) else None
+
+    async def connect_if_allowed(address):
+        if not is_allowed(address):
+            raise standin.http_client.ConnectError("cut off", refused=False)
+        return await connect(address)
+
+    client._take_idle = take_idle_if_allowed
+    client._connect = connect_if_allowed
+
+
+def _put_out_of_step(fleet, gateway):
+    """Cuts a gateway off from the store and its peers, not from runners.
+
+    The gateway reads the store at the second address of the stand-in.
+    """
+    fleet.store.is_second_down = True
+    fleet.store.cut_polls()
+    own = standin.vms.parse_address(gateway.config["control_address"])
+    runners = {
+        standin.vms.parse_address(runner.address)
+        for runner in fleet.runners.values()
+    }
+    for other in fleet.gateways:
+        if other is gateway:
+            _allow_connections(other, lambda address: address in runners)
+        else:
+            _allow_connections(other, lambda address: address != own)
+
+
+def test_gateway_that_missed_a_new_version_joins_no_stream_with_another():
+    async def scenario():
+        fleet = standin.Fleet(_runners(e1="v1", e2="v1"), gateways=2)
+        async with fleet:
+            late = fleet.start_gateway(
+                platform_address=fleet.store.second_address
+            )
+            await fleet.wait_until(lambda: late.ready)
+            await fleet.wait_until_all_met()
+            _put_out_of_step(fleet, late)
+            # The others keep entries for a while after the end of their polls.
+            await asyncio.sleep(2.5)
+            await _add_newer(fleet)
+            endpoints = fleet.gateways[0].local_state.roster.endpoints
+            await fleet.wait_until(lambda: "e3" in endpoints)
+            for name in ("e1", "e2"):
+                fleet.store.remove(f"servers/{name}")
+            await fleet.wait_until(lambda: set(endpoints) == {"e3"})
+            begun_by = await _begin_and_break_off(fleet, "begun")
+            assert begun_by.version == "v2"
+            for number in range(3):
+                await _take_up(fleet, f"again-{number}", "begun", 2)
+                ran = _versions_that_ran(fleet, f"again-{number}")
+                assert ran <= {"v2"}
+
+    standin.run_scenario(scenario)
