--- a/packages/router/nutmegpost_router/gateway/peer_relay.py
+++ b/packages/router/nutmegpost_router/gateway/peer_relay.py
@@ -175,6 +175,15 @@
             stream.abort()
             return sending.AttemptResult(sending.AttemptEnd.LOST, str(caught))
         stream.close_with_idle_timeout(head.idle_s)
+        log.emit(
+            events.REQUEST_ANSWERED,
+            request=call.identity,
+            route=call.route.name,
+            endpoint=f"peer {peer.name}",
+            status=pending.exchange.status,
+            attempts=pending.attempts,
+            after_ms=round((_now() - call.received) * 1000),
+        )
         return sending.AttemptResult(sending.AttemptEnd.ANSWERED)
 
     async def _copy(
