--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -218,7 +218,9 @@
             choice = await self._choose_after_prefill(pending)
             result = await self._sender.send(pending, choice)
             if result.is_unreachable:
-                await self._handle_unreachable(choice.endpoint, result)
+                await self._handle_unreachable(
+                    choice.endpoint, result.is_refused
+                )
             self._record_result(pending, choice, result)
             if result.end is sending.AttemptEnd.LOST:
                 await self._check_for_crash(pending, choice.endpoint)
@@ -511,16 +513,19 @@
         try:
             await self._client.probe(vms.parse_address(endpoint.address))
         except http_client.ConnectError as caught:
-            is_isolated = await self._links.check(endpoint)
-            if caught.refused and not is_isolated:
-                self._handle_endpoint_down(endpoint)
+            await self._handle_unreachable(endpoint, caught.refused)
 
     async def _handle_unreachable(
-        self, endpoint: roster.Endpoint, result: sending.AttemptResult
+        self, endpoint: roster.Endpoint, is_refused: bool
     ) -> None:
-        """Marks an endpoint as down unless none can be reached from here."""
+        """Marks an endpoint as down unless none can be reached from here.
+
+        Args:
+            endpoint: An endpoint to which no connection could be made.
+            is_refused: Whether it refused the connection.
+        """
         is_isolated = await self._links.check(endpoint)
-        if result.is_refused and not is_isolated:
+        if is_refused and not is_isolated:
             self._handle_endpoint_down(endpoint)
 
     def _handle_endpoint_down(self, endpoint: roster.Endpoint) -> None:
--- a/packages/router/tests/gateway/test_load_queries.py
+++ b/packages/router/tests/gateway/test_load_queries.py
@@ -43,6 +43,12 @@
 
         return send
 
+    def start(self):
+        return [
+            asyncio.create_task(queries.run())
+            for queries in self.queries.values()
+        ]
+
     async def learn(self, name, choice=CHOICE):
         """Returns the time that the gateway waited."""
         loop = asyncio.get_running_loop()
@@ -101,9 +107,7 @@
     async def scenario():
         fleet = _Fleet()
         first, second, _ = fleet.others
-        tasks = [
-            asyncio.create_task(each.run()) for each in fleet.queries.values()
-        ]
+        tasks = fleet.start()
         await fleet.learn(first)
         fleet.tables[first].add("e-1", 1, 0)
         await asyncio.sleep(5)
@@ -123,9 +127,7 @@
     async def scenario():
         fleet = _Fleet()
         first, second, _ = fleet.others
-        tasks = [
-            asyncio.create_task(each.run()) for each in fleet.queries.values()
-        ]
+        tasks = fleet.start()
         await fleet.learn(first)
         await asyncio.sleep(0.5)
         await fleet.learn(second)
