--- a/packages/router/nutmegpost_router/gateway/load_queries.py
+++ b/packages/router/nutmegpost_router/gateway/load_queries.py
@@ -39,6 +39,9 @@
 # Interval at which unchanged parts are repeated to the trackers.
 _REPEAT_INTERVAL_S = 1.0
 
+# Endpoints whose tracker is remembered; names of endpoints are used once.
+_TRACKERS_CACHED_MAX = 16_384
+
 
 class EntryKind(enum.IntEnum):
     """Kind of an entry.
@@ -225,6 +228,9 @@
         finally:
             waiters.discard(waiter)
             self._intended[endpoint] -= 1
+            if not waiters:
+                self._waiters.pop(endpoint, None)
+                del self._intended[endpoint]
         return True
 
     def _part(self, endpoint: str) -> int:
@@ -242,6 +248,8 @@
         """Returns the name of the tracker of an endpoint; empty for none."""
         tracker = self._trackers.get(endpoint, "")
         if not tracker and self._hosts:
+            if len(self._trackers) >= _TRACKERS_CACHED_MAX:
+                self._trackers.clear()
             tracker = ownership.owner(endpoint, list(self._hosts))
             self._trackers[endpoint] = tracker
         return tracker
--- a/packages/router/tests/gateway/test_load_queries.py
+++ b/packages/router/tests/gateway/test_load_queries.py
@@ -160,3 +160,18 @@
         assert await fleet.learn(name, low) > 0
 
     _run(scenario)
+
+
+def test_nothing_is_kept_of_endpoints_that_are_asked_for_no_more():
+    async def scenario():
+        fleet = _Fleet()
+        name = fleet.others[0]
+        await asyncio.gather(fleet.learn(name), fleet.learn(name))
+        fleet.silent.add(fleet.tracker)
+        await asyncio.sleep(1)
+        await fleet.learn(name)
+        queries = fleet.queries[name]
+        assert not queries._waiters
+        assert not queries._intended
+
+    _run(scenario)
