Review, case 3: the killed gateway is started while streams are taken up

Cause: it was started after them, and could outlive a run in which they go on. Change: the start runs beside the take-ups; a run ends gateways that are still being started, and on a SIGTERM of its own.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -120,6 +120,15 @@
     return broken
 
 
+async def start_again(gateways):
+    """Starts gateways that were killed, after some time."""
+    if bed.TROUBLE:
+        await asyncio.sleep(DOWN_S)
+        for gateway in gateways:
+            gateway.is_first_start = False
+            gateway.start()
+
+
 async def play(record, bed_):
     await bed_.start()
     gateways = list(bed_.gateways.values())
@@ -133,6 +142,7 @@
         record.line("another writer puts an odd entry, servers/other-1")
     await asyncio.sleep(1.0)
     broken = await stop_some(killed, streams) if bed.TROUBLE else []
+    again = asyncio.create_task(start_again(killed))
     # The clients take their streams up, and others begin, where they can.
     new = asyncio.create_task(begin(record, left, 100, TAKE_UPS_MIN))
     goes_on = await asyncio.gather(
@@ -143,11 +153,7 @@
             for number, stream in enumerate(broken)
         )
     )
-    if bed.TROUBLE:
-        await asyncio.sleep(DOWN_S)
-        for gateway in killed:
-            gateway.is_first_start = False
-            gateway.start()
+    await again
     began = [await task for _, task in await new]
     for _, task in streams:
         await task
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -738,6 +738,7 @@
 
     async def close(self) -> None:
         for gateway in self.gateways.values():
+            await gateway.wait_until_started()
             gateway.kill()
         for gateway in self.gateways.values():
             await gateway.wait_until_ended()
@@ -828,9 +829,12 @@
         log.close()
         self._bed.record.line(f"{self.name} is started")
 
-    async def wait_until_ready(self, timeout_s: float) -> None:
+    async def wait_until_started(self) -> None:
         if self._starting is not None:
             await self._starting
+
+    async def wait_until_ready(self, timeout_s: float) -> None:
+        await self.wait_until_started()
         until = now() + timeout_s
         while now() < until:
             if await self.is_ready():
@@ -940,6 +944,8 @@
     record = Record(pathlib.Path(folder) / "record.txt")
     record.line(f"trouble: {TROUBLE}")
     code = 2
+    # A request to stop ends the processes that were started, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         breaches = asyncio.run(asyncio.wait_for(case(record), LIMIT_S))
         for breach in breaches:
@@ -950,7 +956,8 @@
     except UnrunnableError as caught:
         record.line(f"could not run: {caught}")
         sys.stdout.write(f"could not run: {caught}\n")
-    except Exception as caught:  # Anything else says nothing of the rule.
+    except (Exception, KeyboardInterrupt) as caught:
+        # Anything else says nothing of the rule.
         record.line(f"could not run: {type(caught).__name__}: {caught}")
         sys.stdout.write(f"could not run: {type(caught).__name__}: {caught}\n")
     record.close()
