Open a connection for each further attempt at an address

Cause: all attempts of a request bear its identity, so the identity does not tell the answer to one from that to another. An endpoint that was back at its address under a new name refused the attempt at the old name, the attempt at the new name took the connection just returned to the pool, and a late copy of the refusal was taken for its answer. The request went to a third endpoint although the second ran it.

Why it works: an answer can come late only on the connection of its attempt, and no two attempts of a request share a connection any more.

--- a/packages/router/nutmegpost_router/gateway/pending_request.py
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -7,6 +7,7 @@
 from nutmegpost_core import crashes
 from nutmegpost_core import crashing_parts
 from nutmegpost_core import dispatch
+from nutmegpost_core import vms
 from nutmegpost_router import http_server
 from nutmegpost_router.gateway import state
 
@@ -47,6 +48,8 @@
         attempts: Number of attempts so far.
         runs: Number of attempts in which an endpoint may have run the request.
         tried_endpoints: Names of the endpoints that it was sent to.
+        tried_addresses: Their addresses; endpoints can have the same one in
+            turn.
         last_event_id: Id of the last event that the caller has; empty for none.
         software: Software version that began the stream, which alone can
             continue it; None while any version can run the request.
@@ -74,6 +77,7 @@
         self.attempts = 0
         self.runs = 0
         self.tried_endpoints: set[str] = set()
+        self.tried_addresses: set[vms.Address] = set()
         self.last_event_id = call.resume_after
         self.software: str | None = None
         self.failure_response: http_server.Response | None = None
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -191,14 +191,20 @@
                 return 0.0
             return min(left_s, _SILENCE_POLL_S)
 
+        address = vms.parse_address(choice.endpoint.address)
+        # All attempts have the identity of the request. The endpoint of an
+        # earlier one may answer it twice, the second time late.
+        is_address_tried = address in pending.tried_addresses
+        pending.tried_addresses.add(address)
         try:
             stream = await self._client.stream(
-                vms.parse_address(choice.endpoint.address),
+                address,
                 request.method,
                 request.target,
                 fields,
                 request.body,
                 silent_timeout_s if repeatable else timeout_s,
+                fresh=is_address_tried,
                 idle_limit_s=_IDLE_LIMIT_REPEATABLE_S
                 if repeatable
                 else _IDLE_LIMIT_ONCE_S,
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -1,6 +1,7 @@
 """An endpoint that writes an earlier refusal once more on a kept connection."""
 
 import asyncio
+import collections
 
 import pytest
 import standin
@@ -80,3 +81,66 @@
             assert runners[1].executed == ["id-1"]
 
     standin.run_scenario(scenario)
+
+
+class _RestartedRunner(standin.RawRunner):
+    """Refuses the requests to its predecessor, and repeats each refusal late.
+
+    The copy comes where the next answer on the connection is expected.
+
+    Attributes:
+        status_line: Status line of its refusals.
+    """
+
+    status_line = b""
+
+    async def serve(self, reader, writer):
+        refusal = b""
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            attempt = standin.attempt_of(head)
+            writer.write(refusal)
+            if b"expect-instance: p1\r\n" not in head:
+                refusal = (
+                    b"HTTP/1.1 %s\r\nNot-Executed: 1\r\nAttempt-Id: %s\r\n"
+                    b"Content-Length: 0\r\n\r\n" % (self.status_line, attempt)
+                )
+                writer.write(refusal)
+                continue
+            self.executed.append(attempt.decode())
+            await asyncio.sleep(0.05)
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: x\r\n"
+                b"Content-Length: 4\r\n\r\ndone" % attempt
+            )
+
+
+# Guards against a late copy of one try's refusal that ends the next try.
+@pytest.mark.parametrize("path", ["/issue/1", "/look/1"])
+@pytest.mark.parametrize(
+    "status_line",
+    [b"421 Misdirected", b"503 Unavailable", b"429 Too Many", b"408 Timeout"],
+)
+def test_late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_try(
+    path, status_line
+):
+    async def scenario():
+        restarted = _RestartedRunner("p1", "plain")
+        restarted.status_line = status_line
+        sound = standin.Runner("p2", "plain")
+        async with standin.Fleet([restarted, sound]) as fleet:
+            gateway = fleet.gateways[0]
+            fleet.store.put("servers/p0", restarted.entry())
+            await fleet.wait_until(
+                lambda: "p0" in gateway.local_state.roster.endpoints
+            )
+            for number in range(20):
+                response = await fleet.send_request(
+                    path, f"id-{number}", "POST"
+                )
+                assert response.status == 200
+            runs = collections.Counter(restarted.executed + sound.executed)
+            assert restarted.executed
+            assert set(runs.values()) == {1}
+
+    standin.run_scenario(scenario)
