Log when endpoints may have come and gone without notice

Cause: a take-up that is refused as of unknown origin (416, nothing) did not show whether several versions had served, the gateway had just started, or it had recorded a gap in what it knows. Change: 520 VERSIONS_UNCERTAIN, with the entries or revisions that opened a gap.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -231,6 +231,11 @@
 ENDPOINT_UNREACHED = Event(
     519, "INFO", "a probe did not reach endpoint {endpoint}: {reason}"
 )
+VERSIONS_UNCERTAIN = Event(
+    520,
+    "WARNING",
+    "software versions may have served that are not known: {reason}",
+)
 REQUEST_THROUGH_PEER = Event(
     417,
     "INFO",
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -88,8 +88,7 @@
         if not entries.replace(endpoints, revision, now):
             _log_outdated(["*"], revision, known)
         elif self._has_endpoints:
-            # Endpoints may have come and gone since the last change.
-            self._state.versions.record_gap(now)
+            self._record_gap(f"list {revision} after {known}", now)
         self._has_endpoints = True
         self._update_versions(now)
         self._endpoints_changed()
@@ -105,9 +104,11 @@
         outdated = entries.apply_changes(endpoints, removed, revision, now)
         if outdated:
             _log_outdated(outdated, revision, known)
-        if removed.keys() - names:
-            # Came and went between two polls.
-            self._state.versions.record_gap(now)
+        unknown = sorted(removed.keys() - names)
+        if unknown:
+            self._record_gap(
+                f"{' '.join(unknown)} came and went by {revision}", now
+            )
         self._update_versions(now)
         if _instances(entries) != instances:
             self._endpoints_changed()
@@ -118,6 +119,11 @@
             self._endpoints_changed()
             self._update_versions(now)
 
+    def _record_gap(self, reason: str, now: float) -> None:
+        """Records that endpoints may have come and gone without notice."""
+        self._state.versions.record_gap(now)
+        log.emit(events.VERSIONS_UNCERTAIN, reason=reason)
+
     def _update_versions(self, now: float) -> None:
         local_state = self._state
         local_state.versions.update(local_state.roster.endpoints.values(), now)
