Let entries that name no endpoint change nothing

Cause: an entry that cannot be decoded was passed on as a removal, and the removal of an unknown name as an endpoint that had come and gone unnoticed. So all gateways recorded a gap at once, and none knew for over a minute that one version alone had served.

Evidence: 520 "other-1 came and went by 1/105" at all three gateways, 416 with "nothing" 16 times; no second version, no take-up "out of step".

Tests: test_streams_go_on_at_other_gateways_after_an_odd_entry (8 of 10 cases failed before; the others overwrite the entry of a known endpoint) and test_endpoint_that_comes_and_goes_between_two_polls_counts (failed before for the same version).

Why it works: the reader knows of each entry whether it named an endpoint, and passes on a removal only if it did. What is written and removed within one poll is passed on too, so its version counts instead of opening a gap. A gap is left for a removal of which no write was read.

--- a/packages/core/nutmegpost_core/software_versions.py
+++ b/packages/core/nutmegpost_core/software_versions.py
@@ -53,6 +53,18 @@
             if now - at <= RETENTION_S
         }
 
+    def record_served(
+        self, endpoints: Iterable[roster.Endpoint], now: float
+    ) -> None:
+        """Records endpoints that served and no longer do.
+
+        Args:
+            endpoints: The endpoints.
+            now: Monotonic time, seconds.
+        """
+        for endpoint in endpoints:
+            self._last_served[endpoint.service, endpoint.software] = now
+
     def record_gap(self, now: float) -> None:
         """Records that endpoints may have come and gone unnoticed."""
         self._observed_since = now
--- a/packages/core/tests/test_software_versions.py
+++ b/packages/core/tests/test_software_versions.py
@@ -67,6 +67,13 @@
     assert history.sole_version("plain", 0.0) == "v2"
 
 
+def test_version_that_came_and_went_counts_until_its_streams_are_over():
+    history = _history("v1", is_complete=True)
+    history.record_served([_endpoint("e9", "v2")], 110.0)
+    assert history.sole_version("engines", 110.0) is None
+    assert history.sole_version("engines", 110.1) == "v1"
+
+
 def test_gap_ends_what_was_observed():
     history = _history("v1", is_complete=True)
     history.record_gap(150.0)
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -212,11 +212,15 @@
         endpoints: Entries that were written.
         removed: Revision of each removal, by endpoint name.
         revision: Revision of the list after the changes.
+        passed: Entries that were written and replaced or removed since.
+        unseen: Names of removed entries of which no write was read.
     """
 
     endpoints: list[roster.Endpoint]
     removed: dict[str, roster.Revision]
     revision: roster.Revision
+    passed: list[roster.Endpoint]
+    unseen: list[str]
 
 
 class PlatformUnavailable(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -96,18 +96,17 @@
     def _change_endpoints(
         self, update: ports.EndpointsChanged, now: float
     ) -> None:
-        endpoints, removed, revision = update
+        endpoints, removed, revision, passed, unseen = update
         entries = self._state.roster
         known = entries.revision
-        names = set(entries.endpoints)
         instances = _instances(entries)
         outdated = entries.apply_changes(endpoints, removed, revision, now)
         if outdated:
             _log_outdated(outdated, revision, known)
-        unknown = sorted(removed.keys() - names)
-        if unknown:
+        self._state.versions.record_served(passed, now)
+        if unseen:
             self._record_gap(
-                f"{' '.join(unknown)} came and went by {revision}", now
+                f"{' '.join(unseen)} came and went by {revision}", now
             )
         self._update_versions(now)
         if _instances(entries) != instances:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -99,3 +99,122 @@
                 await fleet.wait_until(lambda: "p1" not in endpoints)
 
     standin.run_scenario(scenario)
+
+
+_ENGINE = _GOOD | {"service": "engines"}
+
+
+async def _write_and_remove(fleet, value):
+    fleet.store.put("servers/odd", value)
+    fleet.store.remove("servers/odd")
+
+
+async def _write_and_remove_later(fleet, value):
+    fleet.store.put("servers/odd", value)
+    await _wait_until_read(fleet)
+    fleet.store.remove("servers/odd")
+
+
+async def _write(fleet, value):
+    fleet.store.put("servers/odd", value)
+
+
+async def _write_twice(fleet, value):
+    fleet.store.put("servers/odd", value)
+    await _wait_until_read(fleet)
+    fleet.store.put("servers/odd", value)
+
+
+async def _write_over_another(fleet, value):
+    fleet.store.put("servers/e3", value)
+    await _wait_until_read(fleet)
+    fleet.store.put("servers/e3", fleet.runners["e3"].entry(seq=2))
+
+
+async def _wait_until_read(fleet):
+    """Waits until all gateways have read what the store has."""
+    for gateway in fleet.gateways:
+        await fleet.wait_until(
+            lambda gateway=gateway: (
+                gateway.local_state.roster.revision.number
+                >= fleet.store.revision
+            )
+        )
+
+
+async def _take_up_after(fleet, change):
+    """Breaks a stream off by a kill after a change, and takes it up.
+
+    Returns:
+        The statuses at the gateways that are left.
+    """
+    await fleet.wait_until_all_met()
+    for runner in fleet.runners.values():
+        runner.behaviors = [standin.cut_stream_after(2)] * 2
+    with pytest.raises(standin.http_client.ExchangeError):
+        await fleet.send_stream_request("/draft/1", "begun")
+    for runner in fleet.runners.values():
+        runner.behaviors = []
+    await change(fleet)
+    await _wait_until_read(fleet)
+    await fleet.kill_gateway(0)
+    return [
+        (
+            await fleet.send_stream_request(
+                "/draft/1",
+                f"again-{index}",
+                gateway_index=index,
+                Last_Event_Id="2",
+                Resumes="begun",
+            )
+        ).status
+        for index in (1, 2)
+    ]
+
+
+def _engines():
+    return standin.Fleet(
+        [standin.Runner(name, "engines", 8) for name in ("e1", "e2", "e3")],
+        gateways=3,
+    )
+
+
+_UNREADABLE = b"\xff"
+_UNNAMED_STATE = _ENGINE | {"state": "unknown", "address": 7}
+
+
+# Guards against an odd entry that makes gateways refuse streams taken up.
+@pytest.mark.parametrize("value", [_UNREADABLE, _UNNAMED_STATE], ids=str)
+@pytest.mark.parametrize(
+    "change",
+    [
+        _write,
+        _write_twice,
+        _write_and_remove,
+        _write_and_remove_later,
+        _write_over_another,
+    ],
+)
+def test_streams_go_on_at_other_gateways_after_an_odd_entry(value, change):
+    async def scenario():
+        async with _engines() as fleet:
+            statuses = await _take_up_after(
+                fleet, lambda _: change(fleet, value)
+            )
+            assert statuses == [200, 200]
+
+    standin.run_scenario(scenario)
+
+
+# Guards against refused streams after an endpoint was there between two polls.
+@pytest.mark.parametrize(("version", "status"), [("v1", 200), ("v2", 503)])
+def test_endpoint_that_comes_and_goes_between_two_polls_counts(version, status):
+    async def scenario():
+        async with _engines() as fleet:
+            entry = _ENGINE | {"version": version}
+            statuses = await _take_up_after(
+                fleet, lambda _: _write_and_remove(fleet, entry)
+            )
+            assert statuses == [status, status]
+
+    standin.run_scenario(scenario)
