--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -104,6 +104,10 @@
 _ENGINE = _GOOD | {"service": "engines"}
 
 
+def _without(field):
+    return {name: value for name, value in _ENGINE.items() if name != field}
+
+
 async def _write_and_remove(fleet, value):
     fleet.store.put("servers/odd", value)
     fleet.store.remove("servers/odd")
@@ -206,6 +210,39 @@
     standin.run_scenario(scenario)
 
 
+# Guards against an incomplete entry that counts as another software version.
+@pytest.mark.parametrize("change", [_write, _write_and_remove_later])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        *(_without(field) for field in sorted(_ENGINE) if field != "born"),
+        _ENGINE | {"version": 1},
+        _ENGINE | {"version": ""},
+    ],
+    ids=str,
+)
+def test_incomplete_entry_is_no_other_software_version(value, change):
+    async def scenario():
+        async with _engines() as fleet:
+            statuses = await _take_up_after(
+                fleet, lambda _: change(fleet, value)
+            )
+            assert statuses == [200, 200]
+
+    standin.run_scenario(scenario)
+
+
+def test_entry_without_a_start_time_names_an_endpoint():
+    async def scenario():
+        async with _engines() as fleet:
+            fleet.store.put("servers/e4", _without("born"))
+            endpoints = fleet.gateways[0].local_state.roster.endpoints
+            await fleet.wait_until(lambda: "e4" in endpoints)
+
+    standin.run_scenario(scenario)
+
+
 # Guards against refused streams after an endpoint was there between two polls.
 @pytest.mark.parametrize(("version", "status"), [("v1", 200), ("v2", 503)])
 def test_endpoint_that_comes_and_goes_between_two_polls_counts(version, status):
