Tell peers the origins of open streams when a gap opens

Cause: peers are told what began a stream only while it is not known that one version alone has served, and all origins were told when a second version joined, but not when a gap opened. The streams that were open then had no record at the peers, and the gap made the directory no proof.

Evidence: 520 "list 1/5 after 1/4" at both gateways, 416 "nothing" after the kill.

Tests: test_taken_up_stream_goes_on_after_the_endpoints_were_listed_again failed before; test_stream_is_not_joined_after_changes_that_no_gateway_saw guards the other side and passed before.

Why it works: one condition decides both whether a new origin is told, and whether those that are known are: that no version is known to be the only one.

--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -1,7 +1,7 @@
 """Finds the software version that began a stream that a caller takes up.
 
-Each gateway records what began the streams that it relays. While several
-versions serve, or have served recently, it also tells a few peers, which
+Each gateway records what began the streams that it relays. While it is not known
+that one version alone has served recently, it also tells a few peers, which
 rendezvous hashing names for the attempt, so that the origin is known after its
 loss. A gateway that does not know an origin asks these peers. Otherwise, the
 only version that the service has had began the stream. The caches of endpoints
@@ -90,7 +90,10 @@
             self._queue([entry])
 
     def update_versions(self, now: float) -> None:
-        """Tells peers all origins of a service that has another version now.
+        """Tells peers all origins of a service once they are needed.
+
+        They are needed while it is not known that one version alone has served:
+        another has joined, or endpoints may have come and gone unnoticed.
 
         Args:
             now: Monotonic time, seconds.
@@ -100,14 +103,14 @@
             endpoint.service
             for endpoint in self._state.roster.endpoints.values()
         }
-        several = {
+        uncertain = {
             service
             for service in services
-            if len(self._state.versions.versions(service, since)) > 1
+            if self._state.versions.sole_version(service, since) is None
         }
-        for service in several - self._services_told:
+        for service in uncertain - self._services_told:
             self._queue(self._origins.of_service(service))
-        self._services_told = several
+        self._services_told = uncertain
 
     async def find(self, call: calls.Call) -> stream_origins.Origin | None:
         """Returns what began the stream that a call takes up.
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -426,3 +426,57 @@
                 assert ran <= {"v2"}
 
     standin.run_scenario(scenario)
+
+
+async def _take_up_at_another_after(fleet, change):
+    """Breaks a stream off by a kill after a change, and takes it up."""
+    await fleet.wait_until_all_met()
+    await _begin_and_break_off(fleet, "begun")
+    await change(fleet)
+    await fleet.kill_gateway(0)
+    return await _take_up(fleet, "again", "begun", 1)
+
+
+async def _lose_history(fleet):
+    """Changes an entry while nobody can read it, and discards the change."""
+    fleet.store.is_down = True
+    fleet.store.cut_polls()
+    await asyncio.sleep(0.1)
+    fleet.store.put("servers/e1", fleet.runners["e1"].entry(seq=2))
+    fleet.store.forget_history()
+    fleet.store.is_down = False
+    for gateway in fleet.gateways:
+        entries = gateway.local_state.roster
+        await fleet.wait_until(
+            lambda entries=entries: (
+                entries.revision.number >= fleet.store.revision
+            )
+        )
+    # Gateways tell their peers what began the streams.
+    await asyncio.sleep(0.2)
+
+
+# Guards against refused streams after gateways listed the endpoints again.
+@pytest.mark.parametrize("change", [_lose_history])
+def test_taken_up_stream_goes_on_after_the_endpoints_were_listed_again(change):
+    async def scenario():
+        runners = _runners(e1="v1", e2="v1")
+        async with standin.Fleet(runners, gateways=2) as fleet:
+            response = await _take_up_at_another_after(fleet, change)
+            assert response.status == 200
+
+    standin.run_scenario(scenario)
+
+
+# Guards against a version that was not seen while the history was lost.
+def test_stream_is_not_joined_after_changes_that_no_gateway_saw():
+    async def scenario():
+        runners = _runners(e1="v1", e2="v1")
+        async with standin.Fleet(runners, gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            await _lose_history(fleet)
+            response = await _take_up(fleet, "again", "unknown", 1)
+            assert response.status == 503
+            assert not _versions_that_ran(fleet, "again")
+
+    standin.run_scenario(scenario)
