Let a list that hides no change open no gap

Cause: every list of endpoints but the first counted as a gap in what a gateway knows of the versions that served. A peer sends its list when it has read a change earlier, within the 0.6 s between two polls, although the own poll brings the same changes later.

Test: test_taken_up_stream_goes_on_after_the_endpoints_were_listed_again, the case of a peer, failed before.

Why it works: what the platform publishes goes on from its own last revision, so only a list of the platform beyond that, or a list of a peer while the platform is unavailable, can hide a change.

--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -254,7 +254,9 @@
                 for endpoint in endpoints
             ]
             self._updates.put_nowait(
-                ports.EndpointsListed(endpoints, list_revision)
+                ports.EndpointsListed(
+                    endpoints, list_revision, is_from_peer=True
+                )
             )
         if caches and not self._state.caches_synced:
             self._updates.put_nowait(
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -199,10 +199,12 @@
     Attributes:
         endpoints: All entries.
         revision: Revision of the list.
+        is_from_peer: Whether a peer sent it, not the platform.
     """
 
     endpoints: list[roster.Endpoint]
     revision: roster.Revision
+    is_from_peer: bool = False
 
 
 class EndpointsChanged(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -45,6 +45,8 @@
         self._peer_sync = peer_sync
         self._origins = origins
         self._has_endpoints = False
+        # Revision up to which the platform has published every change.
+        self._platform_revision: roster.Revision | None = None
 
     @property
     def has_endpoints(self) -> bool:
@@ -82,13 +84,22 @@
     def _replace_endpoints(
         self, update: ports.EndpointsListed, now: float
     ) -> None:
-        endpoints, revision = update
+        endpoints, revision, is_from_peer = update
         entries = self._state.roster
         known = entries.revision
+        # What the platform publishes next goes on from its last update, so the
+        # list of a peer hides nothing unless the platform is unavailable.
+        observed = known
+        if not is_from_peer:
+            observed = self._platform_revision or known
+            self._platform_revision = revision
+        elif not self._peer_sync.is_platform_unavailable:
+            observed = revision
         if not entries.replace(endpoints, revision, now):
             _log_outdated(["*"], revision, known)
-        elif self._has_endpoints:
-            self._record_gap(f"list {revision} after {known}", now)
+        elif self._has_endpoints and revision > observed:
+            # Endpoints may have come and gone since the last change.
+            self._record_gap(f"list {revision} after {observed}", now)
         self._has_endpoints = True
         self._update_versions(now)
         self._endpoints_changed()
@@ -97,6 +108,7 @@
         self, update: ports.EndpointsChanged, now: float
     ) -> None:
         endpoints, removed, revision, passed, unseen = update
+        self._platform_revision = revision
         entries = self._state.roster
         known = entries.revision
         instances = _instances(entries)
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -5,6 +5,8 @@
 import pytest
 import standin
 
+from nutmegpost_router.gateway import ports
+
 COMPLETE_STREAM = b"".join(
     b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)
 )
@@ -456,8 +458,19 @@
     await asyncio.sleep(0.2)
 
 
+async def _list_by_a_peer(fleet):
+    """Lets a gateway learn of a change by a peer before its own poll."""
+    gateway = fleet.gateways[1]
+    entries = gateway.local_state.roster
+    newer = entries.revision._replace(number=entries.revision.number + 1)
+    gateway._updates.put_nowait(
+        ports.EndpointsListed(entries.listed, newer, is_from_peer=True)
+    )
+    await fleet.wait_until(lambda: entries.revision == newer)
+
+
 # Guards against refused streams after gateways listed the endpoints again.
-@pytest.mark.parametrize("change", [_lose_history])
+@pytest.mark.parametrize("change", [_lose_history, _list_by_a_peer])
 def test_taken_up_stream_goes_on_after_the_endpoints_were_listed_again(change):
     async def scenario():
         runners = _runners(e1="v1", e2="v1")
