--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -1,11 +1,12 @@
 """Finds the software version that began a stream that a caller takes up.
 
 Each gateway records what began the streams that it relays. While one version is
-not known to be the only one that has served recently, it also tells a few peers,
-which rendezvous hashing names for the attempt, so that the origin is known after
-its loss. A gateway that does not know an origin asks these peers. Otherwise, the
-only version that the service has had began the stream. The caches of endpoints
-tell nothing: the prompt of a session is cached wherever a request of it ran.
+not known to be the only one that has served recently, it also tells a few
+peers, which rendezvous hashing names for the attempt, so that the origin is
+known after its loss. A gateway that does not know an origin asks these peers.
+Otherwise, the only version that the service has had began the stream. The
+caches of endpoints tell nothing: the prompt of a session is cached wherever a
+request of it ran.
 """
 
 import asyncio
