Fail the largest body, not the next one, when memory for bodies is out

Cause: the bodies that are being read may take 1/32 of the memory of a gateway, 9 to 17 MB on the machines of the sites, and one body 8 MB. The body whose part crossed the limit failed, whatever its size, so two large ones made all others fail for as long as they were held. The gateway itself did not run out of memory.

Evidence: 412 "no memory is left for the body" for o1, a sound endpoint, while r1 held 12 of 12.5 MB.

Tests: test_large_answers_are_relayed_while_unended_ones_hold_memory failed before. Written beside it and passing before: test_answers_of_other_endpoints_are_relayed_meanwhile and test_memory_does_not_grow_with_streams_without_end.

Why it works: the largest body that is being read fails when all together exceed the limit, so those that never end go first and the sum keeps its bound.

--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -337,6 +337,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str) -> None:
+        """Ends the exchange with an error."""
+        self._error = self._error or reason
+        # A body that was received completely is incomplete without its rest.
+        self.complete = False
+        self._body.clear()
+        self.abort()
+        self._wake()
+
     def _feed(self, data: bytes) -> None:
         try:
             if self._between_chunks and self._add_whole_chunks(data):
@@ -524,22 +533,21 @@
 
         Raises:
             ExchangeError: The connection failed, the body was not complete in
-                time, it is larger than `BODY_BYTES_MAX`, or the bodies of all
-                responses are larger than the limit of the client.
+                time, it is larger than `BODY_BYTES_MAX`, or it is the largest
+                while the bodies of all responses exceed the limit of the
+                client.
         """
         body = bytearray()
         deadline = _deadline(timeout_s)
         try:
             while data := await self._connection.read(deadline):
                 body += data
-                self._client.buffered_body_bytes += len(data)
                 if len(body) > BODY_BYTES_MAX:
                     raise ExchangeError("response body is too large")
-                if self._client.is_body_memory_exhausted:
-                    raise ExchangeError("no memory is left for the body")
+                self._client.reserve_body_memory(self._connection, len(data))
             return bytes(body)
         finally:
-            self._client.buffered_body_bytes -= len(body)
+            self._client.release_body_memory(self._connection)
 
     @property
     def fields(self) -> list[tuple[str, str]]:
@@ -574,11 +582,7 @@
 
 
 class Client:
-    """A client with a pool of idle connections.
-
-    Attributes:
-        buffered_body_bytes: Size of the bodies that are being read.
-    """
+    """A client with a pool of idle connections."""
 
     def __init__(
         self, buffered_body_bytes_max: int = BUFFERED_BODY_BYTES_MAX
@@ -590,14 +594,37 @@
                 are being read, bytes.
         """
         self._buffered_body_bytes_max = buffered_body_bytes_max
-        self.buffered_body_bytes = 0
+        self._buffered_body_bytes = 0
+        # Size of each body that is being read.
+        self._body_bytes: dict[_Connection, int] = {}
         self._idle: dict[vms.Address, collections.deque[_Connection]] = {}
         self._idle_count = 0
 
     @property
-    def is_body_memory_exhausted(self) -> bool:
-        """Whether the bodies that are being read exceed the limit."""
-        return self.buffered_body_bytes > self._buffered_body_bytes_max
+    def buffered_body_bytes(self) -> int:
+        """Size of the bodies that are being read."""
+        return self._buffered_body_bytes
+
+    def reserve_body_memory(self, connection: _Connection, size: int) -> None:
+        """Reserves memory for a part of a body.
+
+        If all bodies exceed the limit, the largest fails: one that never ends
+        must not fail the others.
+
+        Args:
+            connection: The connection on which the body arrives.
+            size: Size of the part, bytes.
+        """
+        self._buffered_body_bytes += size
+        known = self._body_bytes.get(connection, 0)
+        self._body_bytes[connection] = known + size
+        if self._buffered_body_bytes > self._buffered_body_bytes_max:
+            largest = max(self._body_bytes, key=self._body_bytes.__getitem__)
+            largest.fail("no memory is left for the body")
+
+    def release_body_memory(self, connection: _Connection) -> None:
+        """Returns the memory that was reserved for a body."""
+        self._buffered_body_bytes -= self._body_bytes.pop(connection, 0)
 
     async def request(
         self,
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -214,3 +214,130 @@
             assert peak < MEMORY_BYTES_MAX
 
     standin.run_scenario(scenario)
+
+
+FAILURE = b"HTTP/1.1 500 Failed\r\n" + SIGNED + b"\r\n"
+REJECTION = b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n"
+
+
+# Guards against answers that fail because those of a faulty endpoint are large.
+@pytest.mark.parametrize(
+    "start", [UNENDED_BODIES["body without a length"][0], FAILURE, REJECTION]
+)
+def test_answers_of_other_endpoints_are_relayed_meanwhile(start):
+    async def scenario():
+        fleet, runner = _fleet("plain", start, b"a", "full speed")
+        fleet.config["services"].append(
+            {"name": "other", "healthPath": "/health", "maxConns": 50}
+        )
+        fleet.config["routes"].append(
+            standin.route("other", "unsafe", "other", maxAttempts=1)
+        )
+        fleet.runners["o1"] = standin.Runner("o1", "other", 64)
+        async with fleet:
+            flood = [
+                asyncio.create_task(
+                    _timed(
+                        fleet.send_request(
+                            "/issue/1", f"flood-{number}", "POST", b"{}"
+                        )
+                    )
+                )
+                for number in range(24)
+            ]
+            statuses = []
+            while not all(task.done() for task in flood):
+                response = await fleet.send_request(
+                    "/other/1", f"other-{len(statuses)}", "POST", b"{}"
+                )
+                statuses.append(response.status)
+            assert runner.requests >= 8
+            assert set(statuses) == {200}
+
+    standin.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("name", UNENDED_STREAMS)
+def test_memory_does_not_grow_with_streams_without_end(name):
+    async def scenario():
+        start, repeated = UNENDED_STREAMS[name]
+        fleet, runner = _fleet("engines", start, repeated, "full speed")
+        async with fleet:
+            tracemalloc.start()
+            try:
+                await asyncio.gather(
+                    *(
+                        _timed(
+                            fleet.send_stream_request("/ask/1", f"id-{number}")
+                        )
+                        for number in range(8)
+                    )
+                )
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert runner.requests >= 2
+            assert peak < MEMORY_BYTES_MAX
+
+    standin.run_scenario(scenario)
+
+
+class _StalledRunner(standin.RawRunner):
+    """An endpoint that sends a part of an answer and then nothing.
+
+    Attributes:
+        part_bytes: Size of the part.
+    """
+
+    part_bytes = 6_000_000
+
+    async def write_answer(self, writer, attempt):
+        head = HEAD + SIGNED.replace(b"id-1", attempt)
+        writer.write(head + b"\r\n" + b"a" * self.part_bytes)
+        await asyncio.sleep(standin.TIMEOUT_S)
+
+
+# Guards against answers that fail because faulty ones hold all of the memory.
+def test_large_answers_are_relayed_while_unended_ones_hold_memory():
+    body = b"b" * 1_000_000
+
+    async def answer(runner, exchange):
+        fields = runner.response_fields(exchange.request)
+        exchange.send(standin.http_server.Response(200, fields, body))
+
+    async def scenario():
+        other = standin.Runner("o1", "engines", 64)
+        other.behaviors = [answer] * 5
+        config = standin.configuration(1)
+        config["routes"].append(
+            standin.route("other", "unsafe", "engines", maxAttempts=1)
+        )
+        stalled = _StalledRunner("r1", "plain", 64)
+        runners = [stalled, other]
+        async with standin.Fleet(runners, config=config) as fleet:
+            client = fleet.gateways[0]._client
+            stalled_requests = []
+            for number in (1, 2):
+                stalled_requests.append(
+                    asyncio.create_task(
+                        fleet.send_request(
+                            "/issue/1", f"stalled-{number}", "POST", b"{}"
+                        )
+                    )
+                )
+                await fleet.wait_until(
+                    lambda number=number: (
+                        client.buffered_body_bytes
+                        >= number * stalled.part_bytes
+                    )
+                )
+            for number in range(5):
+                response = await fleet.send_request(
+                    "/other/1", f"other-{number}", "POST", b"{}"
+                )
+                assert response.status == 200
+                assert response.body == body
+            for response in await asyncio.gather(*stalled_requests):
+                assert response.status in (502, 504)
+
+    standin.run_scenario(scenario)
