Read a stream through a peer no faster than its caller takes it

Callers saw: nothing yet. A gateway that is cut off from all endpoints and sends a stream through a peer kept all that the peer sent while its caller read slowly, until the deadline; found on the paths related to bytes without end.

Cause: the copy of a stream was read with Stream.read, which does not pause the connection while the reader waits for its caller; the relay of an endpoint's stream uses Stream.consume, which does.

Test: test_stream_through_a_peer_is_read_no_faster_than_its_caller_reads failed before.

Why it works: consume pauses reading while the caller's buffer is full; the deadline of the request ends it as before.

--- a/packages/router/nutmegpost_router/gateway/peer_relay.py
+++ b/packages/router/nutmegpost_router/gateway/peer_relay.py
@@ -198,12 +198,19 @@
             errors.PeerError: The stream failed.
         """
         exchange = pending.exchange
-        while data := await stream.read(
-            max(0.0, pending.call.deadline - _now())
-        ):
+
+        def write(data: bytes) -> http_client.Consumed:
             if not exchange.started:
                 exchange.start(stream.status, head.fields)
             exchange.write(data)
+            if not exchange.writable:
+                return http_client.Consumed.FULL
+            # Progress would extend the time beyond the deadline.
+            return http_client.Consumed.NOTHING
+
+        while not await stream.consume(
+            write, max(0.0, pending.call.deadline - _now())
+        ):
             await exchange.drain()
         if not exchange.started:
             exchange.start(stream.status, head.fields)
--- a/tests/platform/test_cut_off_gateways.py
+++ b/tests/platform/test_cut_off_gateways.py
@@ -1,6 +1,9 @@
 """Gateways that lose their links to all endpoints, and to nothing else."""
 
 import asyncio
+import itertools
+import socket
+import tracemalloc
 
 import pytest
 import standin
@@ -13,6 +16,8 @@
 SERVED_SHARE_MIN = 2 / 3
 # Time within which a request that nobody can serve is refused.
 REFUSED_WITHIN_S = 1.0
+# Several times what the buffers of the connections on the way hold.
+MEMORY_BYTES_MAX = 8_000_000
 
 
 def _fleet(gateways=3):
@@ -120,3 +125,49 @@
                 assert {response.status for response in responses} == {503}
 
     standin.run_scenario(scenario)
+
+
+async def _send_events_without_end(runner, exchange):
+    exchange.start(200, runner.response_fields(exchange.request))
+    text = b"p" * 1000
+    for first in itertools.count(1, 1000):
+        ids = range(first, first + 1000)
+        exchange.write(
+            b"".join(b"id: %d\ndata: %b\n\n" % (n, text) for n in ids)
+        )
+        await exchange.drain()
+        await asyncio.sleep(0)
+
+
+# Guards against a stream kept in memory because its caller reads slowly.
+def test_stream_through_a_peer_is_read_no_faster_than_its_caller_reads():
+    async def scenario():
+        async with _fleet(gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            standin.Cut(fleet, 0, False).begin()
+            await _send_all_kinds(fleet, "cut", 4)
+            for runner in fleet.runners.values():
+                runner.behaviors = [_send_events_without_end]
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.connect(tuple(fleet.address("public_address")))
+            reader, writer = await asyncio.open_connection(
+                sock=caller, limit=1024
+            )
+            tracemalloc.start()
+            try:
+                writer.write(
+                    b"POST /ask/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: slow\r\n"
+                    b"Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n"
+                    b"Content-Length: 0\r\n\r\n"
+                    % (standin.HOST.encode(), standin.API_KEY.encode())
+                )
+                assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+                await asyncio.sleep(2.0)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+                writer.transport.abort()
+            assert peak < MEMORY_BYTES_MAX
+
+    standin.run_scenario(scenario)
