Answer the open requests at the end of a planned stop's grace

Cause: at the end of the grace all connections were closed, whatever was open.

Evidence: in the test, callers got the end of their connection 3.6 s after the stop (a grace of 4 s), on kept connections and new ones, sent before the stop and after it.

Test: test_request_that_outlasts_the_grace_is_answered; the 8 cases of requests that run at most once failed before. test_stream_that_outlasts_the_grace_is_cut_ after_its_last_event passed before.

Why it works: the gateway ends each request whose answer has not begun, as not run (503) if no attempt was made or all were rejected, else as of unknown outcome, and writes the answer before it closes. A stream that has begun is cut, and reads as incomplete, as before.

--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -127,6 +127,15 @@
         )
         self._probes: set[asyncio.Task[None]] = set()
         self._lost_attempts: dict[str, list[_LostAttempt]] = {}
+        # The requests that are being forwarded, and what ends them.
+        self._open: dict[pending_request.PendingRequest, asyncio.Timeout] = {}
+
+    def end_requests(self) -> None:
+        """Ends all requests whose answers have not begun, with an answer."""
+        now = _now()
+        for pending, scope in self._open.items():
+            if not pending.exchange.started:
+                scope.reschedule(now)
 
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Handles one request of a caller until its response is complete."""
@@ -202,11 +211,28 @@
             raise errors.UnavailableError(
                 refusal, retry_after=_RETRY_AFTER_CRASHING_S
             )
-        software = None
-        if call.resume_after and call.route.resumable:
-            call, software = await self._find_origin(call)
         pending = pending_request.PendingRequest(exchange, call, fingerprint)
-        pending.software = software
+        try:
+            async with asyncio.timeout(None) as scope:
+                self._open[pending] = scope
+                await self._attempt_until_answered(pending)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            pending.runs += pending.is_in_flight
+            pending.reason = "the gateway stops"
+            self._give_up(pending)
+        finally:
+            del self._open[pending]
+
+    async def _attempt_until_answered(
+        self, pending: pending_request.PendingRequest
+    ) -> None:
+        request = pending.exchange.request
+        call = pending.call
+        if call.resume_after and call.route.resumable:
+            call, pending.software = await self._find_origin(call)
+            pending.call = call
         is_relayed = self._relay.is_relayed(request, call.identity)
         if not is_relayed:
             # The gateway that relays a request has counted it.
@@ -216,7 +242,9 @@
                 await self._send_through_peers(pending, is_relayed)
                 return
             choice = await self._choose_after_prefill(pending)
+            pending.is_in_flight = True
             result = await self._sender.send(pending, choice)
+            pending.is_in_flight = False
             if result.is_unreachable:
                 await self._handle_unreachable(
                     choice.endpoint, result.is_refused
@@ -253,7 +281,9 @@
         ):
             pending.reason += "; no retry is left in the budget"
             self._give_up(pending)
+        pending.is_in_flight = True
         result = await self._relay.send(pending)
+        pending.is_in_flight = False
         self._counters.sent_through_peer(result.end)
         if result.end is sending.AttemptEnd.ANSWERED:
             self._counters.request_ended(call.route.name, "answered")
--- a/packages/router/nutmegpost_router/gateway/pending_request.py
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -46,7 +46,9 @@
         call: The request in the form used by routing decisions.
         fingerprint: Identifies the request and its parts in crashes.
         attempts: Number of attempts so far.
-        runs: Number of attempts in which an endpoint may have run the request.
+        runs: Number of ended attempts in which an endpoint may have run the
+            request.
+        is_in_flight: Whether an attempt has not ended.
         tried_endpoints: Names of the endpoints that it was sent to.
         tried_addresses: Their addresses; endpoints can have the same one in
             turn.
@@ -76,6 +78,7 @@
         self.fingerprint = crash_fingerprint
         self.attempts = 0
         self.runs = 0
+        self.is_in_flight = False
         self.tried_endpoints: set[str] = set()
         self.tried_addresses: set[vms.Address] = set()
         self.last_event_id = call.resume_after
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -194,6 +194,11 @@
         """State that the tasks of this gateway share."""
         return self._state
 
+    @property
+    def _linger_s(self) -> float:
+        """Time after the stop signal for which connections are accepted."""
+        return _LINGER_TTLS * self._config["address_ttl_s"]
+
     def stop(self) -> None:
         """Begins a graceful shutdown; repeated calls do nothing."""
         if self._stopping_at is not None:
@@ -559,20 +564,22 @@
         """Waits until no request is open or the grace period ends.
 
         New connections are accepted until the addresses that callers have
-        cached have expired.
+        cached have expired. Requests that are still open at the end of the
+        grace period are answered that their outcome is unknown, or that they
+        have not run.
         """
         assert self._stopping_at is not None
-        linger_s = _LINGER_TTLS * self._config["address_ttl_s"]
         while True:
             await asyncio.sleep(_TICK_S)
             remaining_s = self._stop_time_left_s()
             assert remaining_s is not None
             if remaining_s <= 0:
                 log.emit(events.STOP_GRACE_OVER, name=self._config["name"])
+                self._forwarder.end_requests()
                 return
             if self._caller_server is None:
                 return
-            if _now() - self._stopping_at >= linger_s:
+            if _now() - self._stopping_at >= self._linger_s:
                 # Responses in progress are completed; no new request is taken.
                 self._caller_server.stop_listening()
                 self._caller_server.drain()
