Refuse late requests that may outlast the grace of a planned stop

Cause: 2 s after the stop signal the gateway refuses connections and closes idle ones, but a connection on which a request is still arriving counts as busy, and the request was taken whenever it was complete.

Evidence: in the test, a request whose body ends 1 s after the stop ran, and its connection ended without an answer.

Tests: test_request_that_is_complete_late_in_the_grace_is_refused, four kinds of request, failed before; test_request_that_ends_within_the_grace_is_taken_late passed before.

Why it works: a request that comes when callers know of the stop is taken only if its deadline is within the grace. Else it is refused at once, not run, with the time to come back, and another gateway serves it.

--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -59,6 +59,8 @@
 _RETRY_AFTER_STARTING_S = 0.3
 _RETRY_AFTER_CRASHING_S = 30.0
 _RETRY_AFTER_UNKNOWN_ORIGIN_S = 30.0
+# Other gateways take requests at once.
+_RETRY_AFTER_STOPPING_S = 0.1
 # Requests per slot at which an endpoint is full; those above one per slot wait
 # in its queue.
 _LOAD_PER_SLOT_MAX = 2.0
@@ -78,6 +80,18 @@
     call: calls.Call
 
 
+class _Stop(NamedTuple):
+    """Times of a planned stop, monotonic, seconds.
+
+    Attributes:
+        late_from: Time from which callers know that the gateway stops.
+        end: Time at which open requests are ended.
+    """
+
+    late_from: float
+    end: float
+
+
 class Forwarder:
     """Forwards the requests of callers to endpoints."""
 
@@ -127,9 +141,19 @@
         )
         self._probes: set[asyncio.Task[None]] = set()
         self._lost_attempts: dict[str, list[_LostAttempt]] = {}
+        self._stop: _Stop | None = None
         # The requests that are being forwarded, and what ends them.
         self._open: dict[pending_request.PendingRequest, asyncio.Timeout] = {}
 
+    def begin_stop(self, late_from: float, end: float) -> None:
+        """Refuses late requests that may not end within the grace period.
+
+        Args:
+            late_from: Monotonic time from which a request is late, seconds.
+            end: Monotonic time of the end of the grace period, seconds.
+        """
+        self._stop = _Stop(late_from, end)
+
     def end_requests(self) -> None:
         """Ends all requests whose answers have not begun, with an answer."""
         now = _now()
@@ -211,6 +235,11 @@
             raise errors.UnavailableError(
                 refusal, retry_after=_RETRY_AFTER_CRASHING_S
             )
+        if self._is_too_late(call):
+            raise errors.UnavailableError(
+                "the gateway stops before the deadline",
+                retry_after=_RETRY_AFTER_STOPPING_S,
+            )
         pending = pending_request.PendingRequest(exchange, call, fingerprint)
         try:
             async with asyncio.timeout(None) as scope:
@@ -225,6 +254,14 @@
         finally:
             del self._open[pending]
 
+    def _is_too_late(self, call: calls.Call) -> bool:
+        """Returns whether a planned stop may end a request that comes now."""
+        return (
+            self._stop is not None
+            and call.received >= self._stop.late_from
+            and call.deadline > self._stop.end
+        )
+
     async def _attempt_until_answered(
         self, pending: pending_request.PendingRequest
     ) -> None:
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -205,6 +205,10 @@
             return
         self._stopping_at = _now()
         log.emit(events.PROCESS_STOPPING, name=self._config["name"])
+        self._forwarder.begin_stop(
+            self._stopping_at + self._linger_s,
+            self._stopping_at + self._config["stop_grace_s"] - _STOP_MARGIN_S,
+        )
         self._gossip.send(gossip.Leave())
         if self._caller_server is not None:
             self._caller_server.disable_keep_alive()
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -9,6 +9,8 @@
 # Settings of the stand-in: the grace, and the time that is kept for the exit.
 GRACE_S = 4.0
 DEADLINE_MS = 10_000
+# Time after the stop signal by which no gateway takes new connections.
+LATE_S = 1.0
 BODY = b"{}"
 PATHS = ["/issue/1", "/look/1", "/ask/1", "/draft/1"]
 
@@ -89,6 +91,40 @@
         runner.behaviors = [standin.hang] * 8
 
 
+# Guards against requests that are taken late in the grace and cut at its end.
+@pytest.mark.parametrize("path", PATHS)
+def test_request_that_is_complete_late_in_the_grace_is_refused(path):
+    async def scenario():
+        async with _fleet() as fleet, _connect(fleet) as caller:
+            _hang(fleet)
+            caller.send_head(path, "late")
+            await asyncio.sleep(0.1)
+            fleet.gateways[0].stop()
+            await asyncio.sleep(LATE_S)
+            caller.send_body()
+            async with asyncio.timeout(0.5):
+                status, _ = await caller.receive()
+            assert status == 503
+            assert not _executed(fleet)
+
+    standin.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_request_that_ends_within_the_grace_is_taken_late(path):
+    async def scenario():
+        async with _fleet() as fleet, _connect(fleet) as caller:
+            caller.send_head(path, "late", deadline_ms=1000)
+            await asyncio.sleep(0.1)
+            fleet.gateways[0].stop()
+            await asyncio.sleep(LATE_S)
+            caller.send_body()
+            status, _ = await caller.receive()
+            assert status == 200
+
+    standin.run_scenario(scenario)
+
+
 # Guards against requests that end without an answer at the end of the grace.
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("sent", ["before", "after"])
