Ask a calm directory whether the list of endpoints is up to date

Cause: if no peer answers, a take-up needs a list of endpoints that cannot lack a new version. Its age was counted from the last change of an entry, so a directory in which nothing changes for 1 s counted as out of date.

Evidence: 416 "out of step" for each take-up in the test.

Test: test_last_gateway_asks_a_calm_directory_whether_it_is_current failed before; its second case, a directory that does not answer, is refused before and after.

Why it works: when the answer is needed, the gateway asks the platform for changes since the revision that it knows, once for all requests that wait. No change is proof that no version has joined.

--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -261,6 +261,9 @@
             updates.
         decode_configuration: Decodes a document that a peer forwarded; raises
             ConfigurationError.
+        is_current: Asks the platform whether the list of endpoints has not
+            changed since a revision. Takes the platform's address and the
+            revision; returns False if the platform does not answer.
     """
 
     run: Callable[
@@ -268,6 +271,7 @@
         Coroutine[None, None, None],
     ]
     decode_configuration: Callable[[bytes], catalog.Catalog]
+    is_current: Callable[[str, roster.Revision], Coroutine[None, None, bool]]
 
 
 class Ports(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -108,7 +108,12 @@
         )
         self._crashes = crash_guard.CrashGuard(self._gossip.send)
         self._origins = stream_origins.OriginExchange(
-            self._state, self._client, self._origin_peers
+            self._state,
+            self._client,
+            self._origin_peers,
+            lambda: protocols.publications.is_current(
+                config["platform_address"], self._state.roster.revision
+            ),
         )
         self._links = links.EndpointLinks(
             self._state.roster.ready,
--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -10,7 +10,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any
 
 import cbor2
@@ -36,8 +36,7 @@
 _ASK_TIMEOUT_S = 0.2
 # Time to wait after a start until the peers are known.
 _SYNC_WAIT_S = 1.5
-# Age of the list of endpoints above which it may lack a new version. Endpoints
-# write their entries more often.
+# Age of the list of endpoints above which it may lack a new version.
 _DIRECTORY_AGE_MAX_S = 1.0
 _EXPIRY_INTERVAL_S = 10.0
 _POLL_S = 0.02
@@ -52,6 +51,7 @@
         local_state: state.State,
         client: http_client.Client,
         peers: Callable[[], Mapping[str, vms.Address]],
+        is_directory_current: Callable[[], Awaitable[bool]],
     ):
         """Creates an exchange that knows no origin.
 
@@ -59,10 +59,14 @@
             local_state: State of the gateway.
             client: Connections to peers.
             peers: Returns the control addresses of the live peers by name.
+            is_directory_current: Asks the platform whether the known list of
+                endpoints is up to date.
         """
         self._state = local_state
         self._client = client
         self._peers = peers
+        self._is_directory_current = is_directory_current
+        self._directory_lock = asyncio.Lock()
         self._origins = stream_origins.StreamOrigins()
         self._untold: dict[bytes, stream_origins.OriginEntry] = {}
         self._untold_event = asyncio.Event()
@@ -146,7 +150,7 @@
             if told:
                 self._origins.record(told)
                 return told.origin, "peer"
-            if not has_answer and self._may_lack_version():
+            if not has_answer and await self._may_lack_version():
                 return None, "out of step"
         software = self._state.versions.sole_version(
             call.service, stream_origins.earliest_begin(call)
@@ -155,13 +159,23 @@
             return stream_origins.Origin(call.service, software), "directory"
         return None, "nothing"
 
-    def _may_lack_version(self) -> bool:
+    async def _may_lack_version(self) -> bool:
         """Returns whether a version may have joined without being noticed.
 
         Its streams can have begun at the peers, of which none answers.
         """
-        age_s = _now() - self._state.directory_read_at
-        return age_s > _DIRECTORY_AGE_MAX_S and bool(self._peers())
+        if not self._peers():
+            return False
+        # Those that wait for the lock find the directory read.
+        async with self._directory_lock:
+            asked_at = _now()
+            age_s = asked_at - self._state.directory_read_at
+            if age_s <= _DIRECTORY_AGE_MAX_S:
+                return False
+            if not await self._is_directory_current():
+                return True
+            self._state.directory_read_at = asked_at
+            return False
 
     # Peers.
 
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -493,3 +493,32 @@
             assert not _versions_that_ran(fleet, "again")
 
     standin.run_scenario(scenario)
+
+
+# Guards against a directory that counts as out of date because it is calm.
+@pytest.mark.parametrize(
+    ("is_store_down", "status"), [(False, 200), (True, 503)]
+)
+def test_last_gateway_asks_a_calm_directory_whether_it_is_current(
+    is_store_down, status
+):
+    async def scenario():
+        runners = _runners(e1="v1", e2="v1")
+        async with standin.Fleet(runners, gateways=3) as fleet:
+            await fleet.wait_until_all_met()
+            await _begin_and_break_off(fleet, "begun")
+            await asyncio.sleep(1.2)
+            if is_store_down:
+                fleet.store.is_down = True
+                fleet.store.cut_polls()
+            await fleet.kill_gateway(0)
+            await fleet.kill_gateway(1)
+            responses = await asyncio.gather(
+                *(
+                    _take_up(fleet, f"again-{number}", "begun", 2)
+                    for number in range(6)
+                )
+            )
+            assert {response.status for response in responses} == {status}
+
+    standin.run_scenario(scenario)
