Count a time without news as a gap only if an endpoint can come and leave

Callers saw: after the store had lost its history, all streams that callers took up without naming an attempt were refused, for 72 s and at all gateways.

Cause: each list after a loss of history recorded a gap, whatever the time since the last news was. The caches of endpoints decided most of these take-ups before they ceased to count as proof.

Why it works: an endpoint is listed for longer than it takes to leave (leave_limit_ms), so a shorter time hides none.

--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -65,11 +65,11 @@
             case ports.CatalogPublished():
                 self._accept_configuration(update)
             case ports.EndpointsListed():
-                local_state.directory_read_at = now
                 self._replace_endpoints(update, now)
-            case ports.EndpointsChanged():
                 local_state.directory_read_at = now
+            case ports.EndpointsChanged():
                 self._change_endpoints(update, now)
+                local_state.directory_read_at = now
             case ports.PeerCachesReceived(caches_by_endpoint):
                 local_state.merge_caches(caches_by_endpoint)
             case ports.PlatformUnavailable(reason):
@@ -98,8 +98,14 @@
         if not entries.replace(endpoints, revision, now):
             _log_outdated(["*"], revision, known)
         elif self._has_endpoints and revision > observed:
-            # Endpoints may have come and gone since the last change.
-            self._record_gap(f"list {revision} after {observed}", now)
+            unread_s = now - self._state.directory_read_at
+            # An endpoint is listed for longer than it takes to leave.
+            if unread_s > self._state.config["leave_limit_ms"] / 1000:
+                self._record_gap(
+                    f"list {revision} after {observed}, {unread_s:.1f} s"
+                    " without news",
+                    now,
+                )
         self._has_endpoints = True
         self._update_versions(now)
         self._endpoints_changed()
