--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -53,6 +53,14 @@
         """Whether a list of endpoints has been read."""
         return self._has_endpoints
 
+    @property
+    def _hidden_time_max_s(self) -> float:
+        """Time without news in which no endpoint can have begun a stream.
+
+        A gateway has to notice it, and it has to leave.
+        """
+        return 2 * self._state.config["leave_limit_ms"] / 1000
+
     async def run(self) -> None:
         """Applies updates until it is cancelled."""
         while True:
@@ -99,8 +107,7 @@
             _log_outdated(["*"], revision, known)
         elif self._has_endpoints and revision > observed:
             unread_s = now - self._state.directory_read_at
-            # An endpoint is listed for longer than it takes to leave.
-            if unread_s > self._state.config["leave_limit_ms"] / 1000:
+            if unread_s > self._hidden_time_max_s:
                 self._record_gap(
                     f"list {revision} after {observed}, {unread_s:.1f} s"
                     " without news",
