Probe only endpoints of configured services for isolation

Cause: to find out whether it is cut off from all endpoints, a gateway probes three of all entries. If all three are of unknown services, it takes itself for isolated, and its peers do the same.

Why it works: only endpoints of services in the configuration are probed, those to which requests can go.

--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -146,14 +146,6 @@
         """Returns the endpoints of a service that take new requests."""
         return self._by_service.get(service, [])
 
-    def ready(self) -> list[Endpoint]:
-        """Returns the endpoints of all services that take new requests."""
-        return [
-            endpoint
-            for group in self._by_service.values()
-            for endpoint in group
-        ]
-
     def draining(self, service: str) -> list[Endpoint]:
         """Returns the endpoints of a service that take no new requests.
 
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -116,7 +116,7 @@
             ),
         )
         self._links = links.EndpointLinks(
-            self._state.roster.ready,
+            self._state.ready_endpoints,
             self._probe_endpoint,
             self._state.outliers.clear,
             self._state.rng,
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -90,6 +90,16 @@
         """Settings of this gateway."""
         return self._config
 
+    def ready_endpoints(self) -> list[roster.Endpoint]:
+        """Returns the endpoints of configured services that take requests."""
+        if self.catalog is None:
+            return []
+        return [
+            endpoint
+            for service in self.catalog.services
+            for endpoint in self.roster.usable(service)
+        ]
+
     def choose(
         self,
         call: calls.Call,
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -255,3 +255,28 @@
             assert statuses == [status, status]
 
     standin.run_scenario(scenario)
+
+
+# Guards against entries of unknown services that make a gateway seem cut off.
+def test_entries_of_services_that_are_not_configured_are_not_probed():
+    async def scenario():
+        runners = [standin.Runner(name, "plain") for name in ("p1", "p2")]
+        async with standin.Fleet(runners, gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            for number in range(20):
+                entry = _GOOD | {
+                    "service": f"unnamed-{number}",
+                    "address": standin.free_address(),
+                }
+                fleet.store.put(f"servers/other-{number}", entry)
+            await _wait_until_read(fleet)
+            await fleet.runners["p1"].crash()
+            for number in range(6):
+                response = await fleet.send_request(
+                    "/look/1", f"id-{number}", "POST"
+                )
+                assert response.status == 200
+            for gateway in fleet.gateways:
+                assert not gateway._links.is_isolated
+
+    standin.run_scenario(scenario)
