Let the fault soak write odd entries and keep connections of callers

Change: a fault that writes such an entry and removes it at times, and callers that take half of their requests to a kept connection. Seeds draw other faults now.

--- a/tests/platform/faultsoak.py
+++ b/tests/platform/faultsoak.py
@@ -6,7 +6,8 @@
 cut, silence or delay connections, runners that crash, also on a part of a
 prompt, limit their requests, respond incorrectly or are replaced by another
 version of their software, and a store that is unavailable or restored from a
-copy. Callers take up streams that broke off. The responses that callers
+copy, and that has entries which name no runner. Callers keep some of their
+connections, and take up streams that broke off. The responses that callers
 received are compared with the requests that runners executed.
 
 Run it with `make soak-faults SEED=...`; a seed fixes the order of the faults.
@@ -222,7 +223,7 @@
                 headers,
                 b"{}" if is_stream else b"",
                 timeout_s=CALL_TIMEOUT_S,
-                fresh=True,
+                fresh=self._rng.random() < 0.5,
             )
         except (http_client.ConnectError, http_client.ExchangeError):
             pass
@@ -271,7 +272,7 @@
                 headers,
                 b"{}",
                 CALL_TIMEOUT_S,
-                fresh=True,
+                fresh=self._rng.random() < 0.5,
             )
             part = _StreamPart(
                 stream.status, seal=stream.headers.get("server-seal", "")
@@ -305,6 +306,7 @@
             self._take_store_down,
             self._forget_history,
             self._restore_store,
+            self._write_odd_entry,
             self._replace_runner,
             self._replace_runner,
             self._leave_by_answer,
@@ -444,6 +446,26 @@
         for name in self._runners:
             self._publish_entry(name)
 
+    async def _write_odd_entry(self) -> None:
+        """Writes an entry that names no runner, and removes it at times."""
+        odd = self._rng.choice(
+            [
+                b"\xff",
+                {"service": "engines", "state": "unknown", "address": 7},
+                {
+                    "service": "engines",
+                    "state": "ready",
+                    "address": "1.2.3.4:5",
+                },
+                standin.Runner("odd", "unnamed").entry(),
+            ]
+        )
+        key = f"servers/odd-{self._rng.randrange(5)}"
+        self._store.put(key, odd)
+        await asyncio.sleep(self._random_duration_s(1.0))
+        if self._rng.random() < 0.5:
+            self._store.remove(key)
+
     async def _replace_runner(self) -> None:
         """Ends an engine; another one, of any version, takes its place."""
         engines = [
