--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -176,6 +176,17 @@
     ]
 
 
+def _check_that_streams_go_on(change, value):
+    async def scenario():
+        async with _engines() as fleet:
+            statuses = await _take_up_after(
+                fleet, lambda _: change(fleet, value)
+            )
+            assert statuses == [200, 200]
+
+    standin.run_scenario(scenario)
+
+
 def _engines():
     return standin.Fleet(
         [standin.Runner(name, "engines", 8) for name in ("e1", "e2", "e3")],
@@ -200,14 +211,7 @@
     ],
 )
 def test_streams_go_on_at_other_gateways_after_an_odd_entry(value, change):
-    async def scenario():
-        async with _engines() as fleet:
-            statuses = await _take_up_after(
-                fleet, lambda _: change(fleet, value)
-            )
-            assert statuses == [200, 200]
-
-    standin.run_scenario(scenario)
+    _check_that_streams_go_on(change, value)
 
 
 # Guards against an incomplete entry that counts as another software version.
@@ -223,14 +227,7 @@
     ids=str,
 )
 def test_incomplete_entry_is_no_other_software_version(value, change):
-    async def scenario():
-        async with _engines() as fleet:
-            statuses = await _take_up_after(
-                fleet, lambda _: change(fleet, value)
-            )
-            assert statuses == [200, 200]
-
-    standin.run_scenario(scenario)
+    _check_that_streams_go_on(change, value)
 
 
 def test_entry_without_a_start_time_names_an_endpoint():
