Trust no version of an endpoint that went down until it is listed again

Tests: test_stream_is_not_joined_where_its_endpoint_restarted, two cases, and test_stream_that_began_at_a_restarted_endpoint_is_not_joined failed before. test_stream_goes_on_where_its_endpoint_restarted_with_its_version passed before.

Why it works: an endpoint that refused a connection has ended, so its entry tells nothing of its next start. Until that start is listed, no stream goes on there, new streams of resumable routes prefer others, and what begins there is recorded as of unknown version, and told to peers. After 10 s without another entry it counts as not restarted.

--- a/packages/core/nutmegpost_core/software_versions.py
+++ b/packages/core/nutmegpost_core/software_versions.py
@@ -10,11 +10,16 @@
 
 from nutmegpost_core import roster
 
-__all__ = ["EncodedHistory", "VersionHistory"]
+__all__ = ["DOWN_RETENTION_S", "EncodedHistory", "VersionHistory"]
 
 # Time for which versions that no longer serve are retained, seconds.
 RETENTION_S = 600.0
 
+# Time after which an endpoint that is still listed as before it refused a
+# connection has not restarted: the entry of one that crashed is removed, or
+# replaced by that of its next start, earlier.
+DOWN_RETENTION_S = 10.0
+
 # Seconds of observation, and service, version and seconds since it served.
 EncodedHistory = tuple[float, list[tuple[str, str, float]]]
 
@@ -32,6 +37,8 @@
         self._observed_since = -math.inf if is_complete else math.inf
         self._serving: set[tuple[str, str]] = set()
         self._last_served: dict[tuple[str, str], float] = {}
+        # Endpoints as listed when they went down, and when that was noticed.
+        self._down: dict[str, tuple[roster.Endpoint, float]] = {}
 
     def update(self, endpoints: Iterable[roster.Endpoint], now: float) -> None:
         """Records the endpoints that serve now.
@@ -65,6 +72,41 @@
         for endpoint in endpoints:
             self._last_served[endpoint.service, endpoint.software] = now
 
+    def record_down(self, endpoint: roster.Endpoint, now: float) -> None:
+        """Records that an endpoint refuses connections.
+
+        It may start again with another version before its entry says so.
+
+        Args:
+            endpoint: The endpoint as it is listed.
+            now: Monotonic time, seconds.
+        """
+        self._down[endpoint.name] = endpoint, now
+
+    def uncertain(
+        self, endpoints: Iterable[roster.Endpoint], now: float
+    ) -> set[str]:
+        """Returns the endpoints that may have another version than listed.
+
+        Args:
+            endpoints: Endpoints as they are listed.
+            now: Monotonic time, seconds.
+
+        Returns:
+            Their names.
+        """
+        self._down = {
+            name: (listed, at)
+            for name, (listed, at) in self._down.items()
+            if now - at < DOWN_RETENTION_S
+        }
+        return {
+            endpoint.name
+            for endpoint in endpoints
+            if endpoint.name in self._down
+            and not _has_restarted(endpoint, self._down[endpoint.name][0])
+        }
+
     def record_gap(self, now: float) -> None:
         """Records that endpoints may have come and gone unnoticed."""
         self._observed_since = now
@@ -124,3 +166,11 @@
             self._observed_since = min(
                 self._observed_since, now - float(observed_s)
             )
+
+
+def _has_restarted(current: roster.Endpoint, known: roster.Endpoint) -> bool:
+    """Returns whether an entry is of a later start than a known one."""
+    return (
+        current.started_ms != known.started_ms
+        or current.sequence < known.sequence
+    )
--- a/packages/core/tests/test_software_versions.py
+++ b/packages/core/tests/test_software_versions.py
@@ -106,3 +106,19 @@
 def test_malformed_history_of_a_peer_is_refused(encoded):
     with pytest.raises((TypeError, ValueError)):
         _history("v1").merge(encoded, 0.0)
+
+
+def test_version_of_an_endpoint_is_uncertain_until_its_next_start_is_listed():
+    history = _history("v1", is_complete=True)
+    listed = _endpoint("e1", "v1")._replace(started_ms=1, sequence=5)
+    history.record_down(listed, 100.0)
+    later = 100.0 + software_versions.DOWN_RETENTION_S
+    heartbeat = listed._replace(sequence=6)
+    restarted = listed._replace(started_ms=2, sequence=1)
+    without_start = listed._replace(sequence=1)
+    assert history.uncertain([listed], 101.0) == {"e1"}
+    assert history.uncertain([heartbeat], 101.0) == {"e1"}
+    assert history.uncertain([restarted], 101.0) == set()
+    assert history.uncertain([without_start], 101.0) == set()
+    assert history.uncertain([_endpoint("e2", "v1")], 101.0) == set()
+    assert history.uncertain([listed], later) == set()
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -32,6 +32,8 @@
 # Interval at which a request that waits for its answer checks whether the
 # endpoint is silent.
 _SILENCE_POLL_S = 0.25
+# Version of a stream that can go on nowhere, as what began it is not known.
+_NO_SOFTWARE = ""
 # Time to read the body of a rejection, to reuse the connection.
 _REJECTION_BODY_TIMEOUT_S = 0.1
 
@@ -374,6 +376,8 @@
         """Records the endpoint that sends the first event of an attempt."""
         if pending.software is None:
             pending.software = endpoint.software
+            if self._state.versions.uncertain([endpoint], _now()):
+                pending.software = _NO_SOFTWARE
         if pending.call.route.resumable:
             self._origins.record(pending.call, pending.software)
 
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -122,6 +122,9 @@
             tie_width_s=dispatch.tie_width_s(self.fleet_size),
         )
         usable = self.roster.usable(call.service)
+        uncertain: set[str] = set()
+        if call.route.resumable:
+            uncertain = self.versions.uncertain(usable, now)
         return dispatch.choose(
             usable,
             self.loads.total,
@@ -135,11 +138,16 @@
                 *(
                     endpoint.name
                     for endpoint in usable
-                    if software not in (None, endpoint.software)
+                    if software is not None
+                    and (
+                        endpoint.software != software
+                        or endpoint.name in uncertain
+                    )
                 ),
             },
             self.outliers.ejected(now)
-            | self.liveness.avoided(call.route.repeatable, now),
+            | self.liveness.avoided(call.route.repeatable, now)
+            | uncertain,
             self.roster.draining(call.service),
             call.route.target_s,
             self._closed([endpoint.name for endpoint in usable], now),
@@ -320,6 +328,9 @@
     def mark_endpoint_down(self, endpoint: str) -> None:
         """Records that an endpoint refuses connections and lost its cache."""
         now = asyncio.get_running_loop().time()
+        listed = self.roster.endpoints.get(endpoint)
+        if listed is not None:
+            self.versions.record_down(listed, now)
         self.roster.mark_down(endpoint)
         self.prefixes.forget(endpoint)
         self.outliers.eject(endpoint, now)
--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -78,7 +78,8 @@
 
         Args:
             call: The call; its caller can take the stream up.
-            software: Version of the endpoint that sends the events.
+            software: Version of the endpoint that sends the events; that of no
+                endpoint if it is not known.
         """
         begun = call.resumed_attempt if call.resume_after else call.identity
         if not begun:
@@ -91,7 +92,7 @@
         self._origins.record(entry)
         since = stream_origins.earliest_begin(call)
         # All gateways know the only version that has served.
-        if self._state.versions.sole_version(call.service, since) is None:
+        if self._state.versions.sole_version(call.service, since) != software:
             self._queue([entry])
 
     def update_versions(self, now: float) -> None:
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -530,3 +530,77 @@
             assert {response.status for response in responses} == {status}
 
     standin.run_scenario(scenario)
+
+
+async def _restart_as(fleet, name, version):
+    """Starts an endpoint that crashed again; its entry is not written yet."""
+    runner = fleet.runners[name]
+    runner.version = version
+    await runner.start()
+    return runner
+
+
+# Guards against streams joined at an endpoint that is back with a new version.
+@pytest.mark.parametrize("gateway_index", [0, 1])
+def test_stream_is_not_joined_where_its_endpoint_restarted(gateway_index):
+    async def scenario():
+        runners = _runners(e1="v1", e2="v2")
+        async with standin.Fleet(runners, gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            for number in range(4):
+                await _begin_at(fleet, "e1", f"begun-{number}")
+            await fleet.runners["e1"].crash()
+            response = await _take_up(fleet, "down", "begun-0", 0)
+            assert response.status == 503
+            # The peer is told that the endpoint is down.
+            await asyncio.sleep(0.2)
+            restarted = await _restart_as(fleet, "e1", "v2")
+            for number in range(4):
+                begun = f"begun-{number}"
+                again = f"again-{number}"
+                response = await _take_up(fleet, again, begun, gateway_index)
+                assert response.status == 503
+            fleet.store.put("servers/e1", restarted.entry(born=2))
+            await asyncio.sleep(1.0)
+            response = await _take_up(fleet, "later", "begun-0", gateway_index)
+            assert response.status == 503
+            assert not restarted.executed[4:]
+
+    standin.run_scenario(scenario)
+
+
+def test_stream_goes_on_where_its_endpoint_restarted_with_its_version():
+    async def scenario():
+        runners = _runners(e1="v1", e2="v2")
+        async with standin.Fleet(runners) as fleet:
+            await _begin_at(fleet, "e1", "begun")
+            await fleet.runners["e1"].crash()
+            response = await _take_up(fleet, "down", "begun", 0)
+            assert response.status == 503
+            restarted = await _restart_as(fleet, "e1", "v1")
+            fleet.store.put("servers/e1", restarted.entry(born=2))
+            entries = fleet.gateways[0].local_state.roster.endpoints
+            await fleet.wait_until(lambda: entries["e1"].started_ms == 2)
+            response = await _take_up(fleet, "again", "begun", 0)
+            assert response.status == 200
+
+    standin.run_scenario(scenario)
+
+
+# Guards against streams that begin at an endpoint whose version is not known.
+def test_stream_that_began_at_a_restarted_endpoint_is_not_joined():
+    async def scenario():
+        runners = _runners(e1="v1", e3="v1")
+        async with standin.Fleet(runners) as fleet:
+            await fleet.runners["e1"].crash()
+            fleet.runners["e3"].behaviors = [standin.reject]
+            response = await fleet.send_stream_request("/draft/1", "refused")
+            assert response.status == 503
+            await _restart_as(fleet, "e1", "v2")
+            await _begin_at(fleet, "e1", "begun")
+            response = await _take_up(fleet, "again", "begun", 0)
+            ran = _versions_that_ran(fleet, "again")
+            assert response.status == 503
+            assert not ran
+
+    standin.run_scenario(scenario)
