--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -6,10 +6,10 @@
 import pytest
 import standin
 
-# Settings of the stand-in: the grace, and the time that is kept for the exit.
+# Grace of a planned stop, as the stand-in sets it.
 GRACE_S = 4.0
 DEADLINE_MS = 10_000
-# Time after the stop signal by which no gateway takes new connections.
+# Time after the stop signal at which a gateway takes no new connections.
 LATE_S = 1.0
 BODY = b"{}"
 PATHS = ["/issue/1", "/look/1", "/ask/1", "/draft/1"]
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -483,8 +483,7 @@
     standin.run_scenario(scenario)
 
 
-# Guards against a version that was not seen while the history was lost, and
-# against refused streams where the time is too short for one to come and go.
+# Guards against missed versions and refused streams after a time without news.
 @pytest.mark.parametrize(("for_s", "status"), [(2.3, 503), (0.1, 200)])
 def test_stream_of_unknown_origin_after_a_time_without_news(for_s, status):
     async def scenario():
