Log each reading of the configuration, its source and its failures

The logs could not tell a slow transfer from readings that queue up or polls whose answer was lost: 201 named the platform for documents of peers too, 207 is written once until 208, and nothing told size, number of versions and time of a reading.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -94,6 +94,15 @@
     "entries ignored as older than those known here: {names}; they came with "
     "revision {revision}, known is {known}",
 )
+CONFIGURATION_READ = Event(
+    215,
+    "INFO",
+    "{versions} versions of the configuration read from {source}: {bytes} "
+    "bytes in {transfer_ms} ms",
+)
+PLATFORM_READ_FAILED = Event(
+    216, "INFO", "reading {prefix} failed after {after_ms} ms: {reason}"
+)
 
 # 3xx members and peers
 MEMBER_CHANGED = Event(301, "INFO", "member {name} is {state}, was {previous}")
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -197,6 +197,7 @@
                 self._newer_flag(),
             ]
         )
+        started = _now()
         try:
             answer = await self._client.request(
                 address,
@@ -206,7 +207,7 @@
                 timeout_s=_TIMEOUT_S,
             )
             if answer.status == 200:
-                self._apply(answer.body)
+                self._apply(answer.body, str(address), _now() - started)
         except errors.PeerError as caught:
             log.emit(
                 events.PEER_READ_FAILED, peer=str(address), reason=str(caught)
@@ -230,7 +231,7 @@
             return _ERAS_FLAG
         return _VERSIONS_FLAG
 
-    def _apply(self, body: bytes) -> None:
+    def _apply(self, body: bytes, source: str, elapsed_s: float) -> None:
         document, revision, listed, caches, *rest = cbor2.loads(body)
         charges, history = [*rest, None, None][:2]
         if charges is not None:
@@ -238,10 +239,19 @@
         if history is not None:
             self._state.versions.merge(history, _now())
         if document:
+            log.emit(
+                events.CONFIGURATION_READ,
+                source=source,
+                versions=1,
+                bytes=len(body),
+                transfer_ms=round(elapsed_s * 1000),
+            )
             decoded = self._protocols.publications.decode_configuration(
                 document
             )
-            self._updates.put_nowait(ports.CatalogPublished(decoded, document))
+            self._updates.put_nowait(
+                ports.CatalogPublished(decoded, document, source)
+            )
         list_revision = _decode_revision(revision)
         if list_revision > self._state.roster.revision:
             now = _now()
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -187,10 +187,12 @@
     Attributes:
         catalog: The decoded configuration.
         document: The document as published.
+        source: Who sent it, for the log.
     """
 
     catalog: catalog.Catalog
     document: bytes
+    source: str
 
 
 class EndpointsListed(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -162,7 +162,9 @@
         ):
             if version < local_state.catalog.version:
                 log.emit(
-                    events.CONFIGURATION_OLD, source="platform", version=version
+                    events.CONFIGURATION_OLD,
+                    source=update.source,
+                    version=version,
                 )
             return
         local_state.catalog = update.catalog
@@ -173,7 +175,7 @@
             events.CONFIGURATION_ACCEPTED,
             version=version,
             digest="",
-            source="platform",
+            source=update.source,
         )
 
     def _endpoints_changed(self) -> None:
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -546,6 +546,10 @@
                     raise ExchangeError("response body is too large")
                 self._client.reserve_body_memory(self._connection, len(data))
             return bytes(body)
+        except ReadTimeoutError as caught:
+            raise ReadTimeoutError(
+                f"{caught}: {len(body)} bytes of the body received"
+            ) from caught
         finally:
             self._client.release_body_memory(self._connection)
 
