Give up a body that stops coming, not one that takes long

Callers saw: after many routes had been added, gateways with narrow links served an old configuration for as long as 17 s after an outage, and those that started knew none for up to 31 s (CONFIG).

Cause: the limit for an answer of the platform, 0.5 s, and for one of a peer, 0.4 s, held for the whole body. A document that takes longer was given up and read from the beginning, again and again, and what came in vain took the link from the rest.

Why it works: the limits hold for the head and for each next part of the body. What comes is read to its end, within 6 s; what no longer comes is given up as before.

--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -27,7 +27,10 @@
 
 # Poll interval. Changes must take effect within 2 s, polling included.
 _POLL_S = 0.5
+# Maximum wait for the head of an answer, and for each next part of its body.
 _TIMEOUT_S = 0.4
+# Maximum time for a whole body.
+_BODY_TIMEOUT_S = 6.0
 # Peers polled in one round when the platform or a newer version is missing.
 _PEERS_POLLED_MAX = 3
 # Time of observation after which peers have no more to tell of the versions.
@@ -199,15 +202,19 @@
         )
         started = _now()
         try:
-            answer = await self._client.request(
+            stream = await self._client.stream(
                 address,
                 "GET",
                 f"{_PUBLISHED_PATH}?{query}",
                 {},
                 timeout_s=_TIMEOUT_S,
             )
-            if answer.status == 200:
-                self._apply(answer.body, str(address), _now() - started)
+            try:
+                body = await stream.read_all(_BODY_TIMEOUT_S, _TIMEOUT_S)
+            finally:
+                stream.close()
+            if stream.status == 200:
+                self._apply(body, str(address), _now() - started)
         except errors.PeerError as caught:
             log.emit(
                 events.PEER_READ_FAILED, peer=str(address), reason=str(caught)
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Callable, Mapping, Sequence
 import enum
+import math
 from typing import NamedTuple
 
 import h11
@@ -525,11 +526,14 @@
         """
         return await self._connection.consume(consumer, timeout_s)
 
-    async def read_all(self, timeout_s: float) -> bytes:
+    async def read_all(
+        self, timeout_s: float, progress_timeout_s: float = math.inf
+    ) -> bytes:
         """Returns the rest of the body.
 
         Args:
             timeout_s: Maximum total wait, seconds.
+            progress_timeout_s: Maximum wait for the next data, seconds.
 
         Raises:
             ExchangeError: The connection failed, the body was not complete in
@@ -540,7 +544,9 @@
         body = bytearray()
         deadline = _deadline(timeout_s)
         try:
-            while data := await self._connection.read(deadline):
+            while data := await self._connection.read(
+                min(deadline, _deadline(progress_timeout_s))
+            ):
                 body += data
                 if len(body) > BODY_BYTES_MAX:
                     raise ExchangeError("response body is too large")
