Ask one peer for a document, and only if the platform fails to deliver it

Cause: on the news of a newer version a gateway asked three peers at once, while the store sent it the same document; each poll in between brought it once more from a peer. Three documents of 741 KB and the one of the store take 2 s at 12 Mbit/s, and all gateways ask the few that have it first.

Why it works: peers are asked for a document only after a read of the platform has failed, after a pause of the process, or if the platform has not delivered within 1 s what a peer announced; then one after the other, first those that announced it. All other polls name a version that no document exceeds, which peers of an earlier version answer without a document too.

--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -4,6 +4,9 @@
 configuration and endpoint list. One that learns of a newer configuration polls
 them at once. Any other gateway polls one peer per interval, since it may not
 have noticed yet that the platform stopped responding.
+
+A document can take most of a second to transfer, so it is asked of one peer at
+a time, and only while the platform fails to deliver it.
 """
 
 import asyncio
@@ -31,6 +34,10 @@
 _TIMEOUT_S = 0.4
 # Maximum time for a whole body.
 _BODY_TIMEOUT_S = 6.0
+# Time that the platform has to deliver a configuration that peers know.
+_PLATFORM_LEAD_S = 1.0
+# Version that a poll names as known if it asks for no document.
+_NO_DOCUMENT = 2**53
 # Peers polled in one round when the platform or a newer version is missing.
 _PEERS_POLLED_MAX = 3
 # Time of observation after which peers have no more to tell of the versions.
@@ -76,15 +83,51 @@
         self._crashes = crashes
         self._sync_requested = asyncio.Event()
         self._platform_unavailable = True
+        # Whether a read of the platform has failed and none succeeded since.
+        self._has_platform_failed = False
+        # Time until which the platform may deliver the newest configuration.
+        self._platform_lead_until = 0.0
+        self._announced_version = 0
+        # The peers that announced it.
+        self._announcers: set[vms.Address] = set()
+        self._is_reading_document = False
+        # Whether no document has been asked for since the last pause.
+        self._has_paused = False
+
+    def handle_pause(self, seconds: float) -> None:
+        """Polls several peers at once, as this process stood still.
+
+        Args:
+            seconds: Length of the pause.
+        """
+        self._has_paused = True
+        self._request_sync(f"paused for {seconds:.1f} s")
 
-    def request_sync(self, name: str, version: int) -> None:
-        """Polls several peers at once.
+    def record_announcement(
+        self, name: str, peer: vms.Address, version: int
+    ) -> None:
+        """Records that a peer has a newer configuration, and polls several.
 
         Args:
-            name: The peer that announced a newer configuration, for the log.
-            version: The announced version, for the log.
+            name: Name of the peer.
+            peer: Its control address.
+            version: The version that it has.
         """
-        log.emit(events.PEERS_ASKED, reason=f"{name} has {version}")
+        if version > self._announced_version:
+            if self._announced_version <= self._known_version:
+                self._platform_lead_until = _now() + _PLATFORM_LEAD_S
+            self._announced_version = version
+            self._announcers.clear()
+        if version == self._announced_version:
+            self._announcers.add(peer)
+        self._request_sync(f"{name} has {version}")
+
+    def record_published(self) -> None:
+        """Records that the platform delivered a configuration."""
+        self._platform_lead_until = _now() + _PLATFORM_LEAD_S
+
+    def _request_sync(self, reason: str) -> None:
+        log.emit(events.PEERS_ASKED, reason=reason)
         self._sync_requested.set()
 
     @property
@@ -95,25 +138,33 @@
     def mark_platform_unavailable(self) -> None:
         """Polls several peers until the platform responds again."""
         self._platform_unavailable = True
+        self._has_platform_failed = True
         self._sync_requested.set()
 
     def mark_platform_available(self) -> None:
         """Returns to polling one peer per interval."""
         self._platform_unavailable = False
+        self._has_platform_failed = False
 
     async def run(self) -> None:
         """Polls the peers until it is cancelled."""
-        while True:
-            polls_several = (
-                self._platform_unavailable or self._sync_requested.is_set()
-            )
-            self._sync_requested.clear()
-            await self._poll_peers(_PEERS_POLLED_MAX if polls_several else 1)
-            try:
-                async with asyncio.timeout(_POLL_S):
-                    await self._sync_requested.wait()
-            except TimeoutError:
-                continue
+        self._platform_lead_until = _now() + _PLATFORM_LEAD_S
+        async with asyncio.TaskGroup() as group:
+            while True:
+                polls_several = (
+                    self._platform_unavailable or self._sync_requested.is_set()
+                )
+                self._sync_requested.clear()
+                if self._needs_document and not self._is_reading_document:
+                    group.create_task(self._read_document())
+                await self._poll_peers(
+                    _PEERS_POLLED_MAX if polls_several else 1
+                )
+                try:
+                    async with asyncio.timeout(_POLL_S):
+                        await self._sync_requested.wait()
+                except TimeoutError:
+                    continue
 
     async def handle(
         self, request: http_server.Request
@@ -176,14 +227,59 @@
             for endpoint in listed
         ]
 
+    @property
+    def _known_version(self) -> int:
+        active_catalog = self._state.catalog
+        return active_catalog.version if active_catalog else 0
+
+    @property
+    def _needs_document(self) -> bool:
+        """Whether the platform fails to deliver the newest configuration."""
+        if self._has_platform_failed or self._has_paused:
+            return True
+        is_behind = self._announced_version > self._known_version
+        return (
+            is_behind or not self._known_version
+        ) and _now() >= self._platform_lead_until
+
     async def _poll_peers(self, count: int) -> None:
         addresses = self._addresses()
         self._state.rng.shuffle(addresses)
         # Polls concurrently, so that a peer that is down delays no other.
-        await asyncio.gather(*map(self._poll_peer, addresses[:count]))
+        await asyncio.gather(
+            *(
+                self._poll_peer(address, _NO_DOCUMENT)
+                for address in addresses[:count]
+            )
+        )
 
-    async def _poll_peer(self, address: vms.Address) -> None:
-        active_catalog = self._state.catalog
+    async def _read_document(self) -> None:
+        """Asks one peer after the other for a newer configuration."""
+        self._is_reading_document = True
+        try:
+            self._has_paused = False
+            known_version = self._known_version
+            addresses = self._addresses()
+            self._state.rng.shuffle(addresses)
+            addresses.sort(key=lambda each: each not in self._announcers)
+            for address in addresses[:_PEERS_POLLED_MAX]:
+                if await self._poll_peer(address, known_version):
+                    return
+        finally:
+            self._is_reading_document = False
+
+    async def _poll_peer(
+        self, address: vms.Address, known_version: int
+    ) -> bool:
+        """Polls a peer.
+
+        Args:
+            address: Its control address.
+            known_version: The peer sends its configuration if that is newer.
+
+        Returns:
+            Whether it sent its configuration.
+        """
         # An identical list is useful only while the platform is unavailable,
         # as evidence that the endpoints are still listed.
         digest = (
@@ -193,7 +289,7 @@
         crashes_digest = self._crashes.digest(_now())
         query = "&".join(
             [
-                str(active_catalog.version if active_catalog else 0),
+                str(known_version),
                 digest,
                 flag,
                 crashes_digest,
@@ -214,7 +310,7 @@
             finally:
                 stream.close()
             if stream.status == 200:
-                self._apply(body, str(address), _now() - started)
+                return self._apply(body, str(address), _now() - started)
         except errors.PeerError as caught:
             log.emit(
                 events.PEER_READ_FAILED, peer=str(address), reason=str(caught)
@@ -231,6 +327,7 @@
                 source=str(address),
                 reason=str(caught),
             )
+        return False
 
     def _newer_flag(self) -> str:
         since = _now() - _VERSIONS_OBSERVED_S
@@ -238,7 +335,14 @@
             return _ERAS_FLAG
         return _VERSIONS_FLAG
 
-    def _apply(self, body: bytes, source: str, elapsed_s: float) -> None:
+    def _apply(self, body: bytes, source: str, elapsed_s: float) -> bool:
+        """Queues what a peer sent; returns whether a configuration was in it.
+
+        Args:
+            body: The answer of the peer.
+            source: Address of the peer, for the log.
+            elapsed_s: Time that the poll took, seconds.
+        """
         document, revision, listed, caches, *rest = cbor2.loads(body)
         charges, history = [*rest, None, None][:2]
         if charges is not None:
@@ -257,7 +361,9 @@
                 document
             )
             self._updates.put_nowait(
-                ports.CatalogPublished(decoded, document, source)
+                ports.CatalogPublished(
+                    decoded, document, source, is_from_peer=True
+                )
             )
         list_revision = _decode_revision(revision)
         if list_revision > self._state.roster.revision:
@@ -284,6 +390,7 @@
                     }
                 )
             )
+        return bool(document)
 
 
 def _decode_revision(encoded: object) -> roster.Revision:
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -188,11 +188,13 @@
         catalog: The decoded configuration.
         document: The document as published.
         source: Who sent it, for the log.
+        is_from_peer: Whether a peer sent it, not the platform.
     """
 
     catalog: catalog.Catalog
     document: bytes
     source: str
+    is_from_peer: bool = False
 
 
 class EndpointsListed(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -514,13 +514,24 @@
                         active_catalog is None
                         or version > active_catalog.version
                     ):
-                        self._peer_sync.request_sync(name, version)
-                case gossip.Paused():
-                    self._peer_sync.request_sync("all", 0)
+                        self._record_announcement(name, version)
+                case gossip.Paused(seconds):
+                    self._peer_sync.handle_pause(seconds)
                 case gossip.ItemReceived():
                     if not self._endpoint_news.receive(notice):
                         self._crashes.receive(notice, _now())
 
+    def _record_announcement(self, name: str, version: int) -> None:
+        """Tells the synchronization that a peer has a newer configuration."""
+        member = self._members.members.get(name)
+        if member is None:
+            # It has been removed since it announced the version.
+            return
+        host = vms.parse_address(member.peer_address).host
+        self._peer_sync.record_announcement(
+            name, vms.Address(host, self._control_port), version
+        )
+
     # Publications of the platform.
 
     async def _read_publications(self) -> None:
@@ -542,7 +553,7 @@
                 log.emit(events.CLOCK_GAP, seconds=boot_s - last_boot_s)
                 self._load_exchange.reset_silence()
                 self._cache_sync.resync()
-                self._peer_sync.request_sync("all", 0)
+                self._peer_sync.handle_pause(boot_s - last_boot_s)
             last_boot_s = boot_s
             now = _now()
             self._publications.expire(now)
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -71,6 +71,8 @@
         local_state = self._state
         match update:
             case ports.CatalogPublished():
+                if not update.is_from_peer:
+                    self._peer_sync.record_published()
                 self._accept_configuration(update)
             case ports.EndpointsListed():
                 self._replace_endpoints(update, now)
