--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -109,6 +109,9 @@
     "changes since {revision} are too long to read, the newest version is "
     "read instead: {reason}",
 )
+POLL_OVERDUE = Event(
+    218, "INFO", "poll for {prefix} is sent again for lost answers: {reason}"
+)
 
 # 3xx members and peers
 MEMBER_CHANGED = Event(301, "INFO", "member {name} is {state}, was {previous}")
--- a/tests/platform/narrow_link.py
+++ b/tests/platform/narrow_link.py
@@ -28,7 +28,9 @@
         self._turn = asyncio.Lock()
         self._servers = []
         self._tasks = set()
-        self._writers = set()
+        # The last request by the connection on which it came.
+        self._requests = {}
+        self._received = []
 
     async def forward(self, target):
         """Returns an address at which connections to another one begin."""
@@ -45,9 +47,17 @@
         )
         return address
 
-    def lose_answers(self):
-        """Loses what the open connections have not forwarded yet."""
-        self._silenced |= self._writers
+    def lose_answers(self, text=b""):
+        """Loses the answers to requests that wait and contain a text."""
+        self._silenced |= {
+            writer
+            for writer, request in self._requests.items()
+            if text in request
+        }
+
+    def count_requests(self, text):
+        """Returns the number of requests that contain a text."""
+        return sum(text in request for request in self._received)
 
     def close(self):
         for server in self._servers:
@@ -63,21 +73,25 @@
         except OSError:
             writer.close()
             return
-        self._writers.add(writer)
+        self._requests[writer] = b""
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._copy_requests(reader, far_writer))
+                group.create_task(
+                    self._copy_requests(reader, writer, far_writer)
+                )
                 group.create_task(
                     self._copy_answers(far_reader, writer, far_writer)
                 )
         finally:
-            self._writers.discard(writer)
+            self._requests.pop(writer)
             writer.close()
             far_writer.close()
 
-    async def _copy_requests(self, reader, far_writer):
+    async def _copy_requests(self, reader, writer, far_writer):
         is_lost = False
         while data := await _read(reader):
+            self._requests[writer] = data
+            self._received.append(data)
             is_lost = is_lost or self.is_silent
             if not is_lost:
                 far_writer.write(data)
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import narrow_link
+import pytest
 import standin
 
 from nutmegpost_core import vms
@@ -170,13 +171,14 @@
     standin.run_scenario(scenario)
 
 
-def test_change_of_which_the_answer_was_lost_is_noticed():
+@pytest.mark.parametrize("lost_polls", [b"", b"op/config"])
+def test_change_of_which_the_answer_was_lost_is_noticed(lost_polls):
     async def scenario():
         async with _fleet(standin.configuration(1)) as (fleet, link):
             gateway = await _start_gateway(fleet, link)
             assert await _is_reached(gateway, 1, IN_FORCE_WITHIN_S)
             await asyncio.sleep(0.3)
-            link.lose_answers()
+            link.lose_answers(lost_polls)
             # The poll for entries has ended and the next one been sent.
             await asyncio.sleep(CONTACT_S)
             fleet.store.put("op/config", standin.configuration(2))
@@ -185,3 +187,19 @@
             )
 
     standin.run_scenario(scenario)
+
+
+def test_changes_of_entries_alone_repeat_no_poll_for_the_configuration():
+    async def scenario():
+        async with _fleet(standin.configuration(1)) as (fleet, link):
+            gateway = await _start_gateway(fleet, link)
+            assert await _is_reached(gateway, 1, IN_FORCE_WITHIN_S)
+            await asyncio.sleep(0.3)
+            polls = link.count_requests(b"op/config")
+            for number in range(20):
+                entry = fleet.runners["p1"].entry(seq=number + 2)
+                fleet.store.put("servers/p1", entry)
+                await asyncio.sleep(0.1)
+            assert link.count_requests(b"op/config") == polls
+
+    standin.run_scenario(scenario)
