Show what the retry budget decides, and on what

A request that may not be sent again said so in the reason of 413 only, and nothing told what a gateway had counted when it allowed one. 418 and 419 tell, for each decision, the repeats left, the requests and repeats in the window, the gateways that share the budget and the time since the start, and nutmegpost_gateway_repeats_total counts the decisions by service.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -169,6 +169,20 @@
 REQUEST_UNREADABLE = Event(
     415, "INFO", "request refused with {status}: {reason}"
 )
+REPEAT_REFUSED = Event(
+    418,
+    "INFO",
+    "{request} is not sent a {attempt}. time: the budget of {service} has "
+    "{remaining} repeats left, with {requests} requests and {repeats} repeats "
+    "in the window, shared by {gateways} gateways; started {started_s} s ago",
+)
+REPEAT_ALLOWED = Event(
+    419,
+    "INFO",
+    "{request} may be sent a {attempt}. time: the budget of {service} had "
+    "{remaining} repeats left, with {requests} requests and {repeats} repeats "
+    "in the window, shared by {gateways} gateways; started {started_s} s ago",
+)
 STREAM_TAKEN_UP = Event(
     416,
     "INFO",
--- a/packages/core/nutmegpost_core/retrybudget.py
+++ b/packages/core/nutmegpost_core/retrybudget.py
@@ -8,7 +8,7 @@
 import collections
 from typing import NamedTuple
 
-__all__ = ["RetryBudget", "FleetBudget"]
+__all__ = ["FleetBudget", "RetryBudget", "Usage"]
 
 
 class FleetBudget(NamedTuple):
@@ -25,6 +25,20 @@
     window_s: float
 
 
+class Usage(NamedTuple):
+    """What one router has of the budget of a service.
+
+    Attributes:
+        remaining: Retries left.
+        requests: Requests in the window.
+        retries: Retries in the window.
+    """
+
+    remaining: float
+    requests: int
+    retries: int
+
+
 class _Window:
     __slots__ = ("requests", "retries")
 
@@ -54,6 +68,18 @@
         """
         self._window(service, now).requests.append(now)
 
+    def usage(self, service: str, routers: int, now: float) -> Usage:
+        """Returns what this router has left and what it has counted.
+
+        Args:
+            service: The service.
+            routers: Number of routers that share the budget.
+            now: Monotonic time, seconds.
+        """
+        remaining = self.remaining(service, routers, now)
+        window = self._windows[service]
+        return Usage(remaining, len(window.requests), len(window.retries))
+
     def remaining(self, service: str, routers: int, now: float) -> float:
         """Returns the number of retries that this router has left.
 
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -27,6 +27,7 @@
 from nutmegpost_router.gateway import peer_relay
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import repeats
 from nutmegpost_router.gateway import sending
 from nutmegpost_router.gateway import state
 from nutmegpost_router.gateway import stream_origins
@@ -132,12 +133,14 @@
         self._origins = origins
         self._links = endpoint_links
         self._relay = relay
+        self._repeats = repeats.Repeats(local_state, counters)
         self._sender = sending.Sender(
             local_state,
             protocols,
             client,
             counters,
             origins,
+            self._repeats,
         )
         self._probes: set[asyncio.Task[None]] = set()
         self._lost_attempts: dict[str, list[_LostAttempt]] = {}
@@ -273,7 +276,7 @@
         is_relayed = self._relay.is_relayed(request, call.identity)
         if not is_relayed:
             # The gateway that relays a request has counted it.
-            self._state.budget.record_request(call.service, call.received)
+            self._repeats.record_request(call)
         while True:
             if self._links.is_isolated:
                 await self._send_through_peers(pending, is_relayed)
@@ -305,7 +308,6 @@
             errors.RequestError: The request ends without an answer.
         """
         call = pending.call
-        now = _now()
         if pending.exchange.started or not pending.may_run_again:
             self._give_up(pending)
         if is_relayed:
@@ -313,8 +315,8 @@
                 "no endpoint can be reached",
                 retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
             )
-        if pending.runs and not self._state.budget.try_spend(
-            call.service, self._state.fleet_size, now
+        if pending.runs and not self._repeats.try_spend(
+            call, pending.attempts + 1
         ):
             pending.reason += "; no retry is left in the budget"
             self._give_up(pending)
@@ -418,8 +420,8 @@
             raise errors.UnavailableError(
                 "all endpoints are full", retry_after=_RETRY_AFTER_FULL_S
             )
-        if pending.attempts and not self._state.budget.try_spend(
-            call.service, self._state.fleet_size, now
+        if pending.attempts and not self._repeats.try_spend(
+            call, pending.attempts + 1
         ):
             pending.reason += "; no retry is left in the budget"
             self._give_up(pending)
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -49,6 +49,12 @@
             ["end"],
             registry=self._registry,
         )
+        self._repeats = prometheus_client.Counter(
+            "nutmegpost_gateway_repeats",
+            "Decisions of the retry budget on sending a request again.",
+            ["service", "decision"],
+            registry=self._registry,
+        )
         self._load_error = prometheus_client.Histogram(
             "nutmegpost_gateway_load_error_requests",
             "Requests by which the reported load exceeds the estimate.",
@@ -88,6 +94,16 @@
         """Counts a request sent through a peer by how it ended."""
         self._through_peers.labels(end).inc()
 
+    def repeat_decided(self, service: str, is_allowed: bool) -> None:
+        """Counts a decision of the retry budget.
+
+        Args:
+            service: The service of the request.
+            is_allowed: Whether the request may be sent again.
+        """
+        decision = "allowed" if is_allowed else "refused"
+        self._repeats.labels(service, decision).inc()
+
     def notice_received(self, notice: str) -> None:
         """Counts a response by what the endpoint said of itself."""
         self._notices.labels(notice).inc()
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -19,6 +19,7 @@
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import repeats
 from nutmegpost_router.gateway import state
 from nutmegpost_router.gateway import stream_origins
 
@@ -82,6 +83,7 @@
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
         origins: stream_origins.OriginExchange,
+        budgeted_repeats: repeats.Repeats,
     ):
         """Creates a sender.
 
@@ -91,7 +93,9 @@
             client: Connections to endpoints.
             counters: Metrics.
             origins: Is told what began each stream.
+            budgeted_repeats: Knows whether a request may be sent again.
         """
+        self._repeats = budgeted_repeats
         self._state = local_state
         self._origins = origins
         self._protocols = protocols
@@ -234,14 +238,10 @@
     def _can_retry(self, pending: pending_request.PendingRequest) -> bool:
         """Returns whether the route and the budget allow a run after this."""
         call = pending.call
-        now = _now()
-        retries_left = self._state.budget.remaining(
-            call.service, self._state.fleet_size, now
-        )
         return (
             call.route.repeatable
             and pending.runs + 1 < call.route.endpoints_max
-            and retries_left >= 1
+            and self._repeats.is_allowed(call.service)
         )
 
     def _can_resume(
