Play fleets that spend their retry budget, judged by the users' rule

The test of the budget had four routers that know each other, never start again and whose repeats arrive when they are decided. A gateway killed and started again sends 8 repeats where 4 are allowed.

The count of gateways moves to the core as it is, so that the plays use it.

--- a/packages/core/nutmegpost_core/retrybudget.py
+++ b/packages/core/nutmegpost_core/retrybudget.py
@@ -6,9 +6,10 @@
 """
 
 import collections
+from collections.abc import Collection
 from typing import NamedTuple
 
-__all__ = ["FleetBudget", "RetryBudget", "Usage"]
+__all__ = ["FleetBudget", "RetryBudget", "SeenRouters", "Usage"]
 
 
 class FleetBudget(NamedTuple):
@@ -47,6 +48,42 @@
         self.retries: collections.deque[float] = collections.deque()
 
 
+class SeenRouters:
+    """The routers that were seen of late."""
+
+    def __init__(self, retention_s: float):
+        """Creates a fleet that consists of this router.
+
+        Args:
+            retention_s: Time for which a router counts after it was last seen,
+                seconds.
+        """
+        self._retention_s = retention_s
+        self._last_seen: dict[str, float] = {}
+        self._count = 1
+
+    @property
+    def count(self) -> int:
+        """Number of routers."""
+        return self._count
+
+    def record(self, routers: Collection[str], listed: int, now: float) -> None:
+        """Records the routers that are seen now.
+
+        Args:
+            routers: Names of the routers, this one included.
+            listed: Number of routers that the settings name.
+            now: Monotonic time, seconds.
+        """
+        for name in routers:
+            self._last_seen[name] = now
+        oldest = now - self._retention_s
+        self._last_seen = {
+            name: at for name, at in self._last_seen.items() if at > oldest
+        }
+        self._count = max(listed, len(self._last_seen))
+
+
 class RetryBudget:
     """Retry budget of one router, by service."""
 
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -11,6 +11,7 @@
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import membership
+from nutmegpost_core import retrybudget
 from nutmegpost_core import roster
 from nutmegpost_core import vms
 from nutmegpost_router import gossip
@@ -46,14 +47,14 @@
 _RESTART_DELAY_S = 0.2
 # Reports that all peers must have missed before they are assumed to be down.
 _DOWN_AFTER_REPORTS = 2 * loads.SILENT_AFTER_REPORTS
+# Time beyond the retry window for which an unreachable gateway still counts in
+# the fleet size: it may be running and spending retries.
+_FLEET_RETENTION_S = 20.0
 _REACHABLE = (
     membership.State.ALIVE,
     membership.State.LEAVING,
     membership.State.SUSPECT,
 )
-# Time beyond the retry window for which an unreachable gateway still counts in
-# the fleet size: it may be running and spending retries.
-_FLEET_RETENTION_S = 20.0
 # Shares of the descriptor and memory limits for callers; the rest is for
 # connections to endpoints and peers, and for the process itself.
 _CALLER_CONNECTIONS_SHARE = 0.5
@@ -162,7 +163,9 @@
         self._servers: list[http_server.HttpServer] = []
         self._stopping_at: float | None = None
         self._stopped = asyncio.Event()
-        self._last_alive: dict[str, float] = {}
+        self._fleet = retrybudget.SeenRouters(
+            config["retry_window_s"] + _FLEET_RETENTION_S
+        )
 
     @property
     def listening(self) -> bool:
@@ -546,23 +549,15 @@
             last_boot_s = boot_s
             now = _now()
             self._publications.expire(now)
-            self._update_fleet_size(now)
+            self._fleet.record(
+                self._members.alive, len(set(self._config["seeds"])), now
+            )
+            self._state.fleet_size = self._fleet.count
             self._crashes.expire(now)
             self._state.rate_limits.set_routers(self._members.alive)
             self._load_queries.set_hosts(self._alive_hosts())
             self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
-    def _update_fleet_size(self, now: float) -> None:
-        """Counts the gateways that may have spent retries in the window."""
-        for name in self._members.alive:
-            self._last_alive[name] = now
-        oldest = now - self._config["retry_window_s"] - _FLEET_RETENTION_S
-        self._last_alive = {
-            name: at for name, at in self._last_alive.items() if at > oldest
-        }
-        listed = len(set(self._config["seeds"]))
-        self._state.fleet_size = max(listed, len(self._last_alive))
-
     def _stop_time_left_s(self) -> float | None:
         if self._stopping_at is None:
             return None
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -29,3 +29,38 @@
             assert await _decisions(fleet) == (3, 7)
 
     standin.run_scenario(scenario)
+
+
+def _repeat_count(runners):
+    """Returns the arrivals at runners beyond the first of each request."""
+    received = [
+        request.headers["attempt-id"]
+        for runner in runners
+        for request in runner.received
+    ]
+    return len(received) - len(set(received))
+
+
+# Guards against a gateway that spends the fixed part again after a restart.
+def test_a_restarted_gateway_does_not_spend_the_fixed_part_again():
+    async def scenario():
+        runners = [standin.Runner(name, "plain") for name in "ab"]
+        for runner in runners:
+            runner.behaviors = [standin.reject] * 100
+        async with standin.Fleet(
+            runners, retry_extra=4, retry_ratio=0
+        ) as fleet:
+            for number in range(10):
+                await fleet.send_request("/look/1", f"before-{number}")
+            assert _repeat_count(runners) == 4
+            config = fleet.gateways[0].config
+            await fleet.kill_gateway(0)
+            restarted = fleet.start_gateway(**{**config, "first_start": False})
+            await fleet.wait_until(lambda: restarted.ready)
+            for number in range(10):
+                await fleet.send_request(
+                    "/look/1", f"after-{number}", gateway_index=1
+                )
+            assert _repeat_count(runners) == 4
+
+    standin.run_scenario(scenario)
