Let a new process leave the fixed part of the budget alone at first

What callers saw: nothing; endpoints got more repeats than the rule allows when gateways started again. Cause: the repeats that a process had spent were forgotten with it, and the next one had a whole share of the fixed part at once, while those of the process before it were still in the window. A gateway that is added had such a share too, before the others counted it.

A process now uses no part of the fixed number until the window, the longest time that a repeat is on its way and the time to meet the others have passed: then no window has arrivals of both. On the first start of the whole fleet only the time to meet the others counts, and nothing if the settings name no other.

--- a/packages/core/nutmegpost_core/retrybudget.py
+++ b/packages/core/nutmegpost_core/retrybudget.py
@@ -7,9 +7,22 @@
 
 import collections
 from collections.abc import Collection
+import math
 from typing import NamedTuple
 
-__all__ = ["FleetBudget", "RetryBudget", "SeenRouters", "Usage"]
+__all__ = [
+    "FleetBudget",
+    "RetryBudget",
+    "SeenRouters",
+    "Usage",
+    "extra_from",
+]
+
+# Longest time from the decision to send a retry until it arrives: that to
+# connect, and some to write and deliver it.
+_DELIVERY_MAX_S = 1.5
+# Longest time until routers that start have met the others.
+_MEETING_MAX_S = 5.0
 
 
 class FleetBudget(NamedTuple):
@@ -84,16 +97,44 @@
         self._count = max(listed, len(self._last_seen))
 
 
+def extra_from(
+    started: float, window_s: float, is_first_start: bool, has_peers: bool
+) -> float:
+    """Returns when a process may first use its part of the fixed number.
+
+    A process before it may have spent the part of this router, and the others
+    may not count a router that is new.
+
+    Args:
+        started: Monotonic time at which the process started, seconds.
+        window_s: Length of the window of the budget, seconds.
+        is_first_start: Whether the whole fleet starts for the first time, so
+            that no process was before this one.
+        has_peers: Whether the settings name other routers.
+
+    Returns:
+        Monotonic time, seconds.
+    """
+    if is_first_start:
+        return started + (_MEETING_MAX_S if has_peers else 0.0)
+    return started + window_s + _DELIVERY_MAX_S + _MEETING_MAX_S
+
+
 class RetryBudget:
     """Retry budget of one router, by service."""
 
-    def __init__(self, fleet_budget: FleetBudget):
+    def __init__(
+        self, fleet_budget: FleetBudget, usable_extra_from: float = -math.inf
+    ):
         """Creates an unspent budget.
 
         Args:
             fleet_budget: The budget of the whole fleet.
+            usable_extra_from: Monotonic time from which the fixed number may
+                be used, seconds; see `extra_from`.
         """
         self._fleet_budget = fleet_budget
+        self._extra_from = usable_extra_from
         self._windows: dict[str, _Window] = {}
 
     def record_request(self, service: str, now: float) -> None:
@@ -127,7 +168,9 @@
             now: Monotonic time, seconds.
         """
         window = self._window(service, now)
-        extra = self._fleet_budget.extra / max(1, routers)
+        extra = 0.0
+        if now >= self._extra_from:
+            extra = self._fleet_budget.extra / max(1, routers)
         allowed = self._fleet_budget.ratio * len(window.requests) + extra
         return allowed - len(window.retries)
 
--- a/packages/core/tests/test_retrybudget.py
+++ b/packages/core/tests/test_retrybudget.py
@@ -71,3 +71,20 @@
             len(recent_retries)
             <= FLEET_BUDGET.ratio * len(recent_requests) + FLEET_BUDGET.extra
         )
+
+
+# Guards against a process that spends what the one before it has spent.
+def test_a_new_process_waits_until_no_window_has_retries_of_the_one_before():
+    usable_from = retrybudget.extra_from(
+        100.0, FLEET_BUDGET.window_s, is_first_start=False, has_peers=False
+    )
+    budget = retrybudget.RetryBudget(FLEET_BUDGET, usable_from)
+    assert not budget.try_spend("s", 1, 100.0 + FLEET_BUDGET.window_s)
+    assert usable_from > 101.0 + FLEET_BUDGET.window_s
+    assert budget.try_spend("s", 1, usable_from)
+
+
+def test_a_router_that_starts_with_the_whole_fleet_waits_to_meet_the_others():
+    args = (100.0, FLEET_BUDGET.window_s)
+    assert retrybudget.extra_from(*args, True, has_peers=False) == 100.0
+    assert 101.0 < retrybudget.extra_from(*args, True, has_peers=True) < 110.0
--- a/packages/core/tests/test_retrybudget_fleet.py
+++ b/packages/core/tests/test_retrybudget_fleet.py
@@ -136,7 +136,15 @@
 
     def __init__(self, life, budget):
         self.life = life
-        self._budget = retrybudget.RetryBudget(budget)
+        self._budget = retrybudget.RetryBudget(
+            budget,
+            retrybudget.extra_from(
+                life.start,
+                WINDOW_S,
+                is_first_start=not life.start,
+                has_peers=True,
+            ),
+        )
         self._sharers = retrybudget.SeenRouters(WINDOW_S + 20.0)
 
     def see(self, running, _, now):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -79,7 +79,7 @@
         """
         self._config = config
         self._protocols = protocols
-        self._state = state.State(config)
+        self._state = state.State(config, _now())
         self._counters = metrics.GatewayMetrics()
         self._client = http_client.Client(
             int(config["memory_mb"] * 1e6 * _RESPONSE_BODIES_SHARE)
--- a/packages/router/nutmegpost_router/gateway/repeats.py
+++ b/packages/router/nutmegpost_router/gateway/repeats.py
@@ -17,7 +17,7 @@
     def __init__(
         self, local_state: state.State, counters: metrics.GatewayMetrics
     ):
-        """Creates the repeats of a gateway that starts now.
+        """Creates the repeats of a gateway.
 
         Args:
             local_state: State of the gateway.
@@ -25,7 +25,6 @@
         """
         self._state = local_state
         self._counters = counters
-        self._started = _now()
 
     def record_request(self, call: calls.Call) -> None:
         """Records a request of a caller."""
@@ -62,7 +61,7 @@
             requests=usage.requests,
             repeats=usage.retries,
             gateways=routers,
-            started_s=round(now - self._started, 1),
+            started_s=round(now - self._state.started, 1),
         )
         return is_allowed
 
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -39,13 +39,15 @@
 class State:
     """Configuration, endpoints, loads, caches and budgets."""
 
-    def __init__(self, config: settings.GatewaySettings):
+    def __init__(self, config: settings.GatewaySettings, started: float):
         """Creates the state of a gateway that has read nothing yet.
 
         Args:
             config: Settings of the gateway.
+            started: Monotonic time at which the process started, seconds.
         """
         self._config = config
+        self._started = started
         self.catalog: catalog.Catalog | None = None
         self.document = b""
         self.roster = roster.Roster(config["entry_grace_s"])
@@ -65,7 +67,13 @@
                 config["retry_ratio"],
                 config["retry_extra"],
                 config["retry_window_s"],
-            )
+            ),
+            retrybudget.extra_from(
+                started,
+                config["retry_window_s"],
+                config["first_start"],
+                bool(set(config["seeds"]) - {config["control_address"]}),
+            ),
         )
         self.rng = random.Random()
         self.fleet_size = 1
@@ -90,6 +98,11 @@
         """Settings of this gateway."""
         return self._config
 
+    @property
+    def started(self) -> float:
+        """Monotonic time at which the process started, seconds."""
+        return self._started
+
     def ready_endpoints(self) -> list[roster.Endpoint]:
         """Returns the endpoints of configured services that take requests."""
         if self.catalog is None:
--- a/packages/router/tests/gateway/test_loads_fleet.py
+++ b/packages/router/tests/gateway/test_loads_fleet.py
@@ -77,6 +77,8 @@
     "retry_window_s": 10.0,
     "load_multiple": MULTIPLE,
     "peer_key": "k" * 16,
+    "control_address": "10.0.0.1:20002",
+    "seeds": [],
 }
 PREFILL_S_PER_TOKEN = 1 / 48_200
 FIRST_EVENT_S = 0.02
@@ -149,7 +151,7 @@
         zone = f"zone-{number % ZONES}"
         host = f"10.{number // 250}.{number % 250}.1"
         self.host = host
-        self.state = state.State({**CONFIG, "name": host, "zone": zone})
+        self.state = state.State({**CONFIG, "name": host, "zone": zone}, 0.0)
         self.state.catalog = CATALOG
         self.state.fleet_size = fleet.gateway_count
         self.state.roster.replace(fleet.entries, roster.Revision(1, 1), now=0.0)
