Count gateways that may be cut off among those that share the budget

Cause: a gateway that no message of another had reached for 30 s shared the fixed part of the retry budget with its own side only, and so did the other side. One that stopped counts for 30 s, as before. The size of the fleet behind the choice of endpoints is as it was.

Not covered: processes that start during a cut know their side only.

--- a/packages/core/tests/test_retrybudget_fleet.py
+++ b/packages/core/tests/test_retrybudget_fleet.py
@@ -145,10 +145,13 @@
                 has_peers=True,
             ),
         )
+        self._known = set()
         self._sharers = retrybudget.SeenRouters(WINDOW_S + 20.0)
 
-    def see(self, running, _, now):
-        self._sharers.record(running, SEEDS, now)
+    def see(self, known, now):
+        # The entries of dead gateways are kept for longer than a play.
+        self._known |= known
+        self._sharers.record(self._known, SEEDS, now)
 
     def receive(self, now):
         self._budget.record_request("s", now)
@@ -256,20 +259,16 @@
                 self._look(process, now)
 
     def _look(self, process, now):
-        """Tells a process which gateways it knows, and which are running."""
-        known, running = {process.life.gateway}, {process.life.gateway}
+        """Tells a process which gateways it has met."""
+        known = {process.life.gateway}
         for peer in self._processes:
             name = peer.life.gateway
             began = max(process.life.start, peer.life.start)
-            if now < began + self._case.meet_s or self._is_cut(
+            if now >= began + self._case.meet_s and not self._is_cut(
                 process.life.gateway, name, now
             ):
-                continue
-            known.add(name)
-            # A death takes some seconds to be noticed.
-            if now < peer.life.end + 4.0:
-                running.add(name)
-        process.see(running, known, now)
+                known.add(name)
+        process.see(known, now)
 
     def _is_cut(self, one, other, now):
         cut = self._case.cut
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -47,8 +47,8 @@
 _RESTART_DELAY_S = 0.2
 # Reports that all peers must have missed before they are assumed to be down.
 _DOWN_AFTER_REPORTS = 2 * loads.SILENT_AFTER_REPORTS
-# Time beyond the retry window for which an unreachable gateway still counts in
-# the fleet size: it may be running and spending retries.
+# Time beyond the retry window for which a gateway that is not seen still counts
+# in the fleet: it may be running, and what it spent counts in the window.
 _FLEET_RETENTION_S = 20.0
 _REACHABLE = (
     membership.State.ALIVE,
@@ -163,9 +163,9 @@
         self._servers: list[http_server.HttpServer] = []
         self._stopping_at: float | None = None
         self._stopped = asyncio.Event()
-        self._fleet = retrybudget.SeenRouters(
-            config["retry_window_s"] + _FLEET_RETENTION_S
-        )
+        retention_s = config["retry_window_s"] + _FLEET_RETENTION_S
+        self._fleet = retrybudget.SeenRouters(retention_s)
+        self._retry_sharers = retrybudget.SeenRouters(retention_s)
 
     @property
     def listening(self) -> bool:
@@ -553,11 +553,27 @@
                 self._members.alive, len(set(self._config["seeds"])), now
             )
             self._state.fleet_size = self._fleet.count
+            self._retry_sharers.record(
+                self._retry_sharer_names(), len(set(self._config["seeds"])), now
+            )
+            self._state.retry_sharers = self._retry_sharers.count
             self._crashes.expire(now)
             self._state.rate_limits.set_routers(self._members.alive)
             self._load_queries.set_hosts(self._alive_hosts())
             self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
+    def _retry_sharer_names(self) -> list[str]:
+        """Returns the gateways that may be running and spending retries.
+
+        One that is believed to be dead may be cut off, or start again. It
+        counts until its entry is removed, unless it said that it stops.
+        """
+        return [
+            name
+            for name, member in self._members.members.items()
+            if member.state is not membership.State.LEFT
+        ]
+
     def _stop_time_left_s(self) -> float | None:
         if self._stopping_at is None:
             return None
--- a/packages/router/nutmegpost_router/gateway/repeats.py
+++ b/packages/router/nutmegpost_router/gateway/repeats.py
@@ -33,7 +33,7 @@
     def is_allowed(self, service: str) -> bool:
         """Returns whether a request for a service may be sent again now."""
         usage = self._state.budget.usage(
-            service, self._state.fleet_size, _now()
+            service, self._state.retry_sharers, _now()
         )
         return usage.remaining >= 1
 
@@ -48,7 +48,7 @@
             Whether the request may be sent again.
         """
         now = _now()
-        routers = self._state.fleet_size
+        routers = self._state.retry_sharers
         usage = self._state.budget.usage(call.service, routers, now)
         is_allowed = self._state.budget.try_spend(call.service, routers, now)
         self._counters.repeat_decided(call.service, is_allowed)
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -77,6 +77,8 @@
         )
         self.rng = random.Random()
         self.fleet_size = 1
+        # Number of gateways that share the fixed part of the retry budget.
+        self.retry_sharers = 1
         # Whether the prefix cache estimates are as complete as those of a
         # gateway that has been running. On the first start of the system all
         # caches are empty.
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -1,7 +1,11 @@
 """The budget of repeats that all gateways share."""
 
+import asyncio
+
 import standin
 
+from nutmegpost_core import membership
+
 
 async def _decisions(fleet, index=0):
     """Returns how often a gateway allowed and refused a repeat."""
@@ -64,3 +68,29 @@
             assert _repeat_count(runners) == 4
 
     standin.run_scenario(scenario)
+
+
+# Guards against two sides of a cut that each spend the whole fixed part.
+def test_a_gateway_that_is_believed_to_be_dead_keeps_its_part_of_the_budget():
+    async def scenario():
+        runners = [standin.Runner("a", "plain")]
+        async with standin.Fleet(runners, gateways=3) as fleet:
+            await fleet.wait_until_all_met()
+            first, second, third = fleet.gateways
+            second.stop()
+            members = first.members
+            await fleet.wait_until(
+                lambda: members.members["gateway-1"].state == "left"
+            )
+            dead = third.members.local._replace(
+                state=membership.State.DEAD,
+                revision=third.members.local.revision + 1,
+            )
+            members.add_members([dead], asyncio.get_running_loop().time())
+            assert members.alive == ["gateway-0"]
+            assert sorted(first._retry_sharer_names()) == [
+                "gateway-0",
+                "gateway-2",
+            ]
+
+    standin.run_scenario(scenario)
