Keep repeats in the window until they must have arrived

Cause: the rule counts arrivals, a gateway counted decisions. A repeat may wait a second for its connection, and it waited for a prefill of its prompt after it was counted, up to 0.4 of its target; repeats of two windows then arrive in one.

A repeat is now counted after that wait, right before the send, and for 1.5 s longer than the window: the second to connect, and half of one to write and deliver. That a wait for a prefill delayed an arrival is read from the code, no run shows it.

--- a/packages/core/nutmegpost_core/retrybudget.py
+++ b/packages/core/nutmegpost_core/retrybudget.py
@@ -192,8 +192,12 @@
 
     def _window(self, service: str, now: float) -> _Window:
         window = self._windows.setdefault(service, _Window())
-        oldest = now - self._fleet_budget.window_s
-        for times in (window.requests, window.retries):
+        oldest_request = now - self._fleet_budget.window_s
+        for times, oldest in (
+            (window.requests, oldest_request),
+            # A retry arrives later than it is spent.
+            (window.retries, oldest_request - _DELIVERY_MAX_S),
+        ):
             while times and times[0] < oldest:
                 times.popleft()
         return window
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -383,8 +383,33 @@
             )
         )
         choice = self._choose_endpoint(pending)
-        if not self._state.is_prefilling(call, choice.endpoint.name):
-            return choice
+        if self._state.is_prefilling(call, choice.endpoint.name):
+            choice = await self._choose_again(pending, choice, until)
+        # The window of the budget takes repeats to arrive soon after this.
+        if pending.attempts and not self._repeats.try_spend(
+            call, pending.attempts + 1
+        ):
+            pending.reason += "; no retry is left in the budget"
+            self._give_up(pending)
+        return choice
+
+    async def _choose_again(
+        self,
+        pending: pending_request.PendingRequest,
+        choice: dispatch.Choice,
+        until: float,
+    ) -> dispatch.Choice:
+        """Waits while an endpoint prefills the same prompt, then chooses.
+
+        Args:
+            pending: The request.
+            choice: The endpoint that prefills.
+            until: Monotonic time up to which to wait, seconds.
+
+        Raises:
+            errors.RequestError: The request ends without another attempt.
+        """
+        call = pending.call
         while _now() < until:
             await asyncio.sleep(_PREFILL_POLL_S)
             if not self._state.is_prefilling(call, choice.endpoint.name):
@@ -420,11 +445,6 @@
             raise errors.UnavailableError(
                 "all endpoints are full", retry_after=_RETRY_AFTER_FULL_S
             )
-        if pending.attempts and not self._repeats.try_spend(
-            call, pending.attempts + 1
-        ):
-            pending.reason += "; no retry is left in the budget"
-            self._give_up(pending)
         return choice
 
     def _end_without_endpoint(
