Draw repeats from the mean of three windows, which adds up over gateways

Cause: each gateway spent the ratio of its own requests in the window that ended when it sent. The windows of two gateways end at different times: where callers moved from one to the other, or pressed at one moment, both spent for requests that no one window of the rule holds.

The rule takes the best of three windows of requests. The best at each gateway adds up to more than the best of the fleet; the mean of the three at each gateway adds up to the mean of the fleet, which is not more. It is linear in requests, so it does not matter which gateway or which process took them: a process that starts again needs no knowledge of the one before it. A repeat is sent if every window in which it may arrive allows it; counts are kept in 40 spans a window, and the edges count for the worse.

The mean was taken as it serves a process from its start and requests that come at one moment.

--- a/packages/core/nutmegpost_core/retrybudget.py
+++ b/packages/core/nutmegpost_core/retrybudget.py
@@ -1,12 +1,19 @@
 """Retry budget of a service, shared by all routers without coordination.
 
-In each sliding window, the retries of a service may be a ratio of its requests
-plus a fixed number. A router does not know what the others spend, so it uses
-the ratio of its own requests and an equal part of the fixed number.
+The retries of a service that arrive in any window may be a ratio of its
+requests plus a fixed number. The requests are those of that window, the one
+before it or the one half a window before it, whichever has most.
+
+A router does not know what the others spend. It uses an equal part of the fixed
+number, and the ratio of the mean of its own requests in the three windows. The
+sum of these means over all routers is the mean of the fleet, which is at most
+the best of the three, whichever routers the clients use and whichever processes
+start again. The best of the three at each router would add up to more.
 """
 
 import collections
 from collections.abc import Collection
+import itertools
 import math
 from typing import NamedTuple
 
@@ -23,6 +30,14 @@
 _DELIVERY_MAX_S = 1.5
 # Longest time until routers that start have met the others.
 _MEETING_MAX_S = 5.0
+# Longest time from the send of a request until it is recorded.
+_RECEIPT_MAX_S = 0.5
+# Spans of time in a window. Counts are kept by span; a span that is in a window
+# only in part counts there with its retries and without its requests.
+_SPANS = 40
+_SPANS_KEPT = 2 * _SPANS
+# Spans by which the windows of requests begin before that of the retries.
+_EARLIER_SPANS = (0, _SPANS // 2, _SPANS)
 
 
 class FleetBudget(NamedTuple):
@@ -44,8 +59,8 @@
 
     Attributes:
         remaining: Retries left.
-        requests: Requests in the window.
-        retries: Retries in the window.
+        requests: Requests in the last window.
+        retries: Retries in the last window.
     """
 
     remaining: float
@@ -53,12 +68,36 @@
     retries: int
 
 
-class _Window:
-    __slots__ = ("requests", "retries")
+class _History:
+    """Requests and retries of a service, counted in spans of time.
 
-    def __init__(self) -> None:
-        self.requests: collections.deque[float] = collections.deque()
-        self.retries: collections.deque[float] = collections.deque()
+    Attributes:
+        requests: Requests by span, the current one last.
+        retries: Retries by span, the current one last.
+    """
+
+    __slots__ = ("_span", "requests", "retries")
+
+    def __init__(self, span: int) -> None:
+        """Creates an empty history.
+
+        Args:
+            span: Number of the current span.
+        """
+        self._span = span
+        self.requests = collections.deque([0] * _SPANS_KEPT, _SPANS_KEPT)
+        self.retries = collections.deque([0] * _SPANS_KEPT, _SPANS_KEPT)
+
+    def advance(self, span: int) -> None:
+        """Discards what is too old.
+
+        Args:
+            span: Number of the current span.
+        """
+        passed = [0] * min(span - self._span, _SPANS_KEPT)
+        self.requests.extend(passed)
+        self.retries.extend(passed)
+        self._span = max(span, self._span)
 
 
 class SeenRouters:
@@ -135,7 +174,10 @@
         """
         self._fleet_budget = fleet_budget
         self._extra_from = usable_extra_from
-        self._windows: dict[str, _Window] = {}
+        self._span_s = fleet_budget.window_s / _SPANS
+        self._delivery = math.ceil(_DELIVERY_MAX_S / self._span_s)
+        self._receipt = math.ceil(_RECEIPT_MAX_S / self._span_s)
+        self._histories: dict[str, _History] = {}
 
     def record_request(self, service: str, now: float) -> None:
         """Records a request of a client.
@@ -144,7 +186,7 @@
             service: Its service.
             now: Monotonic time, seconds.
         """
-        self._window(service, now).requests.append(now)
+        self._history(service, now).requests[-1] += 1
 
     def usage(self, service: str, routers: int, now: float) -> Usage:
         """Returns what this router has left and what it has counted.
@@ -154,9 +196,12 @@
             routers: Number of routers that share the budget.
             now: Monotonic time, seconds.
         """
-        remaining = self.remaining(service, routers, now)
-        window = self._windows[service]
-        return Usage(remaining, len(window.requests), len(window.retries))
+        history = self._history(service, now)
+        return Usage(
+            self.remaining(service, routers, now),
+            sum([*history.requests][-_SPANS:]),
+            sum([*history.retries][-_SPANS:]),
+        )
 
     def remaining(self, service: str, routers: int, now: float) -> float:
         """Returns the number of retries that this router has left.
@@ -167,12 +212,46 @@
                 is safe.
             now: Monotonic time, seconds.
         """
-        window = self._window(service, now)
+        history = self._history(service, now)
         extra = 0.0
         if now >= self._extra_from:
             extra = self._fleet_budget.extra / max(1, routers)
-        allowed = self._fleet_budget.ratio * len(window.requests) + extra
-        return allowed - len(window.retries)
+        # Each window in which a retry that is sent now may arrive, the earliest
+        # first. What was spent a delivery before it may be in it as well.
+        count = _SPANS + self._delivery + 1
+        retries = [*history.retries][-count:]
+        spent = [*itertools.accumulate(reversed(retries))]
+        requests = self._requests(history, count)
+        ratio = self._fleet_budget.ratio / len(_EARLIER_SPANS)
+        return extra + min(
+            ratio * requested - used
+            for requested, used in zip(requests, reversed(spent), strict=True)
+        )
+
+    def _requests(self, history: _History, count: int) -> list[int]:
+        """Returns the requests in the three windows of each of some windows.
+
+        Args:
+            history: The history of the service.
+            count: Number of windows; each begins a span after the one before.
+        """
+        sums = [*itertools.accumulate(history.requests, initial=0)]
+        sums += sums[-1:] * count
+        # The first window ends now, so it has all requests up to now.
+        requests = [history.requests[-1], *[0] * (count - 1)]
+        for earlier in _EARLIER_SPANS:
+            end = _SPANS_KEPT - 1 - earlier
+            begin = end - _SPANS + 1 + self._receipt
+            requests = [
+                sofar + upper - lower
+                for sofar, upper, lower in zip(
+                    requests,
+                    sums[end : end + count],
+                    sums[begin : begin + count],
+                    strict=True,
+                )
+            ]
+        return requests
 
     def try_spend(self, service: str, routers: int, now: float) -> bool:
         """Spends one retry if the budget allows it.
@@ -187,17 +266,13 @@
         """
         if self.remaining(service, routers, now) < 1:
             return False
-        self._windows[service].retries.append(now)
+        self._histories[service].retries[-1] += 1
         return True
 
-    def _window(self, service: str, now: float) -> _Window:
-        window = self._windows.setdefault(service, _Window())
-        oldest_request = now - self._fleet_budget.window_s
-        for times, oldest in (
-            (window.requests, oldest_request),
-            # A retry arrives later than it is spent.
-            (window.retries, oldest_request - _DELIVERY_MAX_S),
-        ):
-            while times and times[0] < oldest:
-                times.popleft()
-        return window
+    def _history(self, service: str, now: float) -> _History:
+        span = math.floor(now / self._span_s)
+        history = self._histories.get(service)
+        if history is None:
+            history = self._histories[service] = _History(span)
+        history.advance(span)
+        return history
