Count a rejected request that is sent through a peer as a repeat

Cause: a gateway that reaches no endpoint took from the budget only if a run of the request may have begun. The rule counts arrivals that an endpoint rejects too. So did nothing count the second, third and fourth peer, each of which may send the request to an endpoint that rejects it: up to three repeats of one request.

A request now remembers whether it may have arrived anywhere, and each further peer takes a repeat from the budget then. Where nothing is left, the request ends as not run. test_a_rejected_request_is_not_sent_through_a_peer_without_budget and test_each_further_peer_that_may_send_a_request_takes_from_the_budget failed before (1 and 2 repeats without any budget).

--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -315,13 +315,10 @@
                 "no endpoint can be reached",
                 retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
             )
-        if pending.runs and not self._repeats.try_spend(
-            call, pending.attempts + 1
-        ):
-            pending.reason += "; no retry is left in the budget"
-            self._give_up(pending)
         pending.is_in_flight = True
-        result = await self._relay.send(pending)
+        result = await self._relay.send(
+            pending, lambda: self._may_send_again(pending)
+        )
         pending.is_in_flight = False
         self._counters.sent_through_peer(result.end)
         if result.end is sending.AttemptEnd.ANSWERED:
@@ -386,13 +383,15 @@
         if self._state.is_prefilling(call, choice.endpoint.name):
             choice = await self._choose_again(pending, choice, until)
         # The window of the budget takes repeats to arrive soon after this.
-        if pending.attempts and not self._repeats.try_spend(
-            call, pending.attempts + 1
-        ):
+        if pending.attempts and not self._may_send_again(pending):
             pending.reason += "; no retry is left in the budget"
             self._give_up(pending)
         return choice
 
+    def _may_send_again(self, pending: pending_request.PendingRequest) -> bool:
+        """Returns whether the budget allows a repeat, and spends it."""
+        return self._repeats.try_spend(pending.call, pending.attempts + 1)
+
     async def _choose_again(
         self,
         pending: pending_request.PendingRequest,
@@ -516,6 +515,8 @@
         elapsed_ms = round((now - call.received) * 1000)
         if result.end is not sending.AttemptEnd.NOT_RUN:
             pending.runs += 1
+        if not result.is_unreachable:
+            pending.has_arrived = True
         pending.tried_endpoints.add(name)
         if result.end is sending.AttemptEnd.ANSWERED:
             self._state.outliers.record_result(name, True, now)
--- a/packages/router/nutmegpost_router/gateway/peer_relay.py
+++ b/packages/router/nutmegpost_router/gateway/peer_relay.py
@@ -84,10 +84,16 @@
         return hmac.compare_digest(proof.encode(), self._proof(identity))
 
     async def send(
-        self, pending: pending_request.PendingRequest
+        self,
+        pending: pending_request.PendingRequest,
+        may_send_again: Callable[[], bool],
     ) -> sending.AttemptResult:
         """Sends a request through the first peer that takes it.
 
+        Args:
+            pending: The request.
+            may_send_again: Spends a repeat and returns whether it may be sent.
+
         Returns:
             How the request ended; NOT_RUN if no peer took it.
         """
@@ -100,9 +106,15 @@
             sending.AttemptEnd.NOT_RUN, "no peer can be reached"
         )
         for peer in peers[:_PEERS_TRIED_MAX]:
+            if pending.has_arrived and not may_send_again():
+                reason = f"{result.reason}; no retry is left in the budget"
+                return result._replace(reason=reason)
             result = await self._send_to(peer, pending)
             if result.end is not sending.AttemptEnd.NOT_RUN:
                 break
+            # Endpoints may have rejected what a peer says has not run.
+            if not result.is_unreachable:
+                pending.has_arrived = True
             self._declined_until[peer.name] = _now() + _DECLINED_PAUSE_S
         return result
 
@@ -135,7 +147,7 @@
             )
         except http_client.ConnectError as caught:
             return sending.AttemptResult(
-                sending.AttemptEnd.NOT_RUN, str(caught)
+                sending.AttemptEnd.NOT_RUN, str(caught), is_unreachable=True
             )
         except http_client.ExchangeError as caught:
             return sending.AttemptResult(sending.AttemptEnd.LOST, str(caught))
--- a/packages/router/nutmegpost_router/gateway/pending_request.py
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -46,6 +46,8 @@
         call: The request in the form used by routing decisions.
         fingerprint: Identifies the request and its parts in crashes.
         attempts: Number of attempts so far.
+        has_arrived: Whether it may have arrived at an endpoint, which may have
+            rejected it. Each further arrival is a repeat.
         runs: Number of ended attempts in which an endpoint may have run the
             request.
         is_in_flight: Whether an attempt has not ended.
@@ -77,6 +79,7 @@
         self.call = call
         self.fingerprint = crash_fingerprint
         self.attempts = 0
+        self.has_arrived = False
         self.runs = 0
         self.is_in_flight = False
         self.tried_endpoints: set[str] = set()
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -94,3 +94,42 @@
             ]
 
     standin.run_scenario(scenario)
+
+
+# Guards against a repeat through a peer that no gateway counts.
+def test_a_rejected_request_is_not_sent_through_a_peer_without_budget():
+    async def scenario():
+        runners = [standin.Runner(name, "plain") for name in "ab"]
+        async with standin.Fleet(
+            runners, gateways=2, retry_extra=0, retry_ratio=0
+        ) as fleet:
+            await fleet.wait_until_all_met()
+
+            async def reject_and_cut(runner, exchange):
+                fleet.gateways[0]._links._is_isolated = True
+                await standin.reject(runner, exchange)
+
+            for runner in runners:
+                runner.behaviors = [reject_and_cut]
+            response = await fleet.send_request("/look/1", "id-1")
+            assert response.status == 503
+            assert _repeat_count(runners) == 0
+
+    standin.run_scenario(scenario)
+
+
+def test_each_further_peer_that_may_send_a_request_takes_from_the_budget():
+    async def scenario():
+        runners = [standin.Runner(name, "plain") for name in "ab"]
+        for runner in runners:
+            runner.behaviors = [standin.reject] * 20
+        async with standin.Fleet(
+            runners, gateways=4, retry_extra=0, retry_ratio=0
+        ) as fleet:
+            await fleet.wait_until_all_met()
+            fleet.gateways[0]._links._is_isolated = True
+            response = await fleet.send_request("/look/1", "id-1")
+            assert response.status == 503
+            assert _repeat_count(runners) == 0
+
+    standin.run_scenario(scenario)
