Keep enough spans for a short retry window

A retry window of one second in the settings raised ValueError for the first request that was sent again, as the time that a repeat is on its way is longer than the spans that were kept.

--- a/packages/core/nutmegpost_core/retrybudget.py
+++ b/packages/core/nutmegpost_core/retrybudget.py
@@ -37,7 +37,6 @@
 # Spans of time in a window. Counts are kept by span; a span that is in a window
 # only in part counts there with its retries and without its requests.
 _SPANS = 40
-_SPANS_KEPT = 2 * _SPANS
 # Spans by which the windows of requests begin before that of the retries.
 _EARLIER_SPANS = (0, _SPANS // 2, _SPANS)
 
@@ -80,15 +79,16 @@
 
     __slots__ = ("_span", "requests", "retries")
 
-    def __init__(self, span: int) -> None:
+    def __init__(self, span: int, kept: int) -> None:
         """Creates an empty history.
 
         Args:
             span: Number of the current span.
+            kept: Number of spans that are kept.
         """
         self._span = span
-        self.requests = collections.deque([0] * _SPANS_KEPT, _SPANS_KEPT)
-        self.retries = collections.deque([0] * _SPANS_KEPT, _SPANS_KEPT)
+        self.requests = collections.deque([0] * kept, kept)
+        self.retries = collections.deque([0] * kept, kept)
 
     def advance(self, span: int) -> None:
         """Discards what is too old.
@@ -96,7 +96,7 @@
         Args:
             span: Number of the current span.
         """
-        passed = [0] * min(span - self._span, _SPANS_KEPT)
+        passed = [0] * min(span - self._span, len(self.requests))
         self.requests.extend(passed)
         self.retries.extend(passed)
         self._span = max(span, self._span)
@@ -178,7 +178,9 @@
         self._extra_from = usable_extra_from
         self._span_s = fleet_budget.window_s / _SPANS
         self._delivery = math.ceil(_DELIVERY_MAX_S / self._span_s)
-        self._receipt = math.ceil(_RECEIPT_MAX_S / self._span_s)
+        self._receipt = min(
+            _SPANS - 1, math.ceil(_RECEIPT_MAX_S / self._span_s)
+        )
         self._histories: dict[str, _History] = {}
 
     def record_request(self, service: str, now: float) -> None:
@@ -242,7 +244,7 @@
         # The first window ends now, so it has all requests up to now.
         requests = [history.requests[-1], *[0] * (count - 1)]
         for earlier in _EARLIER_SPANS:
-            end = _SPANS_KEPT - 1 - earlier
+            end = len(history.requests) - 1 - earlier
             begin = end - _SPANS + 1 + self._receipt
             requests = [
                 sofar + upper - lower
@@ -275,6 +277,8 @@
         span = math.floor(now / self._span_s)
         history = self._histories.get(service)
         if history is None:
-            history = self._histories[service] = _History(span)
+            # The earliest window of requests begins two windows ago.
+            kept = 2 * _SPANS + self._delivery
+            history = self._histories[service] = _History(span, kept)
         history.advance(span)
         return history
--- a/packages/core/tests/test_retrybudget.py
+++ b/packages/core/tests/test_retrybudget.py
@@ -111,3 +111,15 @@
     args = (100.0, FLEET_BUDGET.window_s)
     assert retrybudget.extra_from(*args, True, has_peers=False) == 100.0
     assert 110.0 < retrybudget.extra_from(*args, True, has_peers=True) < 125.0
+
+
+@pytest.mark.parametrize("window_s", [0.2, 1.0, 60.0])
+def test_windows_of_any_length_have_a_budget(window_s):
+    budget = retrybudget.RetryBudget(
+        retrybudget.FleetBudget(ratio=0.2, extra=5.0, window_s=window_s)
+    )
+    spent = 0
+    for hundredth in range(1_000):
+        budget.record_request("s", hundredth / 100)
+        spent += budget.try_spend("s", 1, hundredth / 100)
+    assert spent >= 5
