--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -27,6 +27,7 @@
 from nutmegpost_router.gateway import peer_relay
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import repeats
 from nutmegpost_router.gateway import sending
 from nutmegpost_router.gateway import state
 from nutmegpost_router.gateway import stream_origins
@@ -132,12 +133,14 @@
         self._origins = origins
         self._links = endpoint_links
         self._relay = relay
+        self._repeats = repeats.Repeats(local_state, counters)
         self._sender = sending.Sender(
             local_state,
             protocols,
             client,
             counters,
             origins,
+            self._repeats,
         )
         self._probes: set[asyncio.Task[None]] = set()
         self._lost_attempts: dict[str, list[_LostAttempt]] = {}
@@ -273,7 +276,7 @@
         is_relayed = self._relay.is_relayed(request, call.identity)
         if not is_relayed:
             # The gateway that relays a request has counted it.
-            self._state.budget.record_request(call.service, call.received)
+            self._repeats.record_request(call)
         while True:
             if self._links.is_isolated:
                 await self._send_through_peers(pending, is_relayed)
@@ -305,7 +308,6 @@
             errors.RequestError: The request ends without an answer.
         """
         call = pending.call
-        now = _now()
         if pending.exchange.started or not pending.may_run_again:
             self._give_up(pending)
         if is_relayed:
@@ -313,13 +315,10 @@
                 "no endpoint can be reached",
                 retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
             )
-        if pending.runs and not self._state.budget.try_spend(
-            call.service, self._state.fleet_size, now
-        ):
-            pending.reason += "; no retry is left in the budget"
-            self._give_up(pending)
         pending.is_in_flight = True
-        result = await self._relay.send(pending)
+        result = await self._relay.send(
+            pending, lambda: self._may_send_again(pending)
+        )
         pending.is_in_flight = False
         self._counters.sent_through_peer(result.end)
         if result.end is sending.AttemptEnd.ANSWERED:
@@ -381,8 +380,35 @@
             )
         )
         choice = self._choose_endpoint(pending)
-        if not self._state.is_prefilling(call, choice.endpoint.name):
-            return choice
+        if self._state.is_prefilling(call, choice.endpoint.name):
+            choice = await self._choose_again(pending, choice, until)
+        # The window of the budget takes repeats to arrive soon after this.
+        if pending.has_arrived and not self._may_send_again(pending):
+            pending.reason += "; no retry is left in the budget"
+            self._give_up(pending)
+        return choice
+
+    def _may_send_again(self, pending: pending_request.PendingRequest) -> bool:
+        """Returns whether the budget allows a repeat, and spends it."""
+        return self._repeats.try_spend(pending.call, pending.attempts + 1)
+
+    async def _choose_again(
+        self,
+        pending: pending_request.PendingRequest,
+        choice: dispatch.Choice,
+        until: float,
+    ) -> dispatch.Choice:
+        """Waits while an endpoint prefills the same prompt, then chooses.
+
+        Args:
+            pending: The request.
+            choice: The endpoint that prefills.
+            until: Monotonic time up to which to wait, seconds.
+
+        Raises:
+            errors.RequestError: The request ends without another attempt.
+        """
+        call = pending.call
         while _now() < until:
             await asyncio.sleep(_PREFILL_POLL_S)
             if not self._state.is_prefilling(call, choice.endpoint.name):
@@ -418,11 +444,6 @@
             raise errors.UnavailableError(
                 "all endpoints are full", retry_after=_RETRY_AFTER_FULL_S
             )
-        if pending.attempts and not self._state.budget.try_spend(
-            call.service, self._state.fleet_size, now
-        ):
-            pending.reason += "; no retry is left in the budget"
-            self._give_up(pending)
         return choice
 
     def _end_without_endpoint(
@@ -494,6 +515,8 @@
         elapsed_ms = round((now - call.received) * 1000)
         if result.end is not sending.AttemptEnd.NOT_RUN:
             pending.runs += 1
+        if not result.is_unreachable:
+            pending.has_arrived = True
         pending.tried_endpoints.add(name)
         if result.end is sending.AttemptEnd.ANSWERED:
             self._state.outliers.record_result(name, True, now)
