Ask another peer for a document if the first one is silent or slow

Cause: peers were asked for a document strictly one after the other, after the polls for lists of endpoints had ended. A peer that could not be reached took a second, one that sent slowly up to 6 s.

Why it works: documents have a loop of their own. Another peer is asked as well if the last one has not answered within 0.25 s, or not sent the document within 1.5 s; the first document ends the others. Peers that did not answer are asked last for 5 s.

--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -6,7 +6,8 @@
 have noticed yet that the platform stopped responding.
 
 A document can take most of a second to transfer, so it is asked of one peer at
-a time, and only while the platform fails to deliver it.
+a time, and only while the platform fails to deliver it. Another peer is asked
+as well if the first one is silent or slow.
 """
 
 import asyncio
@@ -38,6 +39,14 @@
 _PLATFORM_LEAD_S = 1.0
 # Version that a poll names as known if it asks for no document.
 _NO_DOCUMENT = 2**53
+# Time that a peer has to begin its answer, and to send a document, before
+# another one is asked as well.
+_HEAD_LEAD_S = 0.25
+_DOCUMENT_LEAD_S = 1.5
+# Peers asked for a document until the next round begins.
+_DOCUMENT_PEERS_MAX = 6
+# Time for which a peer that did not answer is asked after all others.
+_SILENT_RETENTION_S = 5.0
 # Peers polled in one round when the platform or a newer version is missing.
 _PEERS_POLLED_MAX = 3
 # Time of observation after which peers have no more to tell of the versions.
@@ -82,6 +91,7 @@
         self._addresses = addresses
         self._crashes = crashes
         self._sync_requested = asyncio.Event()
+        self._document_requested = asyncio.Event()
         self._platform_unavailable = True
         # Whether a read of the platform has failed and none succeeded since.
         self._has_platform_failed = False
@@ -90,7 +100,9 @@
         self._announced_version = 0
         # The peers that announced it.
         self._announcers: set[vms.Address] = set()
-        self._is_reading_document = False
+        self._document_task: asyncio.Task[None] | None = None
+        # Time until which a peer that did not answer is asked last.
+        self._silent_until: dict[vms.Address, float] = {}
         # Whether no document has been asked for since the last pause.
         self._has_paused = False
 
@@ -129,6 +141,7 @@
     def _request_sync(self, reason: str) -> None:
         log.emit(events.PEERS_ASKED, reason=reason)
         self._sync_requested.set()
+        self._document_requested.set()
 
     @property
     def is_platform_unavailable(self) -> bool:
@@ -140,6 +153,7 @@
         self._platform_unavailable = True
         self._has_platform_failed = True
         self._sync_requested.set()
+        self._document_requested.set()
 
     def mark_platform_available(self) -> None:
         """Returns to polling one peer per interval."""
@@ -150,21 +164,34 @@
         """Polls the peers until it is cancelled."""
         self._platform_lead_until = _now() + _PLATFORM_LEAD_S
         async with asyncio.TaskGroup() as group:
-            while True:
-                polls_several = (
-                    self._platform_unavailable or self._sync_requested.is_set()
-                )
-                self._sync_requested.clear()
-                if self._needs_document and not self._is_reading_document:
-                    group.create_task(self._read_document())
-                await self._poll_peers(
-                    _PEERS_POLLED_MAX if polls_several else 1
-                )
-                try:
-                    async with asyncio.timeout(_POLL_S):
-                        await self._sync_requested.wait()
-                except TimeoutError:
-                    continue
+            group.create_task(self._poll_for_lists())
+            group.create_task(self._poll_for_documents())
+
+    async def _poll_for_lists(self) -> None:
+        while True:
+            polls_several = (
+                self._platform_unavailable or self._sync_requested.is_set()
+            )
+            self._sync_requested.clear()
+            await self._poll_peers(_PEERS_POLLED_MAX if polls_several else 1)
+            await _wait_for_request(self._sync_requested)
+
+    async def _poll_for_documents(self) -> None:
+        while True:
+            self._document_requested.clear()
+            if self._needs_document:
+                await self._run_document_task()
+            await _wait_for_request(self._document_requested)
+
+    async def _run_document_task(self) -> None:
+        """Reads a document, until the platform delivers it."""
+        self._document_task = asyncio.create_task(self._read_document())
+        try:
+            await asyncio.wait([self._document_task])
+            if not self._document_task.cancelled():
+                self._document_task.result()
+        finally:
+            self._document_task.cancel()
 
     async def handle(
         self, request: http_server.Request
@@ -254,28 +281,53 @@
         )
 
     async def _read_document(self) -> None:
-        """Asks one peer after the other for a newer configuration."""
-        self._is_reading_document = True
+        """Asks peers for a newer configuration until one has sent it."""
+        self._has_paused = False
+        known_version = self._known_version
+        polls: dict[asyncio.Task[bool], vms.Address] = {}
         try:
-            self._has_paused = False
-            known_version = self._known_version
-            addresses = self._addresses()
-            self._state.rng.shuffle(addresses)
-            addresses.sort(key=lambda each: each not in self._announcers)
-            for address in addresses[:_PEERS_POLLED_MAX]:
-                if await self._poll_peer(address, known_version):
+            while True:
+                for address in self._document_peers():
+                    if address in polls.values():
+                        continue
+                    answered = asyncio.Event()
+                    poll = asyncio.create_task(
+                        self._poll_peer(address, known_version, answered.set)
+                    )
+                    polls[poll] = address
+                    if await _wait_for_document(polls, poll, answered):
+                        return
+                if not polls or await _has_document(polls, _POLL_S):
                     return
         finally:
-            self._is_reading_document = False
+            for poll in polls:
+                poll.cancel()
+
+    def _document_peers(self) -> list[vms.Address]:
+        """Returns the peers to ask for a document, in order."""
+        now = _now()
+        addresses = self._addresses()
+        self._state.rng.shuffle(addresses)
+        addresses.sort(
+            key=lambda each: (
+                self._silent_until.get(each, 0.0) > now,
+                each not in self._announcers,
+            )
+        )
+        return addresses[:_DOCUMENT_PEERS_MAX]
 
     async def _poll_peer(
-        self, address: vms.Address, known_version: int
+        self,
+        address: vms.Address,
+        known_version: int,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> bool:
         """Polls a peer.
 
         Args:
             address: Its control address.
             known_version: The peer sends its configuration if that is newer.
+            on_answer: Called when the answer begins.
 
         Returns:
             Whether it sent its configuration.
@@ -305,6 +357,7 @@
                 {},
                 timeout_s=_TIMEOUT_S,
             )
+            on_answer()
             try:
                 body = await stream.read_all(_BODY_TIMEOUT_S, _TIMEOUT_S)
             finally:
@@ -312,6 +365,7 @@
             if stream.status == 200:
                 return self._apply(body, str(address), _now() - started)
         except errors.PeerError as caught:
+            self._silent_until[address] = _now() + _SILENT_RETENTION_S
             log.emit(
                 events.PEER_READ_FAILED, peer=str(address), reason=str(caught)
             )
@@ -393,6 +447,58 @@
         return bool(document)
 
 
+async def _wait_for_request(requested: asyncio.Event) -> None:
+    """Waits for a request to poll, or for the next regular poll."""
+    try:
+        async with asyncio.timeout(_POLL_S):
+            await requested.wait()
+    except TimeoutError:
+        return
+
+
+async def _wait_for_document(
+    polls: dict[asyncio.Task[bool], vms.Address],
+    newest: asyncio.Task[bool],
+    answered: asyncio.Event,
+) -> bool:
+    """Waits until a poll brings a document or another peer should be asked.
+
+    Args:
+        polls: Polls in progress; those that end are removed.
+        newest: The poll that began last.
+        answered: Whether the answer to that poll has begun.
+
+    Returns:
+        Whether a poll brought a document.
+    """
+    started = _now()
+    while newest in polls:
+        lead_s = _DOCUMENT_LEAD_S if answered.is_set() else _HEAD_LEAD_S
+        left_s = started + lead_s - _now()
+        if left_s <= 0:
+            return False
+        if await _has_document(polls, left_s):
+            return True
+    return False
+
+
+async def _has_document(
+    polls: dict[asyncio.Task[bool], vms.Address], timeout_s: float
+) -> bool:
+    """Waits until polls end, and returns whether they brought a document.
+
+    Args:
+        polls: Polls in progress; those that end are removed.
+        timeout_s: Maximum wait, seconds.
+    """
+    done, _ = await asyncio.wait(
+        polls, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    for poll in done:
+        del polls[poll]
+    return any(poll.result() for poll in done)
+
+
 def _decode_revision(encoded: object) -> roster.Revision:
     """Returns a revision; earlier versions send a number without an era."""
     if isinstance(encoded, int):
