Leave the link to the platform while it sends a document

Cause: a peer was asked for a document 1 s after it had announced it, also while the store was sending it. On a link of 4 Mbit/s both then took twice as long.

Why it works: the reader of the platform tells when an answer on the configuration begins and ends. Meanwhile no peer is asked, unless a read of the platform fails; a document that the platform delivers ends the read from a peer.

--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -134,9 +134,19 @@
             self._announcers.add(peer)
         self._request_sync(f"{name} has {version}")
 
+    def record_transfer(self, is_in_progress: bool) -> None:
+        """Records whether the platform is sending a configuration.
+
+        Args:
+            is_in_progress: Whether it is sending, or has just ended.
+        """
+        lead_s = _BODY_TIMEOUT_S if is_in_progress else _PLATFORM_LEAD_S
+        self._platform_lead_until = _now() + lead_s
+
     def record_published(self) -> None:
         """Records that the platform delivered a configuration."""
-        self._platform_lead_until = _now() + _PLATFORM_LEAD_S
+        if self._document_task is not None:
+            self._document_task.cancel()
 
     def _request_sync(self, reason: str) -> None:
         log.emit(events.PEERS_ASKED, reason=reason)
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -197,6 +197,12 @@
     is_from_peer: bool = False
 
 
+class ConfigurationTransfer(NamedTuple):
+    """The platform began or ended to send an answer on the configuration."""
+
+    is_in_progress: bool
+
+
 class EndpointsListed(NamedTuple):
     """The complete list of endpoints was read.
 
@@ -248,6 +254,7 @@
 StateUpdate = (
     PeerCachesReceived
     | CatalogPublished
+    | ConfigurationTransfer
     | EndpointsListed
     | EndpointsChanged
     | PlatformUnavailable
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -74,6 +74,8 @@
                 if not update.is_from_peer:
                     self._peer_sync.record_published()
                 self._accept_configuration(update)
+            case ports.ConfigurationTransfer(is_in_progress):
+                self._peer_sync.record_transfer(is_in_progress)
             case ports.EndpointsListed():
                 self._replace_endpoints(update, now)
                 local_state.directory_read_at = now
