Check configurations in force and repeats in the fault soak

Configurations: each gateway has a link of its own to the store stand-in, whose connections share a rate (12 Mbit/s when narrow). Versions with 1,000 to 2,500 routes more follow each other by 0.2 to 0.35 s. The store may be silent, lose answers, drop its history, or end its polls. Probes ask each process for what a version changed: route added or moved, key added or revoked. A version must be in force 2 s after the acknowledgement, 3 s on narrow links, at gateways that nothing disrupted for 3 s, and never be lost in one process.

Repeats: arrivals beyond the first of each request, by service, in each window against the rule of the users. The window is 4 s. What a disrupted link may have delivered late is not counted. Faults: the runners of a service reject or lose most requests; all gateways are restarted one after the other.

An interrupted soak ends all of its gateways.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 soak-faults: $(STAMP)
 	PYTHONPATH=tests:tests/platform $(BIN)/python tests/platform/faultsoak.py \
 	  --seed $(or $(SEED),1) --count $(or $(COUNT),1) \
-	  --seconds $(or $(SECONDS),10) --gateways $(or $(GATEWAYS),3)
+	  --seconds $(or $(SECONDS),10) --gateways $(or $(GATEWAYS),3) \
+	  --faults $(or $(FAULTS),all) $(if $(LOGS),--logs $(LOGS))
 
 bench: $(STAMP)
 	$(BIN)/python -m nutmegpost_standins.bench
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -18,6 +18,7 @@
 TIMEOUT_S = 20
 HOST = "shop.example"
 API_KEY = "key-of-the-account"
+PIECE_BYTES = 8192
 LIMITS = {
     "maxHeaderBytes": 4096,
     "maxBodyBytes": 20_000,
@@ -86,6 +87,36 @@
     return document | fields
 
 
+class Link:
+    """A link to the store, of which all connections share the rate.
+
+    Attributes:
+        bytes_per_s: Rate of the answers; 0 for no limit.
+    """
+
+    def __init__(self):
+        self.bytes_per_s = 0
+        self._free_at = 0.0
+
+    async def send(self, exchange, response):
+        rate = self.bytes_per_s
+        if not rate:
+            exchange.send(response)
+            return
+        status, headers, body = response
+        length = ("Content-Length", str(len(body)))
+        exchange.start(status, [*headers, length])
+        for start in range(0, len(body), PIECE_BYTES):
+            piece = body[start : start + PIECE_BYTES]
+            now = asyncio.get_running_loop().time()
+            self._free_at = max(now, self._free_at) + len(piece) / rate
+            await asyncio.sleep(self._free_at - now)
+            if exchange.disconnected.is_set():
+                return
+            exchange.write(piece)
+        exchange.finish()
+
+
 class Store:
     """The store: items by key, changes by revision.
 
@@ -100,6 +131,8 @@
         second_address: Another address that it listens on.
         is_second_down: As is_down, for the requests to that address.
         request_count: Number of requests received.
+        loses_answer: Returns whether to send no answer, now or ever, to a
+            request whose answer is ready.
     """
 
     def __init__(self):
@@ -113,19 +146,32 @@
         self.second_address = free_address()
         self.is_second_down = False
         self.request_count = 0
+        self.loses_answer = lambda: False
         self._changed = asyncio.Event()
         self._cut_count = 0
+        self._is_silent = False
+        self._silence_count = 0
 
     async def start(self):
         self.server = await http_server.serve(
             vms.parse_address(self.address),
-            http_server.responder(self._respond),
+            self._respond,
         )
         self.second_server = await http_server.serve(
             vms.parse_address(self.second_address),
-            http_server.responder(self._respond_at_second_address),
+            self._respond_at_second_address,
         )
 
+    async def add_link(self):
+        """Returns a link of its own to the store, and its address."""
+        link, address = Link(), free_address()
+
+        async def respond_by_link(exchange):
+            await self._respond_unless(self.is_down, exchange, link)
+
+        await http_server.serve(vms.parse_address(address), respond_by_link)
+        return link, address
+
     def put(self, key, value):
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
@@ -151,6 +197,14 @@
         self.changes.clear()
         self._notify_watchers()
 
+    def begin_silence(self):
+        """Answers no request that waits, or that arrives until the end."""
+        self._is_silent = True
+        self._silence_count += 1
+
+    def end_silence(self):
+        self._is_silent = False
+
     def cut_polls(self):
         """Ends all requests that wait, without a result."""
         self._cut_count += 1
@@ -174,19 +228,27 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _respond(self, request):
-        return await self._respond_unless(self.is_down, request)
+    async def _respond(self, exchange):
+        await self._respond_unless(self.is_down, exchange)
 
-    async def _respond_at_second_address(self, request):
-        return await self._respond_unless(self.is_second_down, request)
+    async def _respond_at_second_address(self, exchange):
+        await self._respond_unless(self.is_second_down, exchange)
 
-    async def _respond_unless(self, is_down, request):
+    async def _respond_unless(self, is_down, exchange, link=None):
         self.request_count += 1
         if is_down:
-            return http_server.Response(503, [], b"")
-        status, fields, body = await self._read(request)
+            exchange.send(http_server.Response(503, [], b""))
+            return
+        is_lost, silence_count = self._is_silent, self._silence_count
+        status, fields, body = await self._read(exchange.request)
+        is_lost = is_lost or silence_count != self._silence_count
+        if is_lost or self.loses_answer():
+            # The connection answers its requests in order.
+            await exchange.disconnected.wait()
+            return
         era = ("Store-Era", str(self.era))
-        return http_server.Response(status, [*fields, era], body)
+        response = http_server.Response(status, [*fields, era], body)
+        await (link or Link()).send(exchange, response)
 
     async def _read(self, request):
         path, _, query = request.target.partition("?")
@@ -245,6 +307,7 @@
         behaviors: Functions that handle one exchange each, in order; later
             requests are answered normally.
         received: Requests received.
+        arrivals: Time and id of each of them.
         executed: Ids of the executed requests.
         cancelled: Ids of the requests whose caller disconnected early.
         event_count: Number of events of a stream.
@@ -267,6 +330,7 @@
         self.address = free_address()
         self.behaviors = []
         self.received = []
+        self.arrivals = []
         self.executed = []
         self.cancelled = []
         self.event_count = 5
@@ -307,6 +371,8 @@
             )
             return
         self.received.append(request)
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append((now, request.headers["attempt-id"]))
         if request.headers.get("expect-instance") != self.name:
             headers = [("Instance-Id", self.name), attempt_field(request)]
             exchange.send(http_server.Response(421, headers, b""))
@@ -415,13 +481,20 @@
     return behavior
 
 
-async def reject(runner, exchange):
-    """Rejects the request without executing it."""
-    headers = [
-        ("Not-Executed", "1"),
-        *runner.response_fields(exchange.request),
-    ]
-    exchange.send(http_server.Response(503, headers, b""))
+def reject_with(status):
+    """Returns a behavior that rejects the request without executing it."""
+
+    async def behavior(runner, exchange):
+        headers = [
+            ("Not-Executed", "1"),
+            *runner.response_fields(exchange.request),
+        ]
+        exchange.send(http_server.Response(status, headers, b""))
+
+    return behavior
+
+
+reject = reject_with(503)
 
 
 def refuse_for(retry_after):
