Read lists of caches for as long as they come

Callers would see: after a start of all gateways on narrow links no list of what endpoints have in their caches is read, and prompts are read again.

Cause: 1 s for the whole of a list, with up to 16 of them at once on one link.

The size of its lists, 4,000 parts, is an assumption.

Why it works: the limit holds for the head and for each next part, as for documents.

--- a/packages/router/nutmegpost_router/gateway/caches.py
+++ b/packages/router/nutmegpost_router/gateway/caches.py
@@ -28,7 +28,10 @@
 # responds within a round trip, and requests with long prompts wait meanwhile.
 _PEER_WAIT_S = 0.1
 _POLL_S = 0.01
+# Maximum wait for the head of a list, and for each next part of its body.
 _TIMEOUT_S = 1.0
+# Maximum time for a whole body: the lists of all endpoints may share a link.
+_BODY_TIMEOUT_S = 6.0
 # Up to this many endpoints, each gateway queries all of them. Every query
 # delays the endpoint.
 _ENDPOINTS_QUERIED_MAX = 16
@@ -140,15 +143,18 @@
         """
         address = vms.parse_address(endpoint.address)
         try:
-            answer = await self._client.request(
+            stream = await self._client.stream(
                 address,
                 "GET",
                 self._endpoint_protocol.cache_path,
                 {},
-                b"",
-                _TIMEOUT_S,
+                timeout_s=_TIMEOUT_S,
             )
-            parts = self._endpoint_protocol.decode_cache_list(answer.body)
+            try:
+                body = await stream.read_all(_BODY_TIMEOUT_S, _TIMEOUT_S)
+            finally:
+                stream.close()
+            parts = self._endpoint_protocol.decode_cache_list(body)
         except errors.PeerError as caught:
             log.emit(
                 events.CACHE_UNKNOWN,
