--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -18,6 +18,7 @@
 __all__ = [
     "CallerProtocol",
     "CatalogPublished",
+    "ConfigurationTransfer",
     "Directory",
     "EndpointProtocol",
     "EndpointsChanged",
