Keep one record of whether the platform responds to a gateway

Cause: PeerSync had two flags, whether the platform is unavailable and whether a read of it has failed, that differed only before the first answer.

Change: one value, None until the platform has responded or failed; the property that others ask is derived from it.

--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -92,9 +92,8 @@
         self._crashes = crashes
         self._sync_requested = asyncio.Event()
         self._document_requested = asyncio.Event()
-        self._platform_unavailable = True
-        # Whether a read of the platform has failed and none succeeded since.
-        self._has_platform_failed = False
+        # Whether the platform responds; None until it has or has not.
+        self._is_platform_available: bool | None = None
         # Time until which the platform may deliver the newest configuration.
         self._platform_lead_until = 0.0
         self._announced_version = 0
@@ -156,19 +155,17 @@
     @property
     def is_platform_unavailable(self) -> bool:
         """Whether the platform does not respond to this gateway."""
-        return self._platform_unavailable
+        return not self._is_platform_available
 
     def mark_platform_unavailable(self) -> None:
         """Polls several peers until the platform responds again."""
-        self._platform_unavailable = True
-        self._has_platform_failed = True
+        self._is_platform_available = False
         self._sync_requested.set()
         self._document_requested.set()
 
     def mark_platform_available(self) -> None:
         """Returns to polling one peer per interval."""
-        self._platform_unavailable = False
-        self._has_platform_failed = False
+        self._is_platform_available = True
 
     async def run(self) -> None:
         """Polls the peers until it is cancelled."""
@@ -180,7 +177,7 @@
     async def _poll_for_lists(self) -> None:
         while True:
             polls_several = (
-                self._platform_unavailable or self._sync_requested.is_set()
+                self.is_platform_unavailable or self._sync_requested.is_set()
             )
             self._sync_requested.clear()
             await self._poll_peers(_PEERS_POLLED_MAX if polls_several else 1)
@@ -272,7 +269,7 @@
     @property
     def _needs_document(self) -> bool:
         """Whether the platform fails to deliver the newest configuration."""
-        if self._has_platform_failed or self._has_paused:
+        if self._is_platform_available is False or self._has_paused:
             return True
         is_behind = self._announced_version > self._known_version
         return (
@@ -345,7 +342,7 @@
         # An identical list is useful only while the platform is unavailable,
         # as evidence that the endpoints are still listed.
         digest = (
-            "" if self._platform_unavailable else self._state.roster.digest()
+            "" if self.is_platform_unavailable else self._state.roster.digest()
         )
         flag = "" if self._state.caches_synced else _CACHES_FLAG
         crashes_digest = self._crashes.digest(_now())
