Read whole answers with a limit on progress in one place

Cause: peers.py and caches.py each opened a stream, read its body with a limit for the next part and closed it, which is Client.request but for the limit.

Change: request takes the limit for the whole body, and what to call when the answer begins. The client of the store keeps its own reading, since it decides by the time to the head how large the body may be.

--- a/packages/router/nutmegpost_router/gateway/caches.py
+++ b/packages/router/nutmegpost_router/gateway/caches.py
@@ -143,18 +143,15 @@
         """
         address = vms.parse_address(endpoint.address)
         try:
-            stream = await self._client.stream(
+            answer = await self._client.request(
                 address,
                 "GET",
                 self._endpoint_protocol.cache_path,
                 {},
                 timeout_s=_TIMEOUT_S,
+                body_timeout_s=_BODY_TIMEOUT_S,
             )
-            try:
-                body = await stream.read_all(_BODY_TIMEOUT_S, _TIMEOUT_S)
-            finally:
-                stream.close()
-            parts = self._endpoint_protocol.decode_cache_list(body)
+            parts = self._endpoint_protocol.decode_cache_list(answer.body)
         except errors.PeerError as caught:
             log.emit(
                 events.CACHE_UNKNOWN,
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -357,20 +357,17 @@
         )
         started = _now()
         try:
-            stream = await self._client.stream(
+            answer = await self._client.request(
                 address,
                 "GET",
                 f"{_PUBLISHED_PATH}?{query}",
                 {},
                 timeout_s=_TIMEOUT_S,
+                body_timeout_s=_BODY_TIMEOUT_S,
+                on_answer=on_answer,
             )
-            on_answer()
-            try:
-                body = await stream.read_all(_BODY_TIMEOUT_S, _TIMEOUT_S)
-            finally:
-                stream.close()
-            if stream.status == 200:
-                return self._apply(body, str(address), _now() - started)
+            if answer.status == 200:
+                return self._apply(answer.body, str(address), _now() - started)
         except errors.PeerError as caught:
             self._silent_until[address] = _now() + _SILENT_RETENTION_S
             log.emit(
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -667,6 +667,8 @@
         body: bytes = b"",
         timeout_s: float = 5.0,
         fresh: bool = False,
+        body_timeout_s: float | None = None,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> Response:
         """Sends a request and reads its whole response.
 
@@ -680,6 +682,9 @@
                 for its body, seconds.
             fresh: Whether to open a new connection rather than reuse an idle
                 one.
+            body_timeout_s: Maximum wait for the whole body, seconds, if
+                `timeout_s` is that for each next part of it; None otherwise.
+            on_answer: Called when the head has been received.
 
         Returns:
             The response.
@@ -691,8 +696,11 @@
         stream = await self.stream(
             address, method, path, headers, body, timeout_s, fresh
         )
+        on_answer()
         try:
-            content = await stream.read_all(timeout_s)
+            content = await stream.read_all(
+                body_timeout_s or timeout_s, timeout_s
+            )
             return Response(stream.status, stream.headers, content)
         finally:
             stream.close()
