--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -173,7 +173,7 @@
     412,
     "INFO",
     "{request} attempt {attempt} at {endpoint} ended with {end} after "
-    "{after_ms} ms, begun {begun}: {reason}",
+    "{after_ms} ms, begun {begun}, last event {last_event}: {reason}",
 )
 REQUEST_ENDED = Event(
     413,
@@ -182,7 +182,10 @@
     "configuration {configuration}: {reason}",
 )
 CALLER_GONE = Event(
-    414, "INFO", "{request} cancelled by its caller after {after_ms} ms"
+    414,
+    "INFO",
+    "{request} cancelled after {after_ms} ms, begun {begun}, as the connection "
+    "of its caller ended: {reason}",
 )
 REQUEST_UNREADABLE = Event(
     415, "INFO", "request refused with {status}: {reason}"
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -184,6 +184,8 @@
                 events.CALLER_GONE,
                 request=metadata.identity if metadata else "",
                 after_ms=round((_now() - now) * 1000),
+                begun=exchange.started,
+                reason=exchange.loss_reason or "the process ends",
             )
             raise
 
@@ -560,6 +562,7 @@
             reason=result.reason,
             after_ms=elapsed_ms,
             begun=pending.has_relayed_event,
+            last_event=pending.last_event_id,
         )
 
     def _record_lost(
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -151,6 +151,11 @@
         """Event that is set when the client's connection is lost."""
         return self._connection.lost
 
+    @property
+    def loss_reason(self) -> str:
+        """Why the client's connection was lost; empty while it is not."""
+        return self._connection.loss_reason
+
     def send(self, response: Response) -> None:
         """Sends a complete response."""
         self._started = True
@@ -238,7 +243,9 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
+        self._is_closed_here = False
         self.lost = asyncio.Event()
+        self.loss_reason = ""
         self.cancels_handler_on_disconnect = False
 
     @property
@@ -262,6 +269,8 @@
         self._stop_timer()
         self._server.remove(self)
         self._writable.set()
+        end = "here" if self._is_closed_here else "by the client"
+        self.loss_reason = str(exc) if exc else f"closed {end}"
         self.lost.set()
         if self._task is None:
             self._release_body()
@@ -338,11 +347,13 @@
 
     def close(self) -> None:
         """Closes the connection after the buffered data is sent."""
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Resets the connection and discards buffered data."""
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
--- a/packages/router/tests/test_http.py
+++ b/packages/router/tests/test_http.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import json
+import socket
+import struct
 from unittest import mock
 
 import hypothesis
@@ -287,6 +289,41 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("end", "reason"),
+    [
+        (lambda exchange, writer: writer.close(), "closed by the client"),
+        (lambda exchange, writer: exchange.abort(), "closed here"),
+        (lambda exchange, writer: _reset(writer), "[Errno 104]"),
+    ],
+)
+def test_reason_for_which_a_connection_was_lost_is_known(end, reason):
+    exchanges = []
+
+    async def run_client(address):
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not exchanges:
+            await asyncio.sleep(0.01)
+        assert not exchanges[0].loss_reason
+        end(exchanges[0], writer)
+        await exchanges[0].disconnected.wait()
+        assert exchanges[0].loss_reason.startswith(reason)
+
+    async def wait(exchange):
+        exchanges.append(exchange)
+        await exchange.disconnected.wait()
+
+    _run(wait, run_client)
+
+
+def _reset(writer):
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def _run_consumer(handler, consume):
     """Runs a function on a stream that a handler sends."""
 
