Send answers to their end before a gateway that stops exits

Callers that read slowly, or that are far away, lost the end of an answer when their gateway was stopped: the connection ended in the middle of it although the runner and the gateway were done with the request.

Cause: a planned stop waited for handlers of requests, and a handler is done when the last byte is in the buffer of its connection. The process exits a tick later and drops the buffer.

A stop now ends when no connection of callers is open, which the transport says only after the last byte is with the kernel, or at the end of the grace. An evicted connection counts until then as well. The last look and the closing have no wait between them, and a look comes at the earliest one tick after the listener closed, so that what the loop accepted before is seen. The control, directory and metrics servers end in the same way, but nothing shows yet that an answer of theirs was cut. Events 103 and 107 say what was cut: connections, requests, begun answers, unsent bytes. The stop is a module of its own.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -31,11 +31,21 @@
     101, "INFO", "router {name} started, incarnation {incarnation}"
 )
 PROCESS_STOPPING = Event(102, "INFO", "router {name} is stopping")
-PROCESS_STOPPED = Event(103, "INFO", "router {name} stopped")
+PROCESS_STOPPED = Event(
+    103,
+    "INFO",
+    "router {name} stopped; it cut {requests} requests, {begun} of them with "
+    "an answer begun, and {unsent_bytes} unsent bytes on {connections} "
+    "connections",
+)
 SETTINGS_REFUSED = Event(104, "ERROR", "settings refused: {reason}")
 CLOCK_GAP = Event(105, "WARNING", "process was paused for {seconds:.1f} s")
 STOP_GRACE_OVER = Event(
-    107, "WARNING", "router {name} stops with open requests: grace period over"
+    107,
+    "WARNING",
+    "router {name} stops with {requests} open requests, {begun} of them with "
+    "an answer begun, and {unsent_bytes} unsent bytes on {connections} "
+    "connections: grace period over",
 )
 ADDRESS_UNUSABLE = Event(
     108, "ERROR", "cannot listen on a configured address: {reason}"
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -28,6 +28,7 @@
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import peer_relay
 from nutmegpost_router.gateway import peers
+from nutmegpost_router.gateway import planned_stop
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import publications
 from nutmegpost_router.gateway import settings
@@ -39,11 +40,6 @@
 _TICK_S = 0.1
 # Delay of a tick above which the process counts as having been paused.
 _PAUSE_MIN_S = 0.5
-# Time after the stop signal during which new connections are still accepted,
-# as a multiple of the address TTL: callers cache addresses for one TTL.
-_LINGER_TTLS = 2.0
-# Part of the grace period reserved for the exit of the process.
-_STOP_MARGIN_S = 0.4
 _RESTART_DELAY_S = 0.2
 # Reports that all peers must have missed before they are assumed to be down.
 _DOWN_AFTER_REPORTS = 2 * loads.SILENT_AFTER_REPORTS
@@ -161,7 +157,7 @@
         )
         self._caller_server: http_server.HttpServer | None = None
         self._servers: list[http_server.HttpServer] = []
-        self._stopping_at: float | None = None
+        self._stop_times: planned_stop.Times | None = None
         self._stopped = asyncio.Event()
         retention_s = config["retry_window_s"] + _FLEET_RETENTION_S
         self._fleet = retrybudget.SeenRouters(retention_s)
@@ -179,7 +175,7 @@
             self.listening
             and self._state.catalog is not None
             and self._publications.has_endpoints
-            and self._stopping_at is None
+            and self._stop_times is None
         )
 
     @property
@@ -202,21 +198,16 @@
         """State that the tasks of this gateway share."""
         return self._state
 
-    @property
-    def _linger_s(self) -> float:
-        """Time after the stop signal for which connections are accepted."""
-        return _LINGER_TTLS * self._config["address_ttl_s"]
-
     def stop(self) -> None:
         """Begins a graceful shutdown; repeated calls do nothing."""
-        if self._stopping_at is not None:
+        if self._stop_times is not None:
             return
-        self._stopping_at = _now()
-        log.emit(events.PROCESS_STOPPING, name=self._config["name"])
-        self._forwarder.begin_stop(
-            self._stopping_at + self._linger_s,
-            self._stopping_at + self._config["stop_grace_s"] - _STOP_MARGIN_S,
+        times = planned_stop.times(
+            _now(), self._config["address_ttl_s"], self._config["stop_grace_s"]
         )
+        self._stop_times = times
+        log.emit(events.PROCESS_STOPPING, name=self._config["name"])
+        self._forwarder.begin_stop(times.listens_until, times.end)
         self._gossip.send(gossip.Leave())
         if self._caller_server is not None:
             self._caller_server.disable_keep_alive()
@@ -257,13 +248,13 @@
             incarnation=self._members.local.incarnation,
         )
         await self._stopped.wait()
-        await self._drain()
-        self._gossip.send(gossip.Stop())
-        await asyncio.sleep(_TICK_S)
+        cut = await self._drain()
         for task in tasks:
             task.cancel()
         await self.close()
-        log.emit(events.PROCESS_STOPPED, name=self._config["name"])
+        log.emit(
+            events.PROCESS_STOPPED, name=self._config["name"], **cut._asdict()
+        )
 
     async def close(self) -> None:
         """Closes all servers and their connections."""
@@ -585,37 +576,29 @@
             if member.state is not membership.State.LEFT
         ]
 
-    def _stop_time_left_s(self) -> float | None:
-        if self._stopping_at is None:
-            return None
-        end = self._stopping_at + self._config["stop_grace_s"] - _STOP_MARGIN_S
-        return end - _now()
+    async def _drain(self) -> http_server.OpenWork:
+        """Serves the open connections until none is left or the grace is over.
 
-    async def _drain(self) -> None:
-        """Waits until no request is open or the grace period ends.
+        Requests that are still open at the end of the grace period are
+        answered that their outcome is unknown, or that they have not run.
 
-        New connections are accepted until the addresses that callers have
-        cached have expired. Requests that are still open at the end of the
-        grace period are answered that their outcome is unknown, or that they
-        have not run.
+        Returns:
+            What the connections that are still open have to do.
         """
-        assert self._stopping_at is not None
-        while True:
-            await asyncio.sleep(_TICK_S)
-            remaining_s = self._stop_time_left_s()
-            assert remaining_s is not None
-            if remaining_s <= 0:
-                log.emit(events.STOP_GRACE_OVER, name=self._config["name"])
-                self._forwarder.end_requests()
-                return
-            if self._caller_server is None:
-                return
-            if _now() - self._stopping_at >= self._linger_s:
-                # Responses in progress are completed; no new request is taken.
-                self._caller_server.stop_listening()
-                self._caller_server.drain()
-                if not self._caller_server.busy_count:
-                    return
+        assert self._stop_times is not None
+        assert self._caller_server is not None
+        end = self._stop_times.end
+        await planned_stop.drain_callers(self._caller_server, self._stop_times)
+        work = self._caller_server.open_work
+        if work.connections:
+            log.emit(
+                events.STOP_GRACE_OVER,
+                name=self._config["name"],
+                **work._asdict(),
+            )
+            self._forwarder.end_requests()
+        self._gossip.send(gossip.Stop())
+        return await planned_stop.drain(self._servers, end)
 
 
 def _now() -> float:
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -23,6 +23,7 @@
     "Handler",
     "HttpServer",
     "Limits",
+    "OpenWork",
     "Request",
     "Response",
     "error_response",
@@ -71,6 +72,22 @@
     buffered_body_bytes: int = BUFFERED_BODY_BYTES_MAX
 
 
+class OpenWork(NamedTuple):
+    """What the open connections of a server still have to do.
+
+    Attributes:
+        connections: Number of open connections, idle ones included.
+        requests: Number of requests that are being received or answered.
+        begun: Number of those whose answers have begun.
+        unsent_bytes: Size of what the kernel has not taken over yet, bytes.
+    """
+
+    connections: int
+    requests: int
+    begun: int
+    unsent_bytes: int
+
+
 class Request(NamedTuple):
     """A complete request.
 
@@ -246,6 +263,23 @@
         """Whether no request is being received or answered."""
         return self._task is None and self._head is None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether an answer has begun and is not complete."""
+        return self._h11.our_state is h11.SEND_BODY
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of what the kernel has not taken over yet, bytes."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether it closes once the buffered data is sent."""
+        return self._transport is not None and self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection; closes it when there are too many."""
         assert isinstance(transport, asyncio.Transport)
@@ -542,9 +576,15 @@
         return self._limits()
 
     @property
-    def busy_count(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(not connection.idle for connection in self._connections)
+    def open_work(self) -> OpenWork:
+        """What the open connections still have to do."""
+        connections = self._connections
+        return OpenWork(
+            len(connections),
+            sum(not connection.idle for connection in connections),
+            sum(connection.has_begun for connection in connections),
+            sum(connection.unsent_bytes for connection in connections),
+        )
 
     @property
     def stopping(self) -> bool:
@@ -559,14 +599,18 @@
         """
         if len(self._connections) >= self.limits.connections:
             idle = next(
-                (other for other in self._connections if other.idle), None
+                (
+                    other
+                    for other in self._connections
+                    if other.idle and not other.is_closing
+                ),
+                None,
             )
             if idle is None:
                 self.report_refused(
                     errors.UnavailableError("too many connections")
                 )
                 return False
-            self.remove(idle)
             idle.close()
         self._connections[connection] = None
         return True
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -154,13 +154,14 @@
         await asyncio.sleep(LEAVE_DELIVERY_S)
         self._owner.stop()
         await self._links.close()
+        cut = public.open_work
         await public.close()
         await administration.close()
         for task in self._tasks:
             task.cancel()
         self._client.close()
         self._chart.fire("finish")
-        log.emit(events.PROCESS_STOPPED, name=self._name)
+        log.emit(events.PROCESS_STOPPED, name=self._name, **cut._asdict())
 
     def stop(self) -> None:
         """Starts the graceful shutdown; `run` returns after the drain."""
@@ -687,7 +688,8 @@
                 while self._is_busy():
                     await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         except TimeoutError:
-            log.emit(events.STOP_GRACE_OVER, name=self._name)
+            work = public.open_work
+            log.emit(events.STOP_GRACE_OVER, name=self._name, **work._asdict())
         public.drain()
 
     def _is_busy(self) -> bool:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -46,6 +46,11 @@
         """Output of all runs of the process so far."""
         return self._log.read_text(errors="replace")
 
+    @property
+    def entries(self) -> list[dict[str, Any]]:
+        """The same of a program whose log is structured."""
+        return [json.loads(line) for line in self.log.splitlines()]
+
     @property
     def is_alive(self) -> bool:
         """Whether it chat_load."""
@@ -76,10 +81,10 @@
         self.send_signal(signal.SIGKILL)
         await self.wait()
 
-    async def stop(self) -> int:
+    async def stop(self, timeout: float = STOP_TIMEOUT_S) -> int:
         """Sends SIGTERM and returns the exit status of the process."""
         self.send_signal(signal.SIGTERM)
-        return await self.wait()
+        return await self.wait(timeout)
 
 
 async def wait_until(
