Keep callers that read late; end those that read nothing at their deadline

Cause: TCP_USER_TIMEOUT (2 s). Linux counts the time of a closed receive window against it, though the peer acknowledges each probe, and on a large segment also the time of a peer that takes a part of it now and then.

Change: PeerWatch reads TCP_INFO while data is unacknowledged and ends the connection if bytes in flight get no acknowledgement for 2 s; none is in flight while the window is closed. Keepalive still ends an idle connection after 2 s: without the option the count of probes decides, so that is one now. Where the system has no TCP_INFO, event 110 is logged once and the option is set as before. What the option bounded by accident has bounds of its own: a stream that waits for its caller ends at its deadline and blames no endpoint (no 412, no outlier), at the gateway that relays through a peer too; a caller that takes nothing of a complete answer for the idle timeout is reset.

Ruled out: a caller that leaves while its window is closed cancelled its stream in time before and does now (test). A connection that is closed with all its rest in the kernel is left to the kernel, which gives up by itself.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -50,6 +50,11 @@
     "gateway {name} reloaded its settings; applied: {changed}; deferred to"
     " the next start: {kept}",
 )
+ACKNOWLEDGEMENTS_UNKNOWN = Event(
+    110,
+    "WARNING",
+    "the system does not tell what peers acknowledge: {reason}",
+)
 
 # 2xx platform and configuration
 CONFIGURATION_ACCEPTED = Event(
--- a/packages/router/nutmegpost_router/gateway/peer_relay.py
+++ b/packages/router/nutmegpost_router/gateway/peer_relay.py
@@ -223,7 +223,7 @@
         while not await stream.consume(
             write, max(0.0, pending.call.deadline - _now())
         ):
-            await exchange.drain()
+            await pending.drain()
         if not exchange.started:
             exchange.start(stream.status, head.fields)
         exchange.finish()
--- a/packages/router/nutmegpost_router/gateway/pending_request.py
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -7,12 +7,15 @@
 from nutmegpost_core import crashes
 from nutmegpost_core import crashing_parts
 from nutmegpost_core import dispatch
+from nutmegpost_core import errors
 from nutmegpost_core import vms
 from nutmegpost_router import http_server
 from nutmegpost_router.gateway import state
 
 __all__ = ["Fingerprint", "InFlightLoad", "PendingRequest", "fingerprint"]
 
+_CALLER_IS_LATE = "the caller reads too slowly"
+
 
 class Fingerprint(NamedTuple):
     """What a request may have in common with others that crash endpoints.
@@ -59,6 +62,7 @@
             continue it; None while any version can run the request.
         failure_response: Last failure response of an endpoint, or None.
         reason: Why the last attempt failed; empty before the first failure.
+        is_held_up: Whether a stream has waited for its caller to read.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         self.software: str | None = None
         self.failure_response: http_server.Response | None = None
         self.reason = ""
+        self.is_held_up = False
 
     @property
     def has_relayed_event(self) -> bool:
@@ -105,6 +110,30 @@
         route = self.call.route
         return route.repeatable and self.runs < route.endpoints_max
 
+    async def drain(self) -> None:
+        """Waits until the caller has read enough of a stream.
+
+        Raises:
+            errors.AttemptLostError: It has not at the deadline.
+        """
+        if self.exchange.writable:
+            return
+        self.is_held_up = True
+        try:
+            async with asyncio.timeout_at(self.call.deadline):
+                await self.exchange.drain()
+        except TimeoutError as caught:
+            raise errors.AttemptLostError(_CALLER_IS_LATE) from caught
+
+    def end_if_caller_is_late(self) -> None:
+        """Ends a stream that its caller has held up until its deadline.
+
+        Raises:
+            errors.AttemptLostError: The caller has; no endpoint is to blame.
+        """
+        if self.is_held_up and _now() >= self.call.deadline:
+            raise errors.AttemptLostError(_CALLER_IS_LATE)
+
 
 class InFlightLoad:
     """The load that one attempt adds to an endpoint until it is released."""
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -358,6 +358,7 @@
             await self._relay_rest(pending, stream, relay, choice.endpoint)
         except errors.PeerError as caught:
             stream.abort()
+            pending.end_if_caller_is_late()
             return AttemptResult(AttemptEnd.LOST, str(caught))
         if relay.is_within_event or not pending.exchange.started:
             stream.abort()
@@ -429,7 +430,7 @@
                     pending, endpoint
                 ):
                     raise
-            await pending.exchange.drain()
+            await pending.drain()
 
 
 def _fetch_address(choice: dispatch.Choice) -> str:
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -56,7 +56,8 @@
         request_timeout_s: Maximum time from the first byte of a request to
             its last, seconds.
         idle_timeout_s: Maximum time that a connection may be idle between two
-            requests, seconds.
+            requests, and that a client may take nothing of a response that is
+            complete, seconds.
         connections: Maximum number of connections. At the limit, the
             connection that has been idle longest is closed for a new one.
         buffered_body_bytes: Maximum size of the bodies of all requests in
@@ -230,6 +231,7 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._transport: asyncio.Transport | None = None
+        self._watch: sockets.PeerWatch | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._buffered_body_bytes = 0
@@ -251,15 +253,17 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        sockets.enable_dead_peer_detection(transport)
+        self._watch = sockets.PeerWatch(transport, self.abort)
         if not self._server.add(self):
             transport.close()
             return
-        self._start_timer(self._limits.idle_timeout_s, self.close)
+        self._start_timer(self._limits.idle_timeout_s, self._end_idle)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Signals the loss to the handler, and cancels it if requested."""
         self._stop_timer()
+        if self._watch is not None:
+            self._watch.stop()
         self._server.remove(self)
         self._writable.set()
         self.lost.set()
@@ -295,8 +299,8 @@
         if self.lost.is_set():
             return
         data = self._h11.send(event)
-        if data and self._transport is not None:
-            self._transport.write(data)
+        if data:
+            self._write(data)
 
     def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Sends the head of a response."""
@@ -323,8 +327,13 @@
         """
         if not (self._sends_chunks and data):
             self.send(h11.Data(data=data))
-        elif not self.lost.is_set() and self._transport is not None:
-            self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        elif not self.lost.is_set():
+            self._write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and self._watch is not None:
+            self._transport.write(data)
+            self._watch.record_sent()
 
     @property
     def writable(self) -> bool:
@@ -340,12 +349,25 @@
         """Closes the connection after the buffered data is sent."""
         if self._transport is not None:
             self._transport.close()
+            if self._transport.get_write_buffer_size():
+                self._start_timer(self._limits.idle_timeout_s, self._end_idle)
 
     def abort(self) -> None:
         """Resets the connection and discards buffered data."""
         if self._transport is not None:
             self._transport.abort()
 
+    def _end_idle(self) -> None:
+        """Ends the connection unless its client still takes a response."""
+        limit_s = self._limits.idle_timeout_s
+        stall_s = self._watch.stall_s() if self._watch is not None else None
+        if stall_s is None:
+            self.close()
+        elif stall_s < limit_s:
+            self._start_timer(limit_s - stall_s, self._end_idle)
+        else:
+            self.abort()
+
     def _start_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
@@ -507,7 +529,7 @@
         self._h11.start_next_cycle()
         self._server.mark_idle(self)
         self._limits = self._server.limits
-        self._start_timer(self._limits.idle_timeout_s, self.close)
+        self._start_timer(self._limits.idle_timeout_s, self._end_idle)
         self._process_input()
 
 
