Leave a silent endpoint only for one that is certain

Callers of resumable streams got no whole answer when a sound runner fell silent for somewhat longer than the gap after which a stream goes on elsewhere: many streams at one gateway asked within some milliseconds whether the budget allowed a repeat, all were told yes, and all were given up; the first ones spent what was left, the others ended ("no retry is left in the budget"). The same with room elsewhere: whether another endpoint had any, or might be sent to, was asked after the attempt was given up. The waits for the head and for the first event asked the budget alike, and the one for an endpoint that is late but not silent asked it only at its start.

Cause: the decision to give up and the one for what follows were two, with the loss of the attempt between them.

Now one decision reserves what follows first (replacements.py): the budget pays for the repeat, and an endpoint that is sound, has room and is not closed is chosen; the repeat counts in its load and limit from then on, so that the next stream sees the room taken. Only then is the attempt given up; the reserved one is sent without another question to the budget and without the wait for a prefill, so that it arrives within the time that the window of the budget assumes. Otherwise the attempt goes on until the deadline and tries again every 0.5 s, with event 420 once for each silence. While a gateway is isolated, an attempt is left only for a peer.

A silent or ejected endpoint is no replacement any more; it was taken if no other was left.

Ruled out: a budget that lets more through. It is the rule's, and the streams of one endpoint need more repeats at once than it has.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -201,6 +201,12 @@
     "{remaining} repeats left, with {requests} requests and {repeats} repeats "
     "in the window, shared by {gateways} gateways; started {started_s} s ago",
 )
+ATTEMPT_KEPT = Event(
+    420,
+    "INFO",
+    "attempt {attempt} of {request} goes on at {endpoint}, which sends it "
+    "nothing, after {after_ms} ms: {reason}",
+)
 STREAM_TAKEN_UP = Event(
     416,
     "INFO",
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -28,20 +28,16 @@
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import repeats
+from nutmegpost_router.gateway import replacements
 from nutmegpost_router.gateway import sending
 from nutmegpost_router.gateway import state
 from nutmegpost_router.gateway import stream_origins
 
 __all__ = ["Forwarder"]
 
-# Attempts of one request that endpoints may reject, in addition to those that
-# run.
-_REJECTIONS_MAX = 3
 # Weight of a lost response in outlier detection. A lost response is always
 # abnormal; a failure response often is not.
 _LOST_FAILURE_WEIGHT = 2.0
-# Remaining time below which no attempt is made, as it could not finish.
-_ATTEMPT_TIME_MIN_S = 0.03
 # Interval at which a waiting request checks whether a prefill has finished.
 _PREFILL_POLL_S = 0.02
 # A lost response and a refused connection within this time count as one crash;
@@ -62,9 +58,6 @@
 _RETRY_AFTER_UNKNOWN_ORIGIN_S = 30.0
 # Other gateways take requests at once.
 _RETRY_AFTER_STOPPING_S = 0.1
-# Requests per slot at which an endpoint is full; those above one per slot wait
-# in its queue.
-_LOAD_PER_SLOT_MAX = 2.0
 
 
 class _LostAttempt(NamedTuple):
@@ -134,13 +127,16 @@
         self._links = endpoint_links
         self._relay = relay
         self._repeats = repeats.Repeats(local_state, counters)
+        self._replacements = replacements.Replacements(
+            local_state, self._repeats, crashes, endpoint_links, relay.has_peer
+        )
         self._sender = sending.Sender(
             local_state,
             protocols,
             client,
             counters,
             origins,
-            self._repeats,
+            self._replacements,
         )
         self._probes: set[asyncio.Task[None]] = set()
         self._lost_attempts: dict[str, list[_LostAttempt]] = {}
@@ -255,6 +251,7 @@
             pending.reason = "the gateway stops"
             self._give_up(pending)
         finally:
+            pending.release_replacement()
             del self._open[pending]
 
     def _is_too_late(self, call: calls.Call) -> bool:
@@ -273,17 +270,24 @@
         if call.resume_after and call.route.resumable:
             call, pending.software = await self._find_origin(call)
             pending.call = call
-        is_relayed = self._relay.is_relayed(request, call.identity)
-        if not is_relayed:
+        pending.is_relayed = self._relay.is_relayed(request, call.identity)
+        if not pending.is_relayed:
             # The gateway that relays a request has counted it.
             self._repeats.record_request(call)
         while True:
             if self._links.is_isolated:
-                await self._send_through_peers(pending, is_relayed)
+                pending.release_replacement()
+                await self._send_through_peers(pending)
                 return
-            choice = await self._choose_after_prefill(pending)
+            load = self._replacements.take(pending)
+            if load is None:
+                choice = await self._choose_after_prefill(pending)
+                load = pending_request.InFlightLoad(
+                    self._state, pending.call, choice
+                )
+            choice = load.choice
             pending.is_in_flight = True
-            result = await self._sender.send(pending, choice)
+            result = await self._sender.send(pending, load)
             pending.is_in_flight = False
             if result.is_unreachable:
                 await self._handle_unreachable(
@@ -296,13 +300,12 @@
                 return
 
     async def _send_through_peers(
-        self, pending: pending_request.PendingRequest, is_relayed: bool
+        self, pending: pending_request.PendingRequest
     ) -> None:
         """Sends a request through a peer, as no endpoint can be reached.
 
         Args:
             pending: The request.
-            is_relayed: Whether a peer relays it to this gateway.
 
         Raises:
             errors.RequestError: The request ends without an answer.
@@ -310,7 +313,7 @@
         call = pending.call
         if pending.exchange.started or not pending.may_run_again:
             self._give_up(pending)
-        if is_relayed:
+        if pending.is_relayed:
             raise errors.UnavailableError(
                 "no endpoint can be reached",
                 retry_after=_RETRY_AFTER_NO_ENDPOINT_S,
@@ -369,7 +372,9 @@
         chosen endpoint prefills the same prompt for another request.
         """
         call = pending.call
-        until = _now() + timeouts.prefill_wait_s(call)
+        until = _now()
+        if not pending.is_repeat_paid:
+            until += timeouts.prefill_wait_s(call)
         while timeouts.has_long_prompt(call) and not self._state.caches_synced:
             if _now() >= until:
                 break
@@ -389,7 +394,10 @@
         return choice
 
     def _may_send_again(self, pending: pending_request.PendingRequest) -> bool:
-        """Returns whether the budget allows a repeat, and spends it."""
+        """Returns whether the budget has paid for a repeat, or pays for it."""
+        if pending.is_repeat_paid:
+            pending.is_repeat_paid = False
+            return True
         return self._repeats.try_spend(pending.call, pending.attempts + 1)
 
     async def _choose_again(
@@ -438,7 +446,7 @@
         )
         if choice is None:
             self._end_without_endpoint(pending)
-        if self._is_full(choice):
+        if replacements.is_full(choice):
             if pending.runs or pending.exchange.started:
                 self._give_up(pending)
             raise errors.UnavailableError(
@@ -471,17 +479,12 @@
         self, pending: pending_request.PendingRequest, now: float
     ) -> bool:
         call = pending.call
-        attempts_max = call.route.endpoints_max + _REJECTIONS_MAX
         return (
             not pending.may_run_again
-            or pending.attempts >= attempts_max
-            or call.deadline - now < _ATTEMPT_TIME_MIN_S
+            or pending.attempts >= replacements.attempts_max(call.route)
+            or call.deadline - now < replacements.ATTEMPT_TIME_MIN_S
         )
 
-    def _is_full(self, choice: dispatch.Choice) -> bool:
-        slots = choice.endpoint.slots
-        return slots > 0 and choice.load.running >= slots * _LOAD_PER_SLOT_MAX
-
     def _give_up(self, pending: pending_request.PendingRequest) -> NoReturn:
         """Ends a request that was sent and has no complete response.
 
@@ -497,7 +500,7 @@
             raise errors.UnavailableError(
                 pending.reason, retry_after=_RETRY_AFTER_FULL_S
             )
-        if pending.call.deadline - _now() < _ATTEMPT_TIME_MIN_S:
+        if pending.call.deadline - _now() < replacements.ATTEMPT_TIME_MIN_S:
             raise errors.AttemptLostError(pending.reason)
         raise errors.AttemptLostError(
             pending.reason, status=_STATUS_BAD_GATEWAY
--- a/packages/router/nutmegpost_router/gateway/peer_relay.py
+++ b/packages/router/nutmegpost_router/gateway/peer_relay.py
@@ -73,6 +73,10 @@
         self._peers = peers
         self._declined_until: dict[str, float] = {}
 
+    def has_peer(self) -> bool:
+        """Returns whether a live peer is known."""
+        return bool(self._peers())
+
     def is_relayed(self, request: http_server.Request, identity: str) -> bool:
         """Returns whether a peer relays a request.
 
--- a/packages/router/nutmegpost_router/gateway/pending_request.py
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -51,6 +51,12 @@
         runs: Number of ended attempts in which an endpoint may have run the
             request.
         is_in_flight: Whether an attempt has not ended.
+        is_relayed: Whether a peer relays it to this gateway.
+        is_kept: Whether it is known, while the endpoint of the current attempt
+            sends nothing, that nothing can replace the attempt.
+        is_repeat_paid: Whether the budget has paid for the next attempt.
+        replacement: Load of the next attempt, at an endpoint that keeps room
+            for it; None if there is none.
         tried_endpoints: Names of the endpoints that it was sent to.
         tried_addresses: Their addresses; endpoints can have the same one in
             turn.
@@ -82,6 +88,10 @@
         self.has_arrived = False
         self.runs = 0
         self.is_in_flight = False
+        self.is_relayed = False
+        self.is_kept = False
+        self.is_repeat_paid = False
+        self.replacement: InFlightLoad | None = None
         self.tried_endpoints: set[str] = set()
         self.tried_addresses: set[vms.Address] = set()
         self.last_event_id = call.resume_after
@@ -105,6 +115,12 @@
         route = self.call.route
         return route.repeatable and self.runs < route.endpoints_max
 
+    def release_replacement(self) -> None:
+        """Gives up the room that is kept for the next attempt, if any."""
+        if self.replacement is not None:
+            self.replacement.release()
+            self.replacement = None
+
 
 class InFlightLoad:
     """The load that one attempt adds to an endpoint until it is released."""
@@ -112,27 +128,39 @@
     def __init__(
         self,
         local_state: state.State,
+        call: calls.Call,
         choice: dispatch.Choice,
-        uncached_tokens: int,
     ):
-        """Adds the load.
+        """Adds the load, and records the dispatch.
 
         Args:
             local_state: State of the gateway.
+            call: The request.
             choice: The chosen endpoint.
-            uncached_tokens: Prompt tokens that the endpoint must prefill.
         """
         endpoint = choice.endpoint.name
         self._state = local_state
+        self._choice = choice
         self._endpoint = endpoint
-        self._uncached_tokens = uncached_tokens
+        # Prompt tokens that the endpoint must prefill.
+        self._uncached_tokens = 0
+        if call.hints is not None:
+            self._uncached_tokens = max(
+                0, call.hints.prompt_tokens - choice.reusable_tokens
+            )
         self._started = _now()
-        local_state.loads.add(endpoint, 1, uncached_tokens)
+        local_state.record_dispatch(call, choice)
+        local_state.loads.add(endpoint, 1, self._uncached_tokens)
         local_state.liveness.record_trial(endpoint, self._started)
         local_state.liveness.begin(
             endpoint, choice.endpoint.service, self._started
         )
 
+    @property
+    def choice(self) -> dispatch.Choice:
+        """The chosen endpoint."""
+        return self._choice
+
     @property
     def endpoint(self) -> str:
         """Name of the endpoint."""
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -19,7 +19,7 @@
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
-from nutmegpost_router.gateway import repeats
+from nutmegpost_router.gateway import replacements
 from nutmegpost_router.gateway import state
 from nutmegpost_router.gateway import stream_origins
 
@@ -33,6 +33,9 @@
 # Interval at which a request that waits for its answer checks whether the
 # endpoint is silent.
 _SILENCE_POLL_S = 0.25
+# Interval at which an attempt that another one should replace tries to reserve
+# that one. A try costs as much as the choice of an endpoint.
+_REPLACEMENT_POLL_S = 0.5
 # Version of a stream that can go on nowhere, as what began it is not known.
 _NO_SOFTWARE = ""
 # Time to read the body of a rejection, to reuse the connection.
@@ -83,7 +86,7 @@
         client: http_client.Client,
         counters: metrics.GatewayMetrics,
         origins: stream_origins.OriginExchange,
-        budgeted_repeats: repeats.Repeats,
+        next_attempts: replacements.Replacements,
     ):
         """Creates a sender.
 
@@ -93,9 +96,9 @@
             client: Connections to endpoints.
             counters: Metrics.
             origins: Is told what began each stream.
-            budgeted_repeats: Knows whether a request may be sent again.
+            next_attempts: Reserves what replaces an attempt.
         """
-        self._repeats = budgeted_repeats
+        self._replacements = next_attempts
         self._state = local_state
         self._origins = origins
         self._protocols = protocols
@@ -103,13 +106,15 @@
         self._counters = counters
 
     async def send(
-        self, pending: pending_request.PendingRequest, choice: dispatch.Choice
+        self,
+        pending: pending_request.PendingRequest,
+        load: pending_request.InFlightLoad,
     ) -> AttemptResult:
         """Makes one attempt and relays its response to the caller.
 
         Args:
             pending: The request; its attempt count is incremented.
-            choice: The chosen endpoint.
+            load: Load of the attempt, at the chosen endpoint; is released.
 
         Returns:
             How the attempt ended. Unless it ended as ANSWERED, the response to
@@ -117,17 +122,10 @@
         """
         call = pending.call
         now = _now()
+        choice = load.choice
         endpoint = choice.endpoint
-        uncached_tokens = 0
-        if call.hints is not None:
-            uncached_tokens = max(
-                0, call.hints.prompt_tokens - choice.reusable_tokens
-            )
         pending.attempts += 1
-        self._state.record_dispatch(call, choice)
-        load = pending_request.InFlightLoad(
-            self._state, choice, uncached_tokens
-        )
+        pending.is_kept = False
         log.emit(
             events.REQUEST_SENT,
             request=call.identity,
@@ -183,19 +181,24 @@
             )
         )
         repeatable = call.route.repeatable
-        timeout_s = timeouts.first_byte_timeout_s(
-            call, remaining_s, self._can_retry(pending)
-        )
-        silent_timeout_s = min(
-            timeout_s, timeouts.silent_first_byte_timeout_s(call)
+        late_after_s = timeout_s = timeouts.first_byte_timeout_s(
+            call, remaining_s, self._replacements.are_possible(pending)
         )
+        if repeatable:
+            timeout_s = min(
+                timeout_s, timeouts.silent_first_byte_timeout_s(call)
+            )
 
         def extend() -> float:
-            """Waits longer unless the endpoint is silent and a retry helps."""
-            left_s = timeout_s - (_now() - load.started)
-            if self._is_silent(load.endpoint) and self._can_retry(pending):
-                return 0.0
-            return min(left_s, _SILENCE_POLL_S)
+            """Waits longer unless another attempt replaces a late one."""
+            left_s = call.deadline - _now()
+            until_late_s = late_after_s - (_now() - load.started)
+            is_late = until_late_s <= 0 or self._is_silent(load.endpoint)
+            if is_late:
+                if self._ends_now(pending, load):
+                    return 0.0
+                return min(left_s, _REPLACEMENT_POLL_S)
+            return min(left_s, until_late_s, _SILENCE_POLL_S)
 
         address = vms.parse_address(choice.endpoint.address)
         # All attempts have the identity of the request. The endpoint of an
@@ -209,7 +212,7 @@
                 request.target,
                 fields,
                 request.body,
-                silent_timeout_s if repeatable else timeout_s,
+                timeout_s,
                 fresh=is_address_tried,
                 idle_limit_s=_IDLE_LIMIT_REPEATABLE_S
                 if repeatable
@@ -235,25 +238,17 @@
     def _is_silent(self, endpoint: str) -> bool:
         return self._state.liveness.is_silent(endpoint, _now())
 
-    def _can_retry(self, pending: pending_request.PendingRequest) -> bool:
-        """Returns whether the route and the budget allow a run after this."""
-        call = pending.call
-        return (
-            call.route.repeatable
-            and pending.runs + 1 < call.route.endpoints_max
-            and self._repeats.is_allowed(call.service)
-        )
-
-    def _can_resume(
+    def _ends_now(
         self,
         pending: pending_request.PendingRequest,
-        endpoint: roster.Endpoint,
+        load: pending_request.InFlightLoad,
     ) -> bool:
-        """Returns whether a begun stream can go on at another endpoint."""
-        tried = {*pending.tried_endpoints, endpoint.name}
-        return self._can_retry(pending) and any(
-            other.software == pending.software and other.name not in tried
-            for other in self._state.roster.usable(pending.call.service)
+        """Returns whether an attempt that brings nothing is to end.
+
+        It ends at the deadline, or as another attempt replaces it.
+        """
+        return _now() >= pending.call.deadline or (
+            self._replacements.try_reserve(pending, load.endpoint)
         )
 
     async def _read(
@@ -349,13 +344,13 @@
             lambda: self._record_origin(pending, choice.endpoint),
         )
         try:
-            await self._relay_first_event(pending, stream, relay)
+            await self._relay_first_event(pending, stream, relay, load)
             if relay.event_count:
                 load.finish_prefill()
                 self._state.record_prefilled(
                     pending.call, choice, _now() - load.started
                 )
-            await self._relay_rest(pending, stream, relay, choice.endpoint)
+            await self._relay_rest(pending, stream, relay, load)
         except errors.PeerError as caught:
             stream.abort()
             return AttemptResult(AttemptEnd.LOST, str(caught))
@@ -386,6 +381,7 @@
         pending: pending_request.PendingRequest,
         stream: http_client.Stream,
         relay: event_relay.EventRelay,
+        load: pending_request.InFlightLoad,
     ) -> None:
         """Relays data until the first new event or the end of the stream.
 
@@ -394,10 +390,18 @@
         """
         call = pending.call
         until = _now() + timeouts.first_byte_timeout_s(
-            call, max(0.0, call.deadline - _now()), self._can_retry(pending)
+            call,
+            max(0.0, call.deadline - _now()),
+            self._replacements.are_possible(pending),
         )
         while not relay.event_count:
-            data = await stream.read(max(0.0, until - _now()))
+            try:
+                data = await stream.read(max(0.0, until - _now()))
+            except http_client.ReadTimeoutError:
+                if self._ends_now(pending, load):
+                    raise
+                until = min(call.deadline, _now() + _REPLACEMENT_POLL_S)
+                continue
             if not data:
                 return
             relay.add(data)
@@ -408,27 +412,34 @@
         pending: pending_request.PendingRequest,
         stream: http_client.Stream,
         relay: event_relay.EventRelay,
-        endpoint: roster.Endpoint,
+        load: pending_request.InFlightLoad,
     ) -> None:
         """Relays data until the end of the stream.
 
         Raises:
-            errors.PeerError: The stream failed or was silent for too long.
+            errors.PeerError: The stream failed, or was silent for too long and
+                goes on elsewhere.
         """
         call = pending.call
+        silent_after: int | None = None
         while True:
-            silence_s = timeouts.next_event_timeout_s(
-                call, max(0.0, call.deadline - _now()), True
+            remaining_s = max(0.0, call.deadline - _now())
+            timeout_s = timeouts.next_event_timeout_s(
+                call, remaining_s, self._replacements.are_possible(pending)
             )
+            if silent_after == relay.event_count:
+                timeout_s = min(remaining_s, _REPLACEMENT_POLL_S)
+            else:
+                silent_after = None
+                pending.is_kept = False
             try:
-                if await stream.consume(relay.add, silence_s):
+                if await stream.consume(relay.add, timeout_s):
                     return
             except http_client.ReadTimeoutError:
-                # A retry is allowed, and another endpoint can go on.
-                if _now() >= call.deadline or self._can_resume(
-                    pending, endpoint
-                ):
-                    raise
+                if silent_after in (None, relay.event_count):
+                    if self._ends_now(pending, load):
+                        raise
+                    silent_after = relay.event_count
             await pending.exchange.drain()
 
 
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -179,6 +179,14 @@
         now = asyncio.get_running_loop().time()
         return bool(self._closed([endpoint], now))
 
+    def is_open(self, endpoint: roster.Endpoint) -> bool:
+        """Returns whether an endpoint takes requests, apart from its limit."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            endpoint.name == other.name
+            for other in self.roster.usable(endpoint.service)
+        ) and not self.notices.closed([endpoint.name], now)
+
     def return_after_s(self, service: str) -> float | None:
         """Returns when the caller of a refused request should return.
 
--- /dev/null
+++ b/tests/platform/test_attempts_without_replacement.py
@@ -0,0 +1,219 @@
+"""Endpoints that are silent for a while when nothing can replace them.
+
+A request leaves its endpoint only for one that takes it, so that a silence that
+ends costs no caller its answer.
+"""
+
+import asyncio
+import enum
+
+import pytest
+import standin
+
+from nutmegpost_core import errors
+
+STREAMS = 40
+REPEATS = 2
+TIMEOUT_MS = 4000
+# Longer than the silence after which a stream may go on elsewhere.
+SILENT_S = 1.6
+EVENTS = [
+    b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 6)
+]
+
+
+class Stage(enum.Enum):
+    """What an endpoint has sent of an answer."""
+
+    START = "nothing"
+    HEAD = "its head"
+    EVENTS = "some events"
+
+
+def _no_budget(fleet):
+    pass
+
+
+def _all_full(fleet):
+    _state(fleet).loads.add("e2", 2 * fleet.runners["e2"].slots, 0)
+
+
+def _all_paused(fleet):
+    now = asyncio.get_running_loop().time()
+    _state(fleet).notices.record_pause("e2", 1, now + 60, now)
+
+
+def _all_limited(fleet):
+    state = _state(fleet)
+    state.apply_peer_rate_limit("e2", 0.01)
+    state.rate_limits.record_sent("e2", asyncio.get_running_loop().time())
+
+
+def _all_silent(fleet):
+    long_ago = asyncio.get_running_loop().time() - 10
+    _state(fleet).liveness.begin("e2", "engines", long_ago)
+
+
+def _all_ejected(fleet):
+    _state(fleet).outliers.eject("e2", asyncio.get_running_loop().time())
+
+
+def _room_for_two(fleet):
+    _state(fleet).loads.add("e2", 2 * fleet.runners["e2"].slots - 2, 0)
+
+
+# What keeps requests from a second endpoint, the repeats that are left, and how
+# many may arrive there.
+OBSTACLES = [
+    (_no_budget, REPEATS, REPEATS),
+    (_all_full, STREAMS, 0),
+    (_all_paused, STREAMS, 0),
+    (_all_limited, STREAMS, 0),
+    (_all_silent, STREAMS, 0),
+    (_all_ejected, STREAMS, 0),
+    (_room_for_two, STREAMS, STREAMS),
+]
+
+
+def _state(fleet):
+    return fleet.gateways[0].local_state
+
+
+def _fleet(repeats):
+    config = standin.configuration(1)
+    for route in config["routes"]:
+        route["timeoutMs"] = TIMEOUT_MS
+        route["targetLatencyMs"] = 250
+        route["gapAimMs"] = 100
+    return standin.Fleet(
+        [standin.Runner("e1", "engines", 64)],
+        config=config,
+        retry_extra=repeats,
+        retry_ratio=0,
+    )
+
+
+class _Silence:
+    """A silence of an endpoint at some stage of each answer.
+
+    Attributes:
+        held: Number of requests that wait for its end.
+    """
+
+    def __init__(self, stage):
+        self._stage = stage
+        self._end = asyncio.Event()
+        self.held = 0
+
+    async def answer(self, runner, exchange):
+        runner.executed.append(exchange.request.headers["attempt-id"])
+        if self._stage is not Stage.START:
+            sent = 2 if self._stage is Stage.EVENTS else 0
+            await standin.send_events(runner, exchange, 1, sent)
+        self.held += 1
+        await self._wait_for_end(exchange)
+        if exchange.disconnected.is_set():
+            return
+        if self._stage is Stage.START:
+            await standin.send_events(runner, exchange, 1, 5)
+        else:
+            exchange.write(b"".join(EVENTS[sent:]))
+        exchange.finish()
+
+    async def answer_others(self, runner, exchange):
+        """Sends events all the time."""
+        number = 0
+        while not self._end.is_set():
+            number += 1
+            if number == 1:
+                await standin.send_events(runner, exchange, 1, 1)
+            exchange.write(b"id: %d\ndata: sign\n\n" % (number + 1))
+            await asyncio.sleep(0.1)
+        exchange.finish()
+
+    async def _wait_for_end(self, exchange):
+        waits = [self._end.wait(), exchange.disconnected.wait()]
+        tasks = [asyncio.create_task(wait) for wait in waits]
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+
+    def end(self):
+        self._end.set()
+
+
+async def _add_runner(fleet):
+    runner = standin.Runner("e2", "engines", 64)
+    await runner.start()
+    fleet.runners["e2"] = runner
+    fleet.store.put("servers/e2", runner.entry())
+    roster = _state(fleet).roster
+    await fleet.wait_until(lambda: len(roster.usable("engines")) == 2)
+
+
+async def _ask(fleet, number):
+    """Returns whether a caller gets a whole answer."""
+    try:
+        response = await fleet.send_stream_request(
+            "/draft/1", f"id-{number}", Deadline_Ms=str(TIMEOUT_MS)
+        )
+    except errors.PeerError:
+        return False
+    return response.status == 200 and response.body == b"".join(EVENTS)
+
+
+async def _count_whole(fleet, silence, obstruct, stops=False):
+    """Returns how many streams are whole that a silence interrupts."""
+    silent = fleet.runners["e1"]
+    silent.behaviors += [silence.answer] * STREAMS
+    callers = [
+        asyncio.create_task(_ask(fleet, number)) for number in range(STREAMS)
+    ]
+    await fleet.wait_until(lambda: silence.held == STREAMS)
+    await _add_runner(fleet)
+    obstruct(fleet)
+    if stops:
+        fleet.gateways[0].stop()
+    await asyncio.sleep(SILENT_S)
+    silence.end()
+    return sum(await asyncio.gather(*callers))
+
+
+# Guards against answers that are cut for a repeat that is not allowed or that
+# no endpoint takes.
+@pytest.mark.parametrize("stage", Stage)
+@pytest.mark.parametrize(("obstruct", "repeats", "arrivals_max"), OBSTACLES)
+def test_streams_that_nothing_can_take_over_outlast_a_silence(
+    obstruct, repeats, arrivals_max, stage
+):
+    async def scenario():
+        async with _fleet(repeats) as fleet:
+            silence = _Silence(stage)
+            assert await _count_whole(fleet, silence, obstruct) == STREAMS
+            assert len(fleet.runners["e2"].received) <= arrivals_max
+
+    standin.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("stage", Stage)
+def test_streams_outlast_a_silence_while_their_gateway_stops(stage):
+    async def scenario():
+        async with _fleet(REPEATS) as fleet:
+            whole = await _count_whole(fleet, _Silence(stage), _no_budget, True)
+            assert whole == STREAMS
+
+    standin.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("stage", [Stage.START, Stage.HEAD])
+def test_late_streams_of_an_endpoint_that_answers_others_are_waited_for(stage):
+    async def scenario():
+        async with _fleet(REPEATS) as fleet:
+            silence = _Silence(stage)
+            fleet.runners["e1"].behaviors = [silence.answer_others]
+            other = asyncio.create_task(
+                fleet.send_stream_request("/ask/1", "other")
+            )
+            await fleet.wait_until(lambda: fleet.runners["e1"].received)
+            assert await _count_whole(fleet, silence, _no_budget) == STREAMS
+            assert (await other).status == 200
+
+    standin.run_scenario(scenario)
