Let endpoints, peers and the store read a long request late

A request whose body the endpoint read late failed after 2 s with "Connection timed out", and an endpoint that had answered before it read the body, as it may, lost the rest of it with the connection.

Change: the client uses PeerWatch too, so only bytes in flight without an acknowledgement end its connections; the error says so. Keepalive ends connections that wait, as before.

Ruled out: a later notice of dead peers. An endpoint that dies while its window is closed has nothing in flight: the time-outs of the request bound that.

--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -127,6 +127,7 @@
             h11.CLIENT, max_incomplete_event_size=HEADER_BYTES_MAX
         )
         self._transport: asyncio.Transport | None = None
+        self._watch: sockets.PeerWatch | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._deadline = 0.0
@@ -180,7 +181,7 @@
         """Sets the socket options of the new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        sockets.enable_dead_peer_detection(transport)
+        self._watch = sockets.PeerWatch(transport, self._end_dead)
 
     def eof_received(self) -> bool:
         """Marks the end of a body without a length."""
@@ -193,6 +194,8 @@
         """Wakes the reader, which then raises the error."""
         self._error = self._error or f"connection lost: {exc}"
         self._stop_timer()
+        if self._watch is not None:
+            self._watch.stop()
         self._wake()
 
     def data_received(self, data: bytes) -> None:
@@ -248,6 +251,8 @@
         parts.append(self._h11.send(h11.EndOfMessage()))
         assert self._transport is not None
         self._transport.write(b"".join(part for part in parts if part))
+        if self._watch is not None:
+            self._watch.record_sent()
 
     async def read_head(
         self, deadline: float, extend: Callable[[], float]
@@ -352,6 +357,10 @@
         self.abort()
         self._wake()
 
+    def _end_dead(self) -> None:
+        self._error = self._error or "the server acknowledges nothing"
+        self.abort()
+
     def _feed(self, data: bytes) -> None:
         try:
             if self._between_chunks and self._add_whole_chunks(data):
--- a/packages/router/nutmegpost_router/sockets.py
+++ b/packages/router/nutmegpost_router/sockets.py
@@ -10,7 +10,7 @@
 from nutmegpost_core import events
 from nutmegpost_router import log
 
-__all__ = ["PeerWatch", "enable_dead_peer_detection"]
+__all__ = ["PeerWatch"]
 
 # Time after which unacknowledged data closes a connection. Must not exceed the
 # 2 s within which a configuration change must be in force.
@@ -172,20 +172,3 @@
             self._on_dead()
         else:
             self._start_timer()
-
-
-def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
-    """Makes a connection fail when the peer stops responding.
-
-    Sets TCP_USER_TIMEOUT for data in flight and TCP keepalive for an idle
-    connection. Does nothing for transports other than TCP over IPv4.
-    """
-    sock = transport.get_extra_info("socket")
-    if sock is None or sock.family != socket.AF_INET:
-        return
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, DEAD_PEER_TIMEOUT_S * 1000)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _PROBE_COUNT)
--- a/packages/router/tests/test_sockets.py
+++ b/packages/router/tests/test_sockets.py
@@ -1,11 +1,15 @@
 """Tests of connections whose peers read late, or went silent for good."""
 
 import asyncio
+import contextlib
 import ctypes
 import socket
 import struct
 
+import pytest
+
 from nutmegpost_core import vms
+from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import sockets
 
@@ -95,6 +99,105 @@
     assert asyncio.run(main()) == [case[1] for case in cases]
 
 
+class _Endpoint:
+    """Reads the bodies of requests late; its window is small meanwhile.
+
+    Attributes:
+        answers_first: Whether it answers before it reads the body.
+        received: Size of each body.
+    """
+
+    def __init__(self, answers_first):
+        self.answers_first = answers_first
+        self.received = []
+        self.transports = []
+
+    async def start(self):
+        sock = _small_socket()
+        sock.bind((HOST, 0))
+        # The limit makes the stream pause reading at once.
+        await asyncio.start_server(self._serve, sock=sock, limit=64)
+        return vms.Address(*sock.getsockname())
+
+    async def _serve(self, reader, writer):
+        self.transports.append(writer.transport)
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+        ):
+            while True:
+                size = 0
+                async for line in reader:
+                    if line == b"\r\n":
+                        break
+                    name, _, value = line.partition(b":")
+                    if name.lower() == b"content-length":
+                        size = int(value)
+                if self.answers_first:
+                    writer.write(answer)
+                if size:
+                    await asyncio.sleep(CLOSED_S)
+                self.received.append(len(await reader.readexactly(size)))
+                if not self.answers_first:
+                    writer.write(answer)
+
+
+@pytest.mark.parametrize("answers_first", [False, True])
+def test_endpoint_that_reads_a_long_body_late_gets_all_of_it(answers_first):
+    async def main():
+        endpoint = _Endpoint(answers_first)
+        address = await endpoint.start()
+        client = http_client.Client()
+        response = await client.request(
+            address, "POST", "/", {}, b"b" * 72_000, timeout_s=8
+        )
+        assert response.body == b"ok"
+        async with asyncio.timeout(8):
+            while not endpoint.received:
+                await asyncio.sleep(0.02)
+        return endpoint.received
+
+    assert asyncio.run(main()) == [72_000]
+
+
+def test_request_on_a_connection_that_went_silent_fails_soon():
+    async def main():
+        endpoint = _Endpoint(False)
+        address = await endpoint.start()
+        client = http_client.Client()
+        await client.request(address, "GET", "/", {})
+        silence(endpoint.transports[0])
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        with pytest.raises(http_client.ExchangeError):
+            await client.request(address, "GET", "/", {}, timeout_s=9)
+        return loop.time() - start
+
+    assert asyncio.run(main()) < NOTICED_WITHIN_S
+
+
+def test_request_that_waits_on_a_connection_that_goes_silent_fails_soon():
+    async def main():
+        server = await http_server.serve(
+            vms.Address(HOST, 0), lambda exchange: exchange.disconnected.wait()
+        )
+        address = vms.Address(*server._server.sockets[0].getsockname())
+        request = asyncio.create_task(
+            http_client.Client().request(address, "GET", "/", {}, timeout_s=9)
+        )
+        await asyncio.sleep(0.2)
+        (connection,) = server._connections
+        silence(connection._transport)
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        with pytest.raises(http_client.ExchangeError):
+            await request
+        return loop.time() - start
+
+    assert asyncio.run(main()) < NOTICED_WITHIN_S
+
+
 def test_caller_that_went_silent_is_noticed_soon_while_it_is_answered():
     ended = asyncio.Event()
 
@@ -117,6 +220,7 @@
         silence(writer.transport)
         async with asyncio.timeout(NOTICED_WITHIN_S):
             await ended.wait()
+        writer.close()
 
     asyncio.run(main())
 
