Keep reading from a connection whose stream ended with its caller's buffer full

Cause: the client pauses reading when the consumer of a stream is full. If the same data ended the response, the connection went to the pool with reading paused, and only a later stream, not a plain request, resumed it.

Change: reading is paused only while the response is incomplete.

Tests: the new one failed before in 3 of 3 runs ("no answer in time"). Now test_http, test_sockets, the gateway's unit tests and in tests/platform slow_callers, cut_off and path pass, 3 of 3 runs.

--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -332,7 +332,8 @@
             return
         if consumed is Consumed.FULL:
             self._consumer_full = True
-            self._transport.pause_reading()
+            if not self.complete:
+                self._transport.pause_reading()
         elif consumed is Consumed.PROGRESS:
             now = asyncio.get_running_loop().time()
             self._deadline = now + self._consume_timeout_s
--- a/packages/router/tests/test_http.py
+++ b/packages/router/tests/test_http.py
@@ -406,3 +406,21 @@
         return bytes(connection._body)
 
     assert asyncio.run(read()) == b"".join(_EVENTS)
+
+
+async def _answer_in_chunks(exchange):
+    exchange.start(200, [])
+    exchange.write(b"body")
+    exchange.finish()
+
+
+def test_stream_that_fills_its_consumer_at_its_end_blocks_no_later_request():
+    async def run_client(address):
+        client = http_client.Client()
+        stream = await client.stream(address, "GET", "/", {})
+        await asyncio.sleep(0.05)
+        assert await stream.consume(lambda _: http_client.Consumed.FULL, 1)
+        stream.close()
+        return await client.request(address, "GET", "/", {}, timeout_s=1)
+
+    assert _run(_answer_in_chunks, run_client).body == b"body"
