Serve connections that a stopping gateway has just accepted

Callers that connected just before a stopping gateway closed its listener were cut off as they sent their request, and so was a caller whose request head came in parts at that moment.

Cause: with the listener all connections without a whole head were closed, new ones as well, and bytes of a head did not count.

Now a connection is closed when it has been open for one address TTL with no byte of a request. A kept connection that was idle when the stop began is older than that when the listener closes, and ends then as before. Eviction at the limit of connections still takes those with a part of a head.

Ruled out: that such a request was passed on to a runner and then cut.

--- a/packages/router/nutmegpost_router/gateway/planned_stop.py
+++ b/packages/router/nutmegpost_router/gateway/planned_stop.py
@@ -22,10 +22,13 @@
     Attributes:
         listens_until: Monotonic time until which connections are accepted,
             seconds.
+        idle_s: Time for which a connection is open without a request until it
+            is closed, seconds.
         end: Monotonic time at which open requests are ended, seconds.
     """
 
     listens_until: float
+    idle_s: float
     end: float
 
 
@@ -39,6 +42,7 @@
     """
     return Times(
         now + _LINGER_TTLS * address_ttl_s,
+        address_ttl_s,
         now + stop_grace_s - _STOP_MARGIN_S,
     )
 
@@ -57,7 +61,7 @@
     # The loop still hands over what it has accepted before.
     await asyncio.sleep(_TICK_S)
     while server.open_work.connections and _now() < stop_times.end:
-        server.drain()
+        server.drain(stop_times.idle_s)
         await asyncio.sleep(_TICK_S)
 
 
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -255,6 +255,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
+        self._idle_since = 0.0
         self.lost = asyncio.Event()
         self.cancels_handler_on_disconnect = False
 
@@ -263,6 +264,13 @@
         """Whether no request is being received or answered."""
         return self._task is None and self._head is None
 
+    @property
+    def idle_s(self) -> float:
+        """Time for which no byte of a request has come, seconds."""
+        if not self.idle or self._h11.trailing_data[0]:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._idle_since
+
     @property
     def has_begun(self) -> bool:
         """Whether an answer has begun and is not complete."""
@@ -289,7 +297,7 @@
         if not self._server.add(self):
             transport.close()
             return
-        self._start_timer(self._limits.idle_timeout_s, self.close)
+        self._begin_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Signals the loss to the handler, and cancels it if requested."""
@@ -380,6 +388,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _begin_idle(self) -> None:
+        self._idle_since = asyncio.get_running_loop().time()
+        self._start_timer(self._limits.idle_timeout_s, self.close)
+
     def _start_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
@@ -541,7 +553,7 @@
         self._h11.start_next_cycle()
         self._server.mark_idle(self)
         self._limits = self._server.limits
-        self._start_timer(self._limits.idle_timeout_s, self.close)
+        self._begin_idle()
         self._process_input()
 
 
@@ -670,11 +682,15 @@
         """Closes each connection after its next response, not while idle."""
         self._stopping = True
 
-    def drain(self) -> None:
-        """Closes idle connections at once and others after their request."""
+    def drain(self, idle_s: float = 0.0) -> None:
+        """Closes idle connections, and others after their request.
+
+        Args:
+            idle_s: Time for which a connection must have been idle, seconds.
+        """
         self._stopping = True
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.idle_s > idle_s:
                 connection.close()
 
     def stop_listening(self) -> None:
--- a/tests/platform/test_exits.py
+++ b/tests/platform/test_exits.py
@@ -69,7 +69,7 @@
         self._socket = sock
         self._loop = asyncio.get_running_loop()
 
-    async def send(self, path, identity, body=b"{}"):
+    async def send(self, path, identity, body=b"{}", pause_s=0.0):
         method = "GET" if path.startswith("/look") else "POST"
         fields = [
             f"{method} {path} HTTP/1.1",
@@ -82,7 +82,9 @@
         if path.startswith("/draft"):
             fields += ["Model: m", "Token-Count: 60,40", "Prompt-Prefix: aa:20"]
         head = "\r\n".join([*fields, "", ""]).encode()
-        await self._loop.sock_sendall(self._socket, head + body)
+        await self._loop.sock_sendall(self._socket, head[:20])
+        await asyncio.sleep(pause_s)
+        await self._loop.sock_sendall(self._socket, head[20:] + body)
 
     async def read(self, pause_s=0.0):
         """Returns what comes next; nothing if the connection has ended."""
@@ -177,3 +179,32 @@
                 assert entry["unsent_bytes"] > 0
 
     standin.run_scenario(scenario)
+
+
+# Guards against callers that are cut off as they begin a request.
+def test_connection_accepted_just_before_the_listener_closes_is_served(
+    tmp_path,
+):
+    async def scenario():
+        async with _gateway(tmp_path) as (gateway, _):
+            gateway.send_signal(signal.SIGTERM)
+            await asyncio.sleep(1.6 * ADDRESS_TTL_S)
+            async with _connect(gateway) as caller:
+                await asyncio.sleep(0.7 * ADDRESS_TTL_S)
+                await caller.send("/look/1", "late")
+                assert (await caller.read_head()).startswith(b"HTTP/1.1 ")
+
+    standin.run_scenario(scenario)
+
+
+def test_request_whose_head_comes_in_parts_during_a_stop_is_answered(tmp_path):
+    async def scenario():
+        async with (
+            _gateway(tmp_path) as (gateway, _),
+            _connect(gateway) as caller,
+        ):
+            gateway.send_signal(signal.SIGTERM)
+            await caller.send("/look/1", "slow", pause_s=3 * ADDRESS_TTL_S)
+            assert (await caller.read_head()).startswith(b"HTTP/1.1 ")
+
+    standin.run_scenario(scenario)
