Leave unsent bytes to the kernel when the grace is over

A caller that read an answer so slowly that a planned stop of the gateway had to end first lost the rest of it, although the answer was complete.

Cause: the kernel sends what it has after a process has exited, but it had only its usual buffer full; the rest was in the process.

At the end of the grace the kernel's buffer of each connection with unsent bytes is enlarged, up to the limit of the machine (net.core.wmem_max, 4 MB on the machine of the tests), and takes the rest in the last tick. Memory for it is taken for the last connections of a process only.

--- a/packages/router/nutmegpost_router/gateway/planned_stop.py
+++ b/packages/router/nutmegpost_router/gateway/planned_stop.py
@@ -63,6 +63,7 @@
     while server.open_work.connections and _now() < stop_times.end:
         server.drain(stop_times.idle_s)
         await asyncio.sleep(_TICK_S)
+    server.offer_unsent_bytes()
 
 
 async def drain(
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 import json
 import re
+import socket
 from typing import NamedTuple
 
 import h11
@@ -383,6 +384,16 @@
         if self._transport is not None:
             self._transport.close()
 
+    def offer_unsent_bytes(self) -> None:
+        """Enlarges the kernel's buffer, which takes what is unsent soon."""
+        if not self.unsent_bytes or self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        # The kernel counts its own overhead as well.
+        size += 2 * self.unsent_bytes
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
     def abort(self) -> None:
         """Resets the connection and discards buffered data."""
         if self._transport is not None:
@@ -693,6 +704,14 @@
             if connection.idle_s > idle_s:
                 connection.close()
 
+    def offer_unsent_bytes(self) -> None:
+        """Makes the kernel take what is unsent, as far as its limit allows.
+
+        It sends that also after the process has exited.
+        """
+        for connection in self._connections:
+            connection.offer_unsent_bytes()
+
     def stop_listening(self) -> None:
         """Stops accepting connections; open ones are still served."""
         if self._server is not None:
