--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 import json
 import re
+import socket
 from typing import NamedTuple
 
 import h11
@@ -263,6 +264,7 @@
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_closed_here = False
+        self._idle_since = 0.0
         self.lost = asyncio.Event()
         self.loss_reason = ""
         self.cancels_handler_on_disconnect = False
@@ -272,6 +274,13 @@
         """Whether no request is being received or answered."""
         return self._task is None and self._head is None
 
+    @property
+    def idle_s(self) -> float:
+        """Time for which no byte of a request has come, seconds."""
+        if not self.idle or self._h11.trailing_data[0]:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._idle_since
+
     @property
     def has_begun(self) -> bool:
         """Whether an answer has begun and is not complete."""
@@ -298,7 +307,7 @@
         if not self._server.add(self):
             transport.close()
             return
-        self._start_timer(self._limits.idle_timeout_s, self._end_idle)
+        self._begin_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Signals the loss to the handler, and cancels it if requested."""
@@ -396,6 +405,16 @@
             if self._transport.get_write_buffer_size():
                 self._start_timer(self._limits.idle_timeout_s, self._end_idle)
 
+    def offer_unsent_bytes(self) -> None:
+        """Enlarges the kernel's buffer, which takes what is unsent soon."""
+        if not self.unsent_bytes or self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        # The kernel counts its own overhead as well.
+        size += 2 * self.unsent_bytes
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
     def abort(self) -> None:
         """Resets the connection and discards buffered data."""
         self._is_closed_here = True
@@ -413,6 +432,10 @@
         else:
             self.abort()
 
+    def _begin_idle(self) -> None:
+        self._idle_since = asyncio.get_running_loop().time()
+        self._start_timer(self._limits.idle_timeout_s, self._end_idle)
+
     def _start_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
@@ -574,7 +597,7 @@
         self._h11.start_next_cycle()
         self._server.mark_idle(self)
         self._limits = self._server.limits
-        self._start_timer(self._limits.idle_timeout_s, self._end_idle)
+        self._begin_idle()
         self._process_input()
 
 
@@ -703,13 +726,25 @@
         """Closes each connection after its next response, not while idle."""
         self._stopping = True
 
-    def drain(self) -> None:
-        """Closes idle connections at once and others after their request."""
+    def drain(self, idle_s: float = 0.0) -> None:
+        """Closes idle connections, and others after their request.
+
+        Args:
+            idle_s: Time for which a connection must have been idle, seconds.
+        """
         self._stopping = True
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.idle_s > idle_s:
                 connection.close()
 
+    def offer_unsent_bytes(self) -> None:
+        """Makes the kernel take what is unsent, as far as its limit allows.
+
+        It sends that also after the process has exited.
+        """
+        for connection in self._connections:
+            connection.offer_unsent_bytes()
+
     def stop_listening(self) -> None:
         """Stops accepting connections; open ones are still served."""
         if self._server is not None:
