End a connection that waits only after two unanswered probes

Callers saw a connection closed with no whole answer, 2 s after the last packet: a request that waits for its answer, or a stream whose endpoint is silent, is idle for TCP, and all streams of an endpoint are so at once.

Cause: TCP_USER_TIMEOUT of 2 s overrode the count of keepalive probes, so one lost probe ended the connection; the count of one that followed it did the same. Now two probes in a row must be lost, 3 s after the last packet, which is as long as machines count as out of touch after connections went silent. The store's polls have time limits of their own and do not need the probes.

--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -303,7 +303,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._watch = sockets.PeerWatch(transport, self.abort)
+        self._watch = sockets.PeerWatch(transport, self._end_dead)
         if not self._server.add(self):
             transport.close()
             return
@@ -317,7 +317,8 @@
         self._server.remove(self)
         self._writable.set()
         end = "here" if self._is_closed_here else "by the client"
-        self.loss_reason = str(exc) if exc else f"closed {end}"
+        reason = str(exc) if exc else f"closed {end}"
+        self.loss_reason = self.loss_reason or reason
         self.lost.set()
         if self._task is None:
             self._release_body()
@@ -421,6 +422,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _end_dead(self) -> None:
+        self.loss_reason = "the client acknowledges nothing"
+        self.abort()
+
     def _end_idle(self) -> None:
         """Ends the connection unless its client still takes a response."""
         limit_s = self._limits.idle_timeout_s
--- a/packages/router/nutmegpost_router/sockets.py
+++ b/packages/router/nutmegpost_router/sockets.py
@@ -12,8 +12,7 @@
 
 __all__ = ["PeerWatch"]
 
-# Time after which unacknowledged data closes a connection. Must not exceed the
-# 2 s within which a configuration change must be in force.
+# Time after which unacknowledged data closes a connection.
 DEAD_PEER_TIMEOUT_S = 2
 _CHECK_INTERVAL_S = 0.5
 # The first check is one interval after the data was sent.
@@ -21,9 +20,9 @@
 _SILENCE_MIN_S = DEAD_PEER_TIMEOUT_S - _CHECK_INTERVAL_S
 _PROBE_IDLE_S = 1
 _PROBE_INTERVAL_S = 1
-# Without TCP_USER_TIMEOUT, the number of unanswered probes that ends an idle
-# connection.
-_PROBE_COUNT = 1
+# Unanswered probes that end an idle connection, unless TCP_USER_TIMEOUT is set.
+# A single one may have been lost.
+_PROBE_COUNT = 2
 # struct tcp_info of Linux: tcpi_state, tcpi_unacked, tcpi_last_ack_recv,
 # tcpi_bytes_acked and tcpi_notsent_bytes.
 _TCP_INFO = struct.Struct("=B23xI28xI60xQ16xI")
@@ -36,7 +35,8 @@
         state: State of the connection; 0 for none.
         unacked: Number of segments in flight. None is while the receive window
             of the peer is closed.
-        silence_ms: Time since the last acknowledgement, milliseconds.
+        silence_ms: Time since the last acknowledgement, milliseconds; 0 where
+            the system does not tell it.
         acked_bytes: Number of bytes acknowledged so far.
         unsent_bytes: Number of bytes not sent yet.
     """
@@ -105,6 +105,7 @@
         self._acked_bytes = 0
         self._progressed_at = 0.0
         self._unchanged_checks = 0
+        self._is_silence_told = False
         self._socket = transport.get_extra_info("socket")
         is_tcp = (
             self._socket is not None and self._socket.family == socket.AF_INET
@@ -151,6 +152,7 @@
 
     def _read(self) -> _Progress:
         progress = _read_progress(self._socket)
+        self._is_silence_told |= progress.silence_ms > 0
         if progress.acked_bytes != self._acked_bytes:
             self._acked_bytes = progress.acked_bytes
             self._progressed_at = asyncio.get_running_loop().time()
@@ -165,10 +167,12 @@
         self._unchanged_checks += 1
         if not progress.unacked:
             self._unchanged_checks = 0
-        if (
-            self._unchanged_checks >= _CHECKS_UNTIL_DEAD
-            and progress.silence_ms >= _SILENCE_MIN_S * 1000
-        ):
+        # The peer may acknowledge again what it has while it takes no more.
+        is_silent = (
+            not self._is_silence_told
+            or progress.silence_ms >= _SILENCE_MIN_S * 1000
+        )
+        if self._unchanged_checks >= _CHECKS_UNTIL_DEAD and is_silent:
             self._on_dead()
         else:
             self._start_timer()
