--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -44,7 +44,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _slow_caller(fleet, path):
+async def _slow_caller(fleet, path, connection_field="keep-alive"):
     """Sends a request and does not read; gives the connection's two ends."""
     server = fleet.gateways[0]._caller_server
     loop = asyncio.get_running_loop()
@@ -56,7 +56,7 @@
             f"POST {path} HTTP/1.1\r\nHost: {standin.HOST}\r\n"
             f"Attempt-Id: slow\r\nDeadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
             f"Authorization: Bearer {standin.API_KEY}\r\n"
-            "Content-Length: 0\r\n\r\n"
+            f"Connection: {connection_field}\r\nContent-Length: 0\r\n\r\n"
         )
         await loop.sock_sendall(sock, head.encode())
         await fleet.wait_until(
@@ -124,11 +124,15 @@
     standin.run_scenario(scenario)
 
 
-def test_answer_that_is_not_read_is_held_for_the_idle_timeout():
+@pytest.mark.parametrize("field", ["keep-alive", "close"])
+def test_answer_that_is_not_read_is_held_for_the_idle_timeout(field):
     async def scenario():
         async with _fleet() as fleet:
             fleet.runners["p1"].behaviors = [_send_megabytes]
-            async with _slow_caller(fleet, "/issue/1") as (_, connection):
+            async with _slow_caller(fleet, "/issue/1", field) as (
+                _,
+                connection,
+            ):
                 await asyncio.sleep(IDLE_TIMEOUT_S / 2)
                 assert not connection.lost.is_set()
                 async with asyncio.timeout(2 * IDLE_TIMEOUT_S):
