Soak planned work on gateway processes: FAULTS=stops

Gateways as processes get SIGTERM in rolls and overlapping, SIGHUP and configurations, runners leave, are silent for about a second, turn requests away and read long bodies late; nothing breaks off. Callers keep connections and addresses, send in pieces and some read slowly through small windows. A request that was read whole and ends without a complete answer is judged by the text of rule LOST, with its exceptions; TWICE, ORDER and BUDGET are judged beside it.

--- a/tests/platform/faultsoak.py
+++ b/tests/platform/faultsoak.py
@@ -14,7 +14,8 @@
 
 Run it with `make soak-faults SEED=...`; a seed fixes the order of the faults.
 `FAULTS=store` and `FAULTS=repeats` draw those of one matter, spaced so that
-gateways are in touch in between.
+gateways are in touch in between. `FAULTS=stops` is a play of its own, with
+planned work only; see stop_soak.py.
 """
 
 import argparse
@@ -36,6 +37,7 @@
 import harness
 import soak_checks
 import standin
+import stop_soak
 
 from nutmegpost_core import vms
 from nutmegpost_router import http_client
@@ -892,7 +894,9 @@
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--gateways", type=int, default=GATEWAY_COUNT)
     parser.add_argument(
-        "--faults", choices=["all", "store", "repeats"], default="all"
+        "--faults",
+        choices=["all", "store", "repeats", "stops"],
+        default="all",
     )
     parser.add_argument("--logs", type=pathlib.Path)
     options = parser.parse_args()
@@ -901,6 +905,11 @@
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
         logs = options.logs and options.logs / f"{options.faults}-{seed}"
+        if options.faults == "stops":
+            failed += stop_soak.play_seed(
+                seed, options.seconds, options.gateways, logs
+            )
+            continue
         violations, soak = run_seed(
             seed, options.seconds, options.gateways, options.faults, logs
         )
--- a/tests/platform/stop_callers.py
+++ b/tests/platform/stop_callers.py
@@ -153,7 +153,7 @@
     def __init__(self, gateway, start, reader, writer):
         self.gateway = gateway
         self.start = start
-        self.is_open = True
+        self._is_open = True
         self._reader = reader
         self._writer = writer
         self._count = 0
@@ -162,8 +162,13 @@
         self._begun_at = 0.0
         self._sent_at = float("inf")
 
+    @property
+    def is_open(self):
+        """Whether it can serve a request, as far as its caller knows."""
+        return self._is_open and not self._reader.at_eof()
+
     def close(self):
-        self.is_open = False
+        self._is_open = False
         self._writer.transport.abort()
 
     async def exchange(self, plan, pace):
--- a/tests/platform/stop_runners.py
+++ b/tests/platform/stop_runners.py
@@ -104,6 +104,12 @@
         for writer in self._writers:
             writer.close()
 
+    def abort(self):
+        """Ends at once, as the play is over."""
+        self.server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
         self._writers.add(writer)
         try:
--- a/tests/platform/stop_soak.py
+++ b/tests/platform/stop_soak.py
@@ -38,7 +38,9 @@
 START_TIMEOUT_S = 15.0
 # After the last planned work begins: open requests end, stops are over.
 TAIL_S = 9.5
-CALLER_COUNTS = (12, 70, 130)
+CALLER_COUNTS = (16, 80, 160)
+# Callers that reach a stopping gateway about when its listener closes.
+LATE_CALLER_COUNT = 12
 ENGINE_COUNT = 4
 PLAIN_COUNT = 2
 # Parts of the play that can be left out, to tell causes apart.
@@ -152,6 +154,9 @@
                 process.send_signal(signal.SIGKILL)
             for process in self._processes():
                 await process.wait()
+            for runner in self.all_runners:
+                runner.abort()
+            await asyncio.sleep(0.1)
             path = self._folder / "play.txt"
             path.write_text("".join(self._journal))
         return self._judge((begin, _now()))
@@ -329,7 +334,7 @@
         end = _now() + seconds
         while _now() < end:
             self._begin(self._rng.choice(works)())
-            await asyncio.sleep(self._rng.uniform(0.3, 3.0))
+            await asyncio.sleep(self._rng.uniform(0.3, 2.5))
 
     def _begin(self, work):
         task = asyncio.create_task(work)
@@ -380,6 +385,8 @@
             return
         gateway.is_taken = True
         self._stop(gateway)
+        for number in range(LATE_CALLER_COUNT):
+            self._begin(self._call_late(gateway, number))
         for number in (signal.SIGTERM, signal.SIGHUP):
             if self._rng.random() < 0.25:
                 self._begin(self._signal_again(gateway.process, number))
@@ -411,6 +418,23 @@
             self.planned.append(stop_checks.Planned(kind, process.name, _now()))
         process.send_signal(number)
 
+    async def _call_late(self, gateway, number):
+        """Uses an address that was kept for about the time it may be."""
+        identity = f"l{gateway.name[8:]}-{gateway.start_count}-{number}"
+        rng = random.Random(f"{self._seed}-{identity}")
+        address = gateway.config["public_address"]
+        start = gateway.start_count
+        await asyncio.sleep(2 * ADDRESS_TTL_S + rng.uniform(-0.2, 0.25))
+        with contextlib.suppress(OSError, TimeoutError):
+            connection = await stop_callers.connect(
+                address, gateway.name, start, False
+            )
+            if rng.random() < 0.5:
+                await asyncio.sleep(rng.uniform(0, 0.2))
+            plan, pace = stop_callers.draw(rng, identity, False)
+            self.outcomes.append(await connection.exchange(plan, pace))
+            connection.close()
+
     async def _reload(self):
         gateway = self._rng.choice(self._gateways)
         if gateway.is_taken:
@@ -584,6 +608,13 @@
         return asyncio.run(soak.run(seconds)), soak
 
 
+def play_seed(seed, seconds, gateway_count, logs):
+    """Runs one seed and prints what was broken; returns whether any was."""
+    broken, soak = run_seed(seed, seconds, gateway_count, logs)
+    sys.stdout.write(summary(seed, soak, broken))
+    return bool(broken)
+
+
 def summary(seed, soak, broken):
     """Returns a text on the run of a seed."""
     counts = collections.Counter(
