--- a/tests/platform/stop_runners.py
+++ b/tests/platform/stop_runners.py
@@ -3,16 +3,23 @@
 import asyncio
 import json
 import random
+import socket
 from typing import NamedTuple
 
 import standin
 
+from nutmegpost_core import vms
+
 SLOTS = 48
 # Interval at which a run notices that its connection is closed.
 NOTICE_S = 0.1
 EVENT_GAP_MAX_S = 0.8
 EVENT_BYTES = 65
 LATE_BODY_BYTES = 16_384
+# Buffers of a runner that leaves long bodies unread, and for how long it does
+# so when it answers first.
+UNREAD_BYTES = 16_384
+EARLY_ANSWER_MAX_S = 3.5
 
 
 class Run(NamedTuple):
@@ -72,7 +79,9 @@
     Attributes:
         runs: What it has worked on, by the order of arrival.
         turn_away_share: Share of the requests that it turns away.
-        late_body_s: Time for which it leaves long bodies unread.
+        late_body_s: Time for which it leaves long bodies unread, if it does not
+            answer first.
+        answers_early: Whether it answers some long bodies before it reads them.
         close_share: Share of the answers after which it closes.
     """
 
@@ -81,6 +90,7 @@
         self.runs = []
         self.turn_away_share = 0.0
         self.late_body_s = 0.0
+        self.answers_early = False
         self.close_share = 0.02
         self._rng = random.Random(seed)
         self._speaks_at = 0.0
@@ -91,6 +101,18 @@
     def open_count(self):
         return sum(run.end == float("inf") for run in self.runs)
 
+    async def start(self):
+        address = vms.parse_address(self.address)
+        sock = socket.create_server((address.host, address.port), backlog=256)
+        limit = 65_536
+        if self.late_body_s or self.answers_early:
+            limit = UNREAD_BYTES // 2
+            option = socket.SO_RCVBUF
+            sock.setsockopt(socket.SOL_SOCKET, option, UNREAD_BYTES)
+        self.server = await asyncio.start_server(
+            self._accept, sock=sock, limit=limit
+        )
+
     def be_silent(self, seconds):
         """Writes nothing to any request for some seconds."""
         self._speaks_at = _now() + seconds
@@ -122,9 +144,31 @@
         """Answers a request; returns whether the connection stays open."""
         request = _parse(await reader.readuntil(b"\r\n\r\n"))
         size = int(request.headers.get("content-length", 0))
+        unread = asyncio.create_task(self._read_body(reader, size))
+        try:
+            if not self._is_early(size):
+                await unread
+            is_open = await self._answer(request, reader, writer)
+            await unread
+        finally:
+            unread.cancel()
+        return is_open
+
+    def _is_early(self, size):
+        """Returns whether a request is answered before its body is read."""
+        is_long = size > LATE_BODY_BYTES
+        return is_long and self.answers_early and self._rng.random() < 0.5
+
+    async def _read_body(self, reader, size):
         if size > LATE_BODY_BYTES:
-            await asyncio.sleep(self.late_body_s)
+            most_s = self.late_body_s
+            if self.answers_early:
+                most_s = EARLY_ANSWER_MAX_S
+            await asyncio.sleep(self._rng.uniform(0, most_s))
         await reader.readexactly(size)
+
+    async def _answer(self, request, reader, writer):
+        """Answers a request; returns whether the connection stays open."""
         if request.target == "/api/kv-list":
             caches = json.dumps({"epoch": 1, "next": 1, "held": []}).encode()
             _write(writer, 200, [("Content-Type", "application/json")], caches)
--- a/tests/platform/stop_soak.py
+++ b/tests/platform/stop_soak.py
@@ -38,9 +38,9 @@
 START_TIMEOUT_S = 15.0
 # After the last planned work begins: open requests end, stops are over.
 TAIL_S = 9.5
-CALLER_COUNTS = (16, 80, 160)
+CALLER_COUNTS = (4, 16, 80, 160)
 # Callers that reach a stopping gateway about when its listener closes.
-LATE_CALLER_COUNT = 12
+LATE_CALLER_COUNTS = (0, 3, 12)
 ENGINE_COUNT = 4
 PLAIN_COUNT = 2
 # Parts of the play that can be left out, to tell causes apart.
@@ -53,6 +53,7 @@
         "silence",
         "refusals",
         "late bodies",
+        "early answers",
         "small windows",
     ]
 )
@@ -239,7 +240,9 @@
         name = f"{slot}-{self._sequence}"
         runner = stop_runners.Runner(name, service, f"{self._seed}-{name}")
         if "late bodies" in self._features and slot == "e1":
-            runner.late_body_s = self._rng.uniform(0.1, 0.6)
+            runner.late_body_s = 0.6
+        if "early answers" in self._features and slot == "e2":
+            runner.answers_early = True
         await runner.start()
         self._runners[slot] = runner
         self._store.put(f"servers/{name}", runner.entry())
@@ -280,18 +283,18 @@
             except (OSError, TimeoutError):
                 addresses.remove(address)
                 continue
-            if rng.random() < 0.3:
-                await asyncio.sleep(rng.uniform(0, 0.4))
             most = rng.choice([1, 1, 4, 100])
-            while connection.is_open and most and not self._is_over:
-                count += 1
-                most -= 1
-                plan, pace = stop_callers.draw(
-                    rng, f"c{number}-{count}", is_small
-                )
-                self.outcomes.append(await connection.exchange(plan, pace))
-                await asyncio.sleep(rng.expovariate(5.0))
-            connection.close()
+            with contextlib.closing(connection):
+                if rng.random() < 0.3:
+                    await asyncio.sleep(rng.uniform(0, 0.4))
+                while connection.is_open and most and not self._is_over:
+                    count += 1
+                    most -= 1
+                    plan, pace = stop_callers.draw(
+                        rng, f"c{number}-{count}", is_small
+                    )
+                    self.outcomes.append(await connection.exchange(plan, pace))
+                    await asyncio.sleep(rng.expovariate(5.0))
 
     async def _connect(self, address, has_small_window):
         (gateway,) = [
@@ -385,7 +388,7 @@
             return
         gateway.is_taken = True
         self._stop(gateway)
-        for number in range(LATE_CALLER_COUNT):
+        for number in range(self._rng.choice(LATE_CALLER_COUNTS)):
             self._begin(self._call_late(gateway, number))
         for number in (signal.SIGTERM, signal.SIGHUP):
             if self._rng.random() < 0.25:
@@ -429,11 +432,11 @@
             connection = await stop_callers.connect(
                 address, gateway.name, start, False
             )
-            if rng.random() < 0.5:
-                await asyncio.sleep(rng.uniform(0, 0.2))
-            plan, pace = stop_callers.draw(rng, identity, False)
-            self.outcomes.append(await connection.exchange(plan, pace))
-            connection.close()
+            with contextlib.closing(connection):
+                if rng.random() < 0.5:
+                    await asyncio.sleep(rng.uniform(0, 0.2))
+                plan, pace = stop_callers.draw(rng, identity, False)
+                self.outcomes.append(await connection.exchange(plan, pace))
 
     async def _reload(self):
         gateway = self._rng.choice(self._gateways)
