--- a/tests/platform/stop_callers.py
+++ b/tests/platform/stop_callers.py
@@ -14,6 +14,8 @@
 SMALL_WINDOW_BYTES = 4096
 SMALL_READ_BYTES = 1024
 PIECE_COUNT_MAX = 6
+# Time for which a caller delays its reading of an answer.
+SLOW_MAX_S = 3.5
 # Beyond the deadline, after which a caller leaves.
 PATIENCE_S = 0.3
 # Deadlines by kind, milliseconds.
@@ -107,9 +109,8 @@
         "Deadline-Ms": str(DEADLINES_MS[kind]),
         "Authorization": f"Bearer {standin.API_KEY}",
     }
-    pace = _draw_pace(rng, kind) if has_small_window else Pace()
     if kind in ("draft", "ask"):
-        most_s = 9.0 if pace == Pace() else 4.0
+        most_s = 4.0 if has_small_window else 9.0
         milliseconds = round(1000 * rng.uniform(0.5, most_s))
         if rng.random() < 0.15:
             milliseconds = rng.randrange(20, 500)
@@ -123,8 +124,9 @@
         body = rng.randbytes(min(72_000, round(rng.expovariate(1 / 12_000))))
     else:
         milliseconds = rng.choice([5, 50, 300, 1500])
-        count = rng.choice([20, 500, 60_000])
+        count = rng.choice([20, 500, 60_000, 60_000, 300_000])
         body = rng.randbytes(rng.choice([0, 100, 5000]))
+    pace = _draw_pace(rng, count) if has_small_window else Pace()
     pieces = rng.randrange(1, PIECE_COUNT_MAX) if rng.random() < 0.3 else 1
     return Plan(
         identity,
@@ -138,13 +140,12 @@
     ), pace
 
 
-def _draw_pace(rng, kind):
+def _draw_pace(rng, size):
     drawn = rng.random()
+    seconds = rng.uniform(1.0, SLOW_MAX_S)
     if drawn < 0.4:
-        return Pace(pause_s=rng.uniform(1.0, 3.5))
-    if drawn < 0.8 and kind in ("look", "issue"):
-        return Pace(bytes_per_s=rng.uniform(18_000, 40_000))
-    return Pace()
+        return Pace(pause_s=seconds)
+    return Pace(bytes_per_s=size / seconds if drawn < 0.8 else 0.0)
 
 
 class Connection:
--- a/tests/platform/stop_soak.py
+++ b/tests/platform/stop_soak.py
@@ -378,15 +378,37 @@
         await self._restart(self._rng.choice(self._gateways))
 
     async def _stop_after_start(self):
+        """Stops a gateway twice, the second time just after its start."""
         gateway = self._rng.choice(self._gateways)
-        await self._restart(gateway)
-        await asyncio.sleep(self._rng.choice([0.0, 0.0, 0.3, 1.0]))
-        await self._restart(gateway)
-
-    async def _restart(self, gateway):
+        after_s = self._rng.choice([0.0, 0.5, 1.0])
+        if self._rng.random() < 0.5:
+            await self._restart(gateway)
+            await asyncio.sleep(after_s)
+            await self._restart(gateway)
+        else:
+            await self._restart(gateway, self._rng.uniform(0.1, 0.6))
+
+    async def _restart(self, gateway, again_after_s=0.0):
+        """Stops and starts a gateway, unless another work does.
+
+        Args:
+            gateway: The gateway.
+            again_after_s: Time after the start at which it is stopped once
+                more, ready or not; 0 for never.
+        """
         if gateway.is_taken:
             return
         gateway.is_taken = True
+        if again_after_s:
+            await self._stop_and_start(gateway)
+            await asyncio.sleep(again_after_s)
+        await self._stop_and_start(gateway)
+        if not await self._becomes_ready(gateway):
+            raise AssertionError(f"{gateway.name} is not ready again")
+        self._note(f"{gateway.name} is ready")
+        gateway.is_taken = False
+
+    async def _stop_and_start(self, gateway):
         self._stop(gateway)
         for number in range(self._rng.choice(LATE_CALLER_COUNTS)):
             self._begin(self._call_late(gateway, number))
@@ -403,10 +425,6 @@
         await asyncio.sleep(self._rng.choice([0.0, 0.2, 1.0]))
         gateway.start(self._rng.random() < 0.3)
         self._note(f"{gateway.name} start {gateway.start_count}")
-        if not await self._becomes_ready(gateway):
-            raise AssertionError(f"{gateway.name} is not ready again")
-        self._note(f"{gateway.name} is ready")
-        gateway.is_taken = False
 
     def _stop(self, gateway):
         self._note(f"{gateway.name} SIGTERM")
