--- a/tests/platform/stop_soak.py
+++ b/tests/platform/stop_soak.py
@@ -38,7 +38,8 @@
 START_TIMEOUT_S = 15.0
 # After the last planned work begins: open requests end, stops are over.
 TAIL_S = 9.5
-CALLER_COUNTS = (4, 16, 80, 160)
+# Callers at work, which changes in the course of a play.
+CALLER_COUNTS = (4, 20, 80, 160)
 # Callers that reach a stopping gateway about when its listener closes.
 LATE_CALLER_COUNTS = (0, 3, 12)
 ENGINE_COUNT = 4
@@ -107,7 +108,7 @@
         self._rng = random.Random(seed)
         self._features = features
         self._gateway_count = gateway_count
-        self._caller_count = self._rng.choice(CALLER_COUNTS)
+        self._caller_count = 0
         self._is_first_start = self._rng.random() < 0.5
         self._client = http_client.Client()
         self._version = 0
@@ -136,7 +137,7 @@
             await self._start()
             callers = [
                 asyncio.create_task(self._run_caller(number))
-                for number in range(self._caller_count)
+                for number in range(max(CALLER_COUNTS))
             ]
             lag = asyncio.create_task(self._measure_lag())
             await self._play(seconds)
@@ -269,6 +270,9 @@
         count = 0
         addresses, known_until = [], 0.0
         while not self._is_over:
+            if number >= self._caller_count:
+                await asyncio.sleep(0.1)
+                continue
             if not addresses or _now() >= known_until:
                 addresses = await self._resolve(rng)
                 known_until = _now() + ADDRESS_TTL_S * rng.uniform(0, KEPT_TTLS)
@@ -287,7 +291,12 @@
             with contextlib.closing(connection):
                 if rng.random() < 0.3:
                     await asyncio.sleep(rng.uniform(0, 0.4))
-                while connection.is_open and most and not self._is_over:
+                while (
+                    connection.is_open
+                    and most
+                    and not self._is_over
+                    and number < self._caller_count
+                ):
                     count += 1
                     most -= 1
                     plan, pace = stop_callers.draw(
@@ -329,6 +338,7 @@
 
     async def _play(self, seconds):
         works = self._works()
+        self._begin(self._vary_callers())
         if "silence" in self._features:
             self._begin(self._silence_runners())
         if "refusals" in self._features:
@@ -490,6 +500,13 @@
         self._store.remove(f"servers/{runner.name}")
         self._note(f"{runner.name} has ended")
 
+    async def _vary_callers(self):
+        rng = random.Random(f"{self._seed}-callers")
+        while True:
+            self._caller_count = rng.choice(CALLER_COUNTS)
+            self._note(f"{self._caller_count} callers")
+            await asyncio.sleep(rng.uniform(2.0, 8.0))
+
     async def _silence_runners(self):
         while True:
             await asyncio.sleep(self._rng.uniform(0.5, 3.0))
