--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -31,11 +31,21 @@
     101, "INFO", "router {name} started, incarnation {incarnation}"
 )
 PROCESS_STOPPING = Event(102, "INFO", "router {name} is stopping")
-PROCESS_STOPPED = Event(103, "INFO", "router {name} stopped")
+PROCESS_STOPPED = Event(
+    103,
+    "INFO",
+    "router {name} stopped; it cut {requests} requests, {begun} of them with "
+    "an answer begun, and {unsent_bytes} unsent bytes on {connections} "
+    "connections",
+)
 SETTINGS_REFUSED = Event(104, "ERROR", "settings refused: {reason}")
 CLOCK_GAP = Event(105, "WARNING", "process was paused for {seconds:.1f} s")
 STOP_GRACE_OVER = Event(
-    107, "WARNING", "router {name} stops with open requests: grace period over"
+    107,
+    "WARNING",
+    "router {name} stops with {requests} open requests, {begun} of them with "
+    "an answer begun, and {unsent_bytes} unsent bytes on {connections} "
+    "connections: grace period over",
 )
 ADDRESS_UNUSABLE = Event(
     108, "ERROR", "cannot listen on a configured address: {reason}"
@@ -50,6 +60,11 @@
     "gateway {name} reloaded its settings; applied: {changed}; deferred to"
     " the next start: {kept}",
 )
+ACKNOWLEDGEMENTS_UNKNOWN = Event(
+    110,
+    "WARNING",
+    "the system does not tell what peers acknowledge: {reason}",
+)
 
 # 2xx platform and configuration
 CONFIGURATION_ACCEPTED = Event(
@@ -173,7 +188,7 @@
     412,
     "INFO",
     "{request} attempt {attempt} at {endpoint} ended with {end} after "
-    "{after_ms} ms, begun {begun}: {reason}",
+    "{after_ms} ms, begun {begun}, last event {last_event}: {reason}",
 )
 REQUEST_ENDED = Event(
     413,
@@ -182,7 +197,10 @@
     "configuration {configuration}: {reason}",
 )
 CALLER_GONE = Event(
-    414, "INFO", "{request} cancelled by its caller after {after_ms} ms"
+    414,
+    "INFO",
+    "{request} cancelled after {after_ms} ms, begun {begun}, as the connection "
+    "of its caller ended: {reason}",
 )
 REQUEST_UNREADABLE = Event(
     415, "INFO", "request refused with {status}: {reason}"
@@ -201,6 +219,12 @@
     "{remaining} repeats left, with {requests} requests and {repeats} repeats "
     "in the window, shared by {gateways} gateways; started {started_s} s ago",
 )
+ATTEMPT_KEPT = Event(
+    420,
+    "INFO",
+    "attempt {attempt} of {request} goes on at {endpoint}, which sends it "
+    "nothing, after {after_ms} ms: {reason}",
+)
 STREAM_TAKEN_UP = Event(
     416,
     "INFO",
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 import json
 import re
+import socket
 from typing import NamedTuple
 
 import h11
@@ -23,6 +24,7 @@
     "Handler",
     "HttpServer",
     "Limits",
+    "OpenWork",
     "Request",
     "Response",
     "error_response",
@@ -56,7 +58,8 @@
         request_timeout_s: Maximum time from the first byte of a request to
             its last, seconds.
         idle_timeout_s: Maximum time that a connection may be idle between two
-            requests, seconds.
+            requests, and that a client may take nothing of a response that is
+            complete, seconds.
         connections: Maximum number of connections. At the limit, the
             connection that has been idle longest is closed for a new one.
         buffered_body_bytes: Maximum size of the bodies of all requests in
@@ -71,6 +74,22 @@
     buffered_body_bytes: int = BUFFERED_BODY_BYTES_MAX
 
 
+class OpenWork(NamedTuple):
+    """What the open connections of a server still have to do.
+
+    Attributes:
+        connections: Number of open connections, idle ones included.
+        requests: Number of requests that are being received or answered.
+        begun: Number of those whose answers have begun.
+        unsent_bytes: Size of what the kernel has not taken over yet, bytes.
+    """
+
+    connections: int
+    requests: int
+    begun: int
+    unsent_bytes: int
+
+
 class Request(NamedTuple):
     """A complete request.
 
@@ -151,6 +170,11 @@
         """Event that is set when the client's connection is lost."""
         return self._connection.lost
 
+    @property
+    def loss_reason(self) -> str:
+        """Why the client's connection was lost; empty while it is not."""
+        return self._connection.loss_reason
+
     def send(self, response: Response) -> None:
         """Sends a complete response."""
         self._started = True
@@ -230,6 +254,7 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._transport: asyncio.Transport | None = None
+        self._watch: sockets.PeerWatch | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._buffered_body_bytes = 0
@@ -238,7 +263,10 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
+        self._is_closed_here = False
+        self._idle_since = 0.0
         self.lost = asyncio.Event()
+        self.loss_reason = ""
         self.cancels_handler_on_disconnect = False
 
     @property
@@ -246,22 +274,50 @@
         """Whether no request is being received or answered."""
         return self._task is None and self._head is None
 
+    @property
+    def idle_s(self) -> float:
+        """Time for which no byte of a request has come, seconds."""
+        if not self.idle or self._h11.trailing_data[0]:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._idle_since
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether an answer has begun and is not complete."""
+        return self._h11.our_state is h11.SEND_BODY
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of what the kernel has not taken over yet, bytes."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether it closes once the buffered data is sent."""
+        return self._transport is not None and self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection; closes it when there are too many."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        sockets.enable_dead_peer_detection(transport)
+        self._watch = sockets.PeerWatch(transport, self.abort)
         if not self._server.add(self):
             transport.close()
             return
-        self._start_timer(self._limits.idle_timeout_s, self.close)
+        self._begin_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Signals the loss to the handler, and cancels it if requested."""
         self._stop_timer()
+        if self._watch is not None:
+            self._watch.stop()
         self._server.remove(self)
         self._writable.set()
+        end = "here" if self._is_closed_here else "by the client"
+        self.loss_reason = str(exc) if exc else f"closed {end}"
         self.lost.set()
         if self._task is None:
             self._release_body()
@@ -295,8 +351,8 @@
         if self.lost.is_set():
             return
         data = self._h11.send(event)
-        if data and self._transport is not None:
-            self._transport.write(data)
+        if data:
+            self._write(data)
 
     def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Sends the head of a response."""
@@ -323,8 +379,13 @@
         """
         if not (self._sends_chunks and data):
             self.send(h11.Data(data=data))
-        elif not self.lost.is_set() and self._transport is not None:
-            self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        elif not self.lost.is_set():
+            self._write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and self._watch is not None:
+            self._transport.write(data)
+            self._watch.record_sent()
 
     @property
     def writable(self) -> bool:
@@ -338,14 +399,43 @@
 
     def close(self) -> None:
         """Closes the connection after the buffered data is sent."""
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.close()
+            if self._transport.get_write_buffer_size():
+                self._start_timer(self._limits.idle_timeout_s, self._end_idle)
+
+    def offer_unsent_bytes(self) -> None:
+        """Enlarges the kernel's buffer, which takes what is unsent soon."""
+        if not self.unsent_bytes or self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        # The kernel counts its own overhead as well.
+        size += 2 * self.unsent_bytes
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
     def abort(self) -> None:
         """Resets the connection and discards buffered data."""
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
+    def _end_idle(self) -> None:
+        """Ends the connection unless its client still takes a response."""
+        limit_s = self._limits.idle_timeout_s
+        stall_s = self._watch.stall_s() if self._watch is not None else None
+        if stall_s is None:
+            self.close()
+        elif stall_s < limit_s:
+            self._start_timer(limit_s - stall_s, self._end_idle)
+        else:
+            self.abort()
+
+    def _begin_idle(self) -> None:
+        self._idle_since = asyncio.get_running_loop().time()
+        self._start_timer(self._limits.idle_timeout_s, self._end_idle)
+
     def _start_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
@@ -507,7 +597,7 @@
         self._h11.start_next_cycle()
         self._server.mark_idle(self)
         self._limits = self._server.limits
-        self._start_timer(self._limits.idle_timeout_s, self.close)
+        self._begin_idle()
         self._process_input()
 
 
@@ -542,9 +632,15 @@
         return self._limits()
 
     @property
-    def busy_count(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(not connection.idle for connection in self._connections)
+    def open_work(self) -> OpenWork:
+        """What the open connections still have to do."""
+        connections = self._connections
+        return OpenWork(
+            len(connections),
+            sum(not connection.idle for connection in connections),
+            sum(connection.has_begun for connection in connections),
+            sum(connection.unsent_bytes for connection in connections),
+        )
 
     @property
     def stopping(self) -> bool:
@@ -559,14 +655,18 @@
         """
         if len(self._connections) >= self.limits.connections:
             idle = next(
-                (other for other in self._connections if other.idle), None
+                (
+                    other
+                    for other in self._connections
+                    if other.idle and not other.is_closing
+                ),
+                None,
             )
             if idle is None:
                 self.report_refused(
                     errors.UnavailableError("too many connections")
                 )
                 return False
-            self.remove(idle)
             idle.close()
         self._connections[connection] = None
         return True
@@ -626,13 +726,25 @@
         """Closes each connection after its next response, not while idle."""
         self._stopping = True
 
-    def drain(self) -> None:
-        """Closes idle connections at once and others after their request."""
+    def drain(self, idle_s: float = 0.0) -> None:
+        """Closes idle connections, and others after their request.
+
+        Args:
+            idle_s: Time for which a connection must have been idle, seconds.
+        """
         self._stopping = True
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.idle_s > idle_s:
                 connection.close()
 
+    def offer_unsent_bytes(self) -> None:
+        """Makes the kernel take what is unsent, as far as its limit allows.
+
+        It sends that also after the process has exited.
+        """
+        for connection in self._connections:
+            connection.offer_unsent_bytes()
+
     def stop_listening(self) -> None:
         """Stops accepting connections; open ones are still served."""
         if self._server is not None:
