Hold a silent stream until the next endpoint accepts it

Callers of resumable streams got no whole answer when their endpoint fell silent for a while and the one that was reserved for them turned them away: a full one that rejects, one that has started anew since, one that refuses or breaks the connection. The silent one would have gone on.

Cause: the connection to the silent endpoint was closed before the request was sent to the next one.

Nothing is relayed meanwhile, so that no event comes twice: if the next endpoint accepts, what the first one sent meanwhile is dropped. If the next one rejects the request, refuses the connection or breaks it without a head, the first goes on, with event 420, and may be replaced again. A repeat that was rejected stays spent.

Not covered: a rejection that comes later than 0.2 s; an attempt that has no head yet (its caller gets a whole answer with an error, as no event was passed on).

Evidence, test_attempts_without_replacement.py, 40 streams: before, 40 of 40 were cut in 6 of 6 cases (rejects, has restarted, refuses connections; before the first event and within the stream); the 2 with a broken connection were written with the fix. After, 8 of 8 pass, and a stream leaves its endpoint within 0.35 s after the next one has it (that test passed before too). tests/platform, packages/router/tests, the budget tests of core and the conventions: 2029 passed, 2 xfailed, 3 xpassed.

--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from nutmegpost_router import http_server
 from nutmegpost_router import log
 from nutmegpost_router.gateway import crash_guard
+from nutmegpost_router.gateway import held_attempts
 from nutmegpost_router.gateway import links
 from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
@@ -274,12 +275,47 @@
         if not pending.is_relayed:
             # The gateway that relays a request has counted it.
             self._repeats.record_request(call)
-        while True:
-            if self._links.is_isolated:
-                pending.release_replacement()
-                await self._send_through_peers(pending)
-                return
-            load = self._replacements.take(pending)
+        held: held_attempts.HeldAttempt | None = None
+        try:
+            while True:
+                load = self._replacements.take(pending)
+                goes_on = load is None and held is not None and held.is_open
+                if self._links.is_isolated and not goes_on:
+                    await self._send_through_peers(pending)
+                    return
+                result = await self._attempt(pending, load, held)
+                held = result.held or held
+                if result.end is sending.AttemptEnd.ANSWERED:
+                    return
+        finally:
+            if held is not None:
+                held.end()
+
+    async def _attempt(
+        self,
+        pending: pending_request.PendingRequest,
+        load: pending_request.InFlightLoad | None,
+        held: held_attempts.HeldAttempt | None,
+    ) -> sending.AttemptResult:
+        """Makes an attempt, or goes on with the one before.
+
+        Args:
+            pending: The request.
+            load: Load of the attempt, if its endpoint is reserved.
+            held: The attempt before, if it was given up for another one.
+
+        Returns:
+            How the attempt ended.
+
+        Raises:
+            errors.RequestError: The request ends without another attempt.
+        """
+        if load is None and held is not None and held.is_open:
+            choice = held.stream.load.choice
+            self._record_kept(pending, choice)
+            pending.is_in_flight = True
+            result = await self._sender.go_on(pending, held)
+        else:
             if load is None:
                 choice = await self._choose_after_prefill(pending)
                 load = pending_request.InFlightLoad(
@@ -287,17 +323,24 @@
                 )
             choice = load.choice
             pending.is_in_flight = True
-            result = await self._sender.send(pending, load)
-            pending.is_in_flight = False
-            if result.is_unreachable:
-                await self._handle_unreachable(
-                    choice.endpoint, result.is_refused
-                )
-            self._record_result(pending, choice, result)
-            if result.end is sending.AttemptEnd.LOST:
-                await self._check_for_crash(pending, choice.endpoint)
-            if result.end is sending.AttemptEnd.ANSWERED:
-                return
+            result = await self._sender.send(pending, load, held)
+        pending.is_in_flight = False
+        if result.is_unreachable:
+            await self._handle_unreachable(choice.endpoint, result.is_refused)
+        self._record_result(pending, choice, result)
+        if result.end is sending.AttemptEnd.LOST:
+            await self._check_for_crash(pending, choice.endpoint)
+        return result
+
+    def _record_kept(
+        self, pending: pending_request.PendingRequest, choice: dispatch.Choice
+    ) -> None:
+        """Records that an attempt goes on that had been given up."""
+        pending.runs -= 1
+        pending.is_repeat_paid = False
+        self._replacements.log_kept(
+            pending, choice.endpoint.name, pending.reason
+        )
 
     async def _send_through_peers(
         self, pending: pending_request.PendingRequest
--- a/packages/router/nutmegpost_router/gateway/replacements.py
+++ b/packages/router/nutmegpost_router/gateway/replacements.py
@@ -99,16 +99,32 @@
         obstacle = self._reserve(pending, endpoint, now)
         if obstacle and not pending.is_kept:
             pending.is_kept = True
-            log.emit(
-                events.ATTEMPT_KEPT,
-                request=call.identity,
-                attempt=pending.attempts,
-                endpoint=endpoint,
-                after_ms=round((now - call.received) * 1000),
-                reason=obstacle,
-            )
+            self.log_kept(pending, endpoint, obstacle)
         return not obstacle
 
+    def log_kept(
+        self,
+        pending: pending_request.PendingRequest,
+        endpoint: str,
+        reason: str,
+    ) -> None:
+        """Logs that an attempt goes on that should be replaced.
+
+        Args:
+            pending: The request.
+            endpoint: Name of the endpoint of the attempt.
+            reason: Why nothing replaces it.
+        """
+        call = pending.call
+        log.emit(
+            events.ATTEMPT_KEPT,
+            request=call.identity,
+            attempt=pending.attempts,
+            endpoint=endpoint,
+            after_ms=round((_now() - call.received) * 1000),
+            reason=reason,
+        )
+
     def _reserve(
         self,
         pending: pending_request.PendingRequest,
@@ -163,12 +179,14 @@
 
         Returns:
             The load of the next attempt; None if nothing is reserved, or if
-            its endpoint takes no requests any more.
+            its endpoint takes no requests any more or cannot be reached.
         """
         replacement = pending.replacement
         if replacement is None:
             return None
-        if not self._state.is_open(replacement.choice.endpoint):
+        if self._links.is_isolated or not self._state.is_open(
+            replacement.choice.endpoint
+        ):
             pending.release_replacement()
             return None
         pending.replacement = None
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -16,6 +16,7 @@
 from nutmegpost_router import http_server
 from nutmegpost_router import log
 from nutmegpost_router.gateway import event_relay
+from nutmegpost_router.gateway import held_attempts
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import ports
@@ -67,6 +68,8 @@
         response: Failure response of the endpoint, or None.
         is_unreachable: Whether no connection to the endpoint could be made.
         is_refused: Whether the connection was refused.
+        held: The attempt, if it can go on should its replacement fail at
+            once; None otherwise.
     """
 
     end: AttemptEnd
@@ -74,6 +77,7 @@
     response: http_server.Response | None = None
     is_unreachable: bool = False
     is_refused: bool = False
+    held: held_attempts.HeldAttempt | None = None
 
 
 class Sender:
@@ -109,12 +113,15 @@
         self,
         pending: pending_request.PendingRequest,
         load: pending_request.InFlightLoad,
+        held: held_attempts.HeldAttempt | None,
     ) -> AttemptResult:
         """Makes one attempt and relays its response to the caller.
 
         Args:
             pending: The request; its attempt count is incremented.
             load: Load of the attempt, at the chosen endpoint; is released.
+            held: The attempt that this one replaces, or None. It is ended soon
+                unless this one fails at once.
 
         Returns:
             How the attempt ended. Unless it ended as ANSWERED, the response to
@@ -152,16 +159,53 @@
             if self._state.catalog
             else 0,
         )
+        result: AttemptResult | None = None
         try:
-            return await self._exchange(pending, choice, load)
+            result = await self._exchange(pending, choice, load, held)
         finally:
-            load.release()
+            if result is None or result.held is None:
+                load.release()
+            if held is not None:
+                # Without a head that accepts the request it can go on.
+                if result is not None:
+                    held.keep()
+                else:
+                    held.end()
+        return result
+
+    async def go_on(
+        self,
+        pending: pending_request.PendingRequest,
+        held: held_attempts.HeldAttempt,
+    ) -> AttemptResult:
+        """Goes on with an attempt whose replacement failed at once.
+
+        Args:
+            pending: The request.
+            held: The attempt, which is open.
+
+        Returns:
+            How the attempt ended, as `send` does.
+        """
+        stream = held.release()
+        pending.is_kept = False
+        result: AttemptResult | None = None
+        try:
+            result = await self._relay_to_end(pending, stream)
+        except BaseException:
+            stream.response.abort()
+            raise
+        finally:
+            if result is None or result.held is None:
+                stream.load.release()
+        return result
 
     async def _exchange(
         self,
         pending: pending_request.PendingRequest,
         choice: dispatch.Choice,
         load: pending_request.InFlightLoad,
+        held: held_attempts.HeldAttempt | None,
     ) -> AttemptResult:
         call = pending.call
         remaining_s = call.deadline - _now()
@@ -218,6 +262,7 @@
                 if repeatable
                 else _IDLE_LIMIT_ONCE_S,
                 extend=extend,
+                on_sent=held.end_soon if held else lambda: None,
             )
             load.record_sign()
         except http_client.ConnectError as caught:
@@ -230,7 +275,7 @@
         except http_client.ExchangeError as caught:
             return AttemptResult(AttemptEnd.LOST, str(caught))
         try:
-            return await self._read(pending, stream, choice, load)
+            return await self._read(pending, stream, choice, load, held)
         except BaseException:
             stream.abort()
             raise
@@ -257,11 +302,14 @@
         stream: http_client.Stream,
         choice: dispatch.Choice,
         load: pending_request.InFlightLoad,
+        held: held_attempts.HeldAttempt | None,
     ) -> AttemptResult:
         call = pending.call
         head = self._protocols.endpoint_protocol.read_response_head(
             call, stream.status, stream.fields
         )
+        if held is not None and head.verdict is not ports.Verdict.NOT_RUN:
+            held.end()
         is_copy = not (head.names_request or stream.is_first)
         if head.verdict is ports.Verdict.FOREIGN or is_copy:
             stream.abort()
@@ -343,24 +391,44 @@
             load,
             lambda: self._record_origin(pending, choice.endpoint),
         )
+        return await self._relay_to_end(
+            pending, held_attempts.OpenStream(stream, head, relay, load)
+        )
+
+    async def _relay_to_end(
+        self,
+        pending: pending_request.PendingRequest,
+        stream: held_attempts.OpenStream,
+    ) -> AttemptResult:
+        """Relays a stream from where it is to its end.
+
+        Returns:
+            How the attempt ended. It is held if it ended for a replacement.
+        """
+        response, head, relay, load = stream
         try:
-            await self._relay_first_event(pending, stream, relay, load)
-            if relay.event_count:
-                load.finish_prefill()
-                self._state.record_prefilled(
-                    pending.call, choice, _now() - load.started
-                )
-            await self._relay_rest(pending, stream, relay, load)
+            if not relay.event_count:
+                await self._relay_first_event(pending, response, relay, load)
+                if relay.event_count:
+                    load.finish_prefill()
+                    self._state.record_prefilled(
+                        pending.call, load.choice, _now() - load.started
+                    )
+            await self._relay_rest(pending, response, relay, load)
         except errors.PeerError as caught:
-            stream.abort()
-            return AttemptResult(AttemptEnd.LOST, str(caught))
+            held: held_attempts.HeldAttempt | None = None
+            if pending.replacement is not None:
+                held = held_attempts.HeldAttempt(stream)
+            else:
+                response.abort()
+            return AttemptResult(AttemptEnd.LOST, str(caught), held=held)
         if relay.is_within_event or not pending.exchange.started:
-            stream.abort()
+            response.abort()
             return AttemptResult(
                 AttemptEnd.LOST, "the stream ended within an event"
             )
         pending.exchange.finish()
-        stream.close_with_idle_timeout(head.idle_s)
+        response.close_with_idle_timeout(head.idle_s)
         return AttemptResult(AttemptEnd.ANSWERED)
 
     def _record_origin(
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -716,14 +716,16 @@
         fresh: bool = False,
         idle_limit_s: float = IDLE_LIMIT_S,
         extend: Callable[[], float] = lambda: 0.0,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> Stream:
         """Sends a request and waits for the head of its response.
 
         The arguments and errors are those of `request`, except that
         `timeout_s` is the maximum wait for the head only, `idle_limit_s` the
-        maximum time for which a reused connection may have been idle, and
+        maximum time for which a reused connection may have been idle,
         `extend` is called at the end of the wait and returns the time in
-        seconds for which to wait longer.
+        seconds for which to wait longer, and `on_sent` is called once there is
+        a connection and the request is sent.
 
         Returns:
             The response, whose body is still to be read.
@@ -732,6 +734,7 @@
         if connection is None:
             connection = await self._connect(address)
         connection.send(str(address), method, path, headers, body)
+        on_sent()
         try:
             await connection.read_head(_deadline(timeout_s), extend)
         except BaseException:
--- a/tests/platform/test_attempts_without_replacement.py
+++ b/tests/platform/test_attempts_without_replacement.py
@@ -75,6 +75,31 @@
 ]
 
 
+def _rejects(fleet):
+    fleet.runners["e2"].behaviors = [standin.reject] * STREAMS
+
+
+def _has_restarted(fleet):
+    fleet.runners["e2"].name = "another"
+
+
+def _breaks_connections(fleet):
+    fleet.runners["e2"].behaviors = [standin.drop_connection] * STREAMS
+
+
+def _refuses_connections(fleet):
+    server = fleet.runners["e2"].server
+    fleet.tasks.append(asyncio.create_task(server.close()))
+
+
+TURNS_AWAY = [
+    _rejects,
+    _has_restarted,
+    _breaks_connections,
+    _refuses_connections,
+]
+
+
 def _state(fleet):
     return fleet.gateways[0].local_state
 
@@ -217,3 +242,36 @@
             assert (await other).status == 200
 
     standin.run_scenario(scenario)
+
+
+# Guards against streams that are cut as their second endpoint turns them away.
+@pytest.mark.parametrize("stage", [Stage.HEAD, Stage.EVENTS])
+@pytest.mark.parametrize("turn_away", TURNS_AWAY)
+def test_streams_that_are_turned_away_elsewhere_go_on(turn_away, stage):
+    async def scenario():
+        async with _fleet(STREAMS) as fleet:
+            silence = _Silence(stage)
+            assert await _count_whole(fleet, silence, turn_away) == STREAMS
+
+    standin.run_scenario(scenario)
+
+
+# Guards against two endpoints that work on one stream.
+def test_stream_leaves_a_silent_endpoint_soon_after_the_next_one_has_it():
+    async def scenario():
+        async with _fleet(STREAMS) as fleet:
+            first = fleet.runners["e1"]
+            silence = _Silence(Stage.EVENTS)
+            first.behaviors = [silence.answer]
+            caller = asyncio.create_task(_ask(fleet, 0))
+            await fleet.wait_until(lambda: silence.held)
+            await _add_runner(fleet)
+            second = fleet.runners["e2"]
+            second.behaviors = [standin.hang]
+            await fleet.wait_until(lambda: second.executed)
+            arrived = asyncio.get_running_loop().time()
+            await fleet.wait_until(lambda: first.cancelled)
+            assert asyncio.get_running_loop().time() - arrived < 0.35
+            assert not await caller
+
+    standin.run_scenario(scenario)
