Send answers to their end before a router that stops exits

The same fault as in the gateway, on the path with owners: callers that read slowly lost the end of an answer when their router was stopped.

Cause: the router waited for requests in flight, closed its connections and exited, which drops what they had not sent.

Now the router ends the connections of callers and of its administration as the gateway does, by the same function, after the others know that it has left: until none is open, or its grace is over. The function hands what is unsent to the kernel itself, so that both programs do. It is the gateway's and the router's now, and moves up.

Looked for elsewhere: the gateway's control and directory servers already end by this function; the hand-over of permits waits for the reply of the successor, not for a write.

--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -18,6 +18,7 @@
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
+from nutmegpost_router import planned_stop
 from nutmegpost_router.gateway import caches
 from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import endpoint_news
@@ -28,7 +29,6 @@
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import peer_relay
 from nutmegpost_router.gateway import peers
-from nutmegpost_router.gateway import planned_stop
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import publications
 from nutmegpost_router.gateway import settings
--- a/packages/router/nutmegpost_router/gateway/planned_stop.py
+++ b/packages/router/nutmegpost_router/planned_stop.py
@@ -63,7 +63,6 @@
     while server.open_work.connections and _now() < stop_times.end:
         server.drain(stop_times.idle_s)
         await asyncio.sleep(_TICK_S)
-    server.offer_unsent_bytes()
 
 
 async def drain(
@@ -71,6 +70,8 @@
 ) -> http_server.OpenWork:
     """Serves open requests of several servers, for at least one tick.
 
+    Past the end the kernel gets what is unsent, in another tick.
+
     Args:
         servers: The servers.
         end: Monotonic time at which it ends, seconds.
@@ -81,12 +82,15 @@
     for server in servers:
         server.stop_listening()
     while True:
+        is_over = _now() >= end
         for server in servers:
             server.drain()
+            if is_over:
+                server.offer_unsent_bytes()
         await asyncio.sleep(_TICK_S)
         counts = zip(*(server.open_work for server in servers), strict=True)
         work = http_server.OpenWork(*map(sum, counts))
-        if not work.connections or _now() >= end:
+        if is_over or not work.connections:
             return work
 
 
--- a/packages/router/nutmegpost_router/router.py
+++ b/packages/router/nutmegpost_router/router.py
@@ -35,6 +35,7 @@
 from nutmegpost_router import metrics
 from nutmegpost_router import owner
 from nutmegpost_router import peers
+from nutmegpost_router import planned_stop
 from nutmegpost_router import relay
 from nutmegpost_router import rollouts
 from nutmegpost_router import services
@@ -149,12 +150,13 @@
         public, administration = await self._listen()
         self._start_tasks()
         await self._stop_requested.wait()
-        await self._drain(public)
+        end = self._now() + self._config.get("stop_grace_s", STOP_GRACE_S)
+        await self._drain(public, end)
         self._gossip.send(gossip.Stop())
         await asyncio.sleep(LEAVE_DELIVERY_S)
+        cut = await planned_stop.drain([public, administration], end)
         self._owner.stop()
         await self._links.close()
-        cut = public.open_work
         await public.close()
         await administration.close()
         for task in self._tasks:
@@ -675,15 +677,14 @@
 
     # Stop
 
-    async def _drain(self, public: http_server.HttpServer) -> None:
+    async def _drain(self, public: http_server.HttpServer, end: float) -> None:
         log.emit(events.PROCESS_STOPPING, name=self._name)
         self._chart.fire("stop")
         self._gossip.send(gossip.Leave())
         self._view.set_routers(self._live_routers())
         self._reconcile()
-        grace_s = self._config.get("stop_grace_s", STOP_GRACE_S)
         try:
-            async with asyncio.timeout(grace_s):
+            async with asyncio.timeout_at(end):
                 await self._handover.run(self._live_routers)
                 while self._is_busy():
                     await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -21,7 +21,13 @@
 from nutmegpost_standins import caller
 from nutmegpost_standins import http
 
-__all__ = ["Deployment", "Process", "deployment", "wait_until"]
+__all__ = [
+    "Deployment",
+    "Process",
+    "deployment",
+    "narrow_socket",
+    "wait_until",
+]
 
 ROOT = pathlib.Path(__file__).parents[1]
 START_TIMEOUT_S = 60.0
@@ -30,6 +36,9 @@
 _RELAY_HOST_OFFSET = 100
 _RELAY_CONTROL_PORT = 20099
 _RESERVATION_PORT = 20098
+_RECEIVE_BUFFER_BYTES = 4096
+# As beyond a loopback interface.
+_SEGMENT_BYTES = 1400
 
 
 class Process:
@@ -87,6 +96,15 @@
         return await self.wait(timeout)
 
 
+def narrow_socket() -> socket.socket:
+    """Returns a socket whose peer keeps most of a long answer unsent."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
+    return sock
+
+
 async def wait_until(
     condition: Callable[[], Any],
     description: str,
--- a/tests/platform/test_exits.py
+++ b/tests/platform/test_exits.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import signal
-import socket
 import sys
 
 import harness
@@ -13,9 +12,6 @@
 
 DEADLINE_MS = 10_000
 BODY = b"{}"
-# As of callers beyond a loopback interface.
-SEGMENT_BYTES = 1400
-RECEIVE_BUFFER_BYTES = 4096
 PIECE_BYTES = 8192
 PIECES = 50
 GRACE_S = 4.0
@@ -111,10 +107,7 @@
 
 @contextlib.asynccontextmanager
 async def _connect(gateway):
-    sock = socket.socket()
-    sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    sock = harness.narrow_socket()
     host, _, port = gateway.public_address.partition(":")
     with contextlib.closing(sock):
         loop = asyncio.get_running_loop()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -20,6 +20,7 @@
 ENGINES = 3
 SETTLE_S = 5.0
 CALL_TIMEOUT_S = 30.0
+LONG_ANSWER_BYTES = 400_000
 
 
 async def _issue_permit(deployment: harness.Deployment, router: str) -> str:
@@ -476,6 +477,36 @@
     _run(tmp_path, check)
 
 
+# Guards against an end of an answer that a stop drops.
+def test_stop_waits_until_an_answer_is_sent(tmp_path):
+    async def check(deployment: harness.Deployment):
+        loop = asyncio.get_running_loop()
+        host, port = http.split_address(deployment.address("router-1"))
+        permit = await _issue_permit(deployment, "router-1")
+        body = json.dumps({"text": "x" * LONG_ANSWER_BYTES})
+        path = f"/v1/services/{deployment.service}/{deployment.operation}"
+        request = (
+            f"POST {path} HTTP/1.1\r\nHost: {host}\r\n"
+            f"Authorization: Bearer {deployment.keys['press-line-1']}\r\n"
+            f"Idempotency-Key: {permit}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        )
+        with harness.narrow_socket() as sock:
+            await loop.sock_connect(sock, (host, port))
+            await loop.sock_sendall(sock, request.encode())
+            answer = await loop.sock_recv(sock, 4096)
+            assert answer.startswith(b"HTTP/1.1 200"), answer
+            process = deployment.processes["router-1"]
+            process.send_signal(signal.SIGTERM)
+            while data := await loop.sock_recv(sock, 4096):
+                answer += data
+                await asyncio.sleep(0.02)
+        assert answer.count(b"x") >= LONG_ANSWER_BYTES
+        assert await process.wait() == 0
+
+    _run(tmp_path, check)
+
+
 # The platform
 
 
