Leave a send buffer alone that is larger than an option can make it

At the end of a stop's grace the buffer of each connection with unsent bytes is set anew. SO_SNDBUF is capped at net.core.wmem_max, doubled; where that is small and the kernel had made the buffer larger by itself, the option would have made it smaller, and less would have gone to the caller. The test fails without the comparison (the buffer is set).

--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable
 import json
 import re
-import socket
 from typing import NamedTuple
 
 import h11
@@ -410,11 +409,7 @@
         """Enlarges the kernel's buffer, which takes what is unsent soon."""
         if not self.unsent_bytes or self._transport is None:
             return
-        sock = self._transport.get_extra_info("socket")
-        size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
-        # The kernel counts its own overhead as well.
-        size += 2 * self.unsent_bytes
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        sockets.enlarge_send_buffer(self._transport, self.unsent_bytes)
 
     def abort(self) -> None:
         """Resets the connection and discards buffered data."""
--- a/packages/router/nutmegpost_router/sockets.py
+++ b/packages/router/nutmegpost_router/sockets.py
@@ -10,7 +10,7 @@
 from nutmegpost_core import events
 from nutmegpost_router import log
 
-__all__ = ["PeerWatch"]
+__all__ = ["PeerWatch", "enlarge_send_buffer"]
 
 # Time after which unacknowledged data closes a connection.
 DEAD_PEER_TIMEOUT_S = 2
@@ -28,6 +28,36 @@
 _TCP_INFO = struct.Struct("=B23xI28xI60xQ16xI")
 
 
+# More than any system allows.
+_SEND_BUFFER_BYTES_MAX = 1 << 30
+
+
+def enlarge_send_buffer(transport: asyncio.BaseTransport, more: int) -> None:
+    """Lets the kernel take more data of a connection, as far as it allows.
+
+    Args:
+        transport: The connection.
+        more: Size of the data, bytes.
+    """
+    sock = transport.get_extra_info("socket")
+    size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+    # The kernel may have made the buffer larger than an option can.
+    if size < _largest_send_buffer():
+        # It counts its own overhead as well.
+        size += 2 * more
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
+@functools.cache
+def _largest_send_buffer() -> int:
+    """Returns the size of the largest send buffer to be had, bytes."""
+    with socket.socket() as sock:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES_MAX
+        )
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+
+
 class _Progress(NamedTuple):
     """How far the peer has acknowledged what was sent.
 
--- a/packages/router/tests/test_sockets.py
+++ b/packages/router/tests/test_sockets.py
@@ -236,3 +236,28 @@
         test_caller_that_went_silent_is_noticed_soon_while_it_is_answered()
     finally:
         sockets._tells_progress.cache_clear()
+
+
+class _Transport:
+    def __init__(self, sock):
+        self._socket = sock
+
+    def get_extra_info(self, _):
+        return self._socket
+
+
+def _send_buffer_bytes(sock):
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+
+
+def test_send_buffer_that_is_larger_than_an_option_can_make_it_stays(
+    monkeypatch,
+):
+    with socket.socket() as sock:
+        before = _send_buffer_bytes(sock)
+        monkeypatch.setattr(sockets, "_largest_send_buffer", lambda: before - 1)
+        sockets.enlarge_send_buffer(_Transport(sock), 1000)
+        assert _send_buffer_bytes(sock) == before
+        monkeypatch.undo()
+        sockets.enlarge_send_buffer(_Transport(sock), 1000)
+        assert _send_buffer_bytes(sock) > before
