--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -255,6 +255,8 @@
         log.emit(
             events.PROCESS_STOPPED, name=self._config["name"], **cut._asdict()
         )
+        # The process may be killed before it has exited.
+        log.flush()
 
     async def close(self) -> None:
         """Closes all servers and their connections."""
