--- a/tests/platform/test_attempts_without_replacement.py
+++ b/tests/platform/test_attempts_without_replacement.py
@@ -275,3 +275,39 @@
             assert not await caller
 
     standin.run_scenario(scenario)
+
+
+def test_streams_that_are_turned_away_elsewhere_take_no_unpaid_repeat():
+    async def scenario():
+        async with _fleet(REPEATS) as fleet:
+            silence = _Silence(Stage.EVENTS)
+            assert await _count_whole(fleet, silence, _rejects) == STREAMS
+            assert len(fleet.runners["e2"].received) == REPEATS
+
+    standin.run_scenario(scenario)
+
+
+def test_callers_that_leave_in_mid_change_leave_no_load_behind():
+    async def scenario():
+        async with _fleet(STREAMS) as fleet:
+            first = fleet.runners["e1"]
+            silence = _Silence(Stage.EVENTS)
+            first.behaviors = [silence.answer] * STREAMS
+            callers = [
+                asyncio.create_task(_ask(fleet, number))
+                for number in range(STREAMS)
+            ]
+            await fleet.wait_until(lambda: silence.held == STREAMS)
+            await _add_runner(fleet)
+            second = fleet.runners["e2"]
+            second.behaviors = [standin.hang] * STREAMS
+            await fleet.wait_until(lambda: second.executed)
+            for caller in callers:
+                caller.cancel()
+            await fleet.wait_until(lambda: len(first.cancelled) == STREAMS)
+            await fleet.wait_until(
+                lambda: len(second.cancelled) == len(second.executed)
+            )
+            await fleet.wait_until(lambda: not _state(fleet).loads.own)
+
+    standin.run_scenario(scenario)
