--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -13,9 +13,7 @@
 from nutmegpost_core import dispatch
 from nutmegpost_core import errors
 from nutmegpost_core import events
-from nutmegpost_core import roster
 from nutmegpost_core import timeouts
-from nutmegpost_core import vms
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
@@ -24,6 +22,7 @@
 from nutmegpost_router.gateway import links
 from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
+from nutmegpost_router.gateway import losses
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import peer_relay
 from nutmegpost_router.gateway import pending_request
@@ -41,15 +40,10 @@
 _LOST_FAILURE_WEIGHT = 2.0
 # Interval at which a waiting request checks whether a prefill has finished.
 _PREFILL_POLL_S = 0.02
-# A lost response and a refused connection within this time count as one crash;
-# a crashed endpoint is back after a few seconds.
-_CRASH_WINDOW_S = 3.0
 # Bad Gateway: the endpoint failed before the deadline.
 _STATUS_BAD_GATEWAY = 502
 # Lowest status of an answer that is no success.
 _STATUS_FAILURE = 300
-# Longest time that a request waits for the probe of its endpoint.
-_PROBE_WAIT_S = 0.05
 # Retry-After values by reason. Endpoints and configurations are read twice a
 # second; a full endpoint has a free slot after one or two responses.
 _RETRY_AFTER_NO_ENDPOINT_S = 0.5
@@ -61,20 +55,6 @@
 _RETRY_AFTER_STOPPING_S = 0.1
 
 
-class _LostAttempt(NamedTuple):
-    """A request that was lost before its answer began.
-
-    Attributes:
-        at: Monotonic time, seconds.
-        fingerprint: Identifies the request and its parts.
-        call: The request.
-    """
-
-    at: float
-    fingerprint: pending_request.Fingerprint
-    call: calls.Call
-
-
 class _Stop(NamedTuple):
     """Times of a planned stop, monotonic, seconds.
 
@@ -119,9 +99,7 @@
         """
         self._state = local_state
         self._protocols = protocols
-        self._client = client
         self._counters = counters
-        self._load_exchange = load_exchange
         self._queries = queries
         self._crashes = crashes
         self._origins = origins
@@ -139,8 +117,9 @@
             origins,
             self._replacements,
         )
-        self._probes: set[asyncio.Task[None]] = set()
-        self._lost_attempts: dict[str, list[_LostAttempt]] = {}
+        self._losses = losses.Losses(
+            local_state, client, load_exchange, crashes, endpoint_links
+        )
         self._stop: _Stop | None = None
         # The requests that are being forwarded, and what ends them.
         self._open: dict[pending_request.PendingRequest, asyncio.Timeout] = {}
@@ -326,10 +305,12 @@
             result = await self._sender.send(pending, load, held)
         pending.is_in_flight = False
         if result.is_unreachable:
-            await self._handle_unreachable(choice.endpoint, result.is_refused)
+            await self._losses.handle_unreachable(
+                choice.endpoint, result.is_refused
+            )
         self._record_result(pending, choice, result)
         if result.end is sending.AttemptEnd.LOST:
-            await self._check_for_crash(pending, choice.endpoint)
+            await self._losses.check_for_crash(pending, choice.endpoint)
         return result
 
     def _record_kept(
@@ -595,7 +576,7 @@
             result.end is sending.AttemptEnd.LOST
             and not pending.has_relayed_event
         ):
-            self._record_lost(name, pending, now)
+            self._losses.record(name, pending, now)
         self._counters.attempt_failed(result.end)
         log.emit(
             events.ATTEMPT_FAILED,
@@ -608,73 +589,6 @@
             begun=pending.has_relayed_event,
         )
 
-    def _record_lost(
-        self, name: str, pending: pending_request.PendingRequest, now: float
-    ) -> None:
-        """Records a lost request until a crash can no longer explain it."""
-        oldest = now - _CRASH_WINDOW_S
-        self._lost_attempts = {
-            endpoint: recent
-            for endpoint, attempts in self._lost_attempts.items()
-            if (
-                recent := [
-                    attempt for attempt in attempts if attempt.at >= oldest
-                ]
-            )
-        }
-        # Keeps no reference to the body of the request.
-        self._lost_attempts.setdefault(name, []).append(
-            _LostAttempt(now, pending.fingerprint, pending.call)
-        )
-
-    async def _check_for_crash(
-        self, pending: pending_request.PendingRequest, endpoint: roster.Endpoint
-    ) -> None:
-        """Checks whether an endpoint went down while it ran a request.
-
-        Raises:
-            errors.AttemptLostError: The request crashed endpoints and is not
-                sent again.
-        """
-        probe = asyncio.create_task(self._probe_endpoint(endpoint))
-        self._probes.add(probe)
-        probe.add_done_callback(self._probes.discard)
-        await asyncio.wait([probe], timeout=_PROBE_WAIT_S)
-        if self._crashes.is_refused(pending.fingerprint, _now()):
-            raise errors.AttemptLostError(
-                "this request crashes endpoints", status=_STATUS_BAD_GATEWAY
-            )
-
-    async def _probe_endpoint(self, endpoint: roster.Endpoint) -> None:
-        try:
-            await self._client.probe(vms.parse_address(endpoint.address))
-        except http_client.ConnectError as caught:
-            await self._handle_unreachable(endpoint, caught.refused)
-
-    async def _handle_unreachable(
-        self, endpoint: roster.Endpoint, is_refused: bool
-    ) -> None:
-        """Marks an endpoint as down unless none can be reached from here.
-
-        Args:
-            endpoint: An endpoint to which no connection could be made.
-            is_refused: Whether it refused the connection.
-        """
-        is_isolated = await self._links.check(endpoint)
-        if is_refused and not is_isolated:
-            self._handle_endpoint_down(endpoint)
-
-    def _handle_endpoint_down(self, endpoint: roster.Endpoint) -> None:
-        """Marks an endpoint as down and charges the requests it just lost."""
-        now = _now()
-        name = endpoint.name
-        self._state.mark_endpoint_down(name)
-        self._load_exchange.queue_endpoint_down(name)
-        for at, fingerprint, call in self._lost_attempts.pop(name, []):
-            if now - at > _CRASH_WINDOW_S:
-                continue
-            self._crashes.charge(fingerprint, call, endpoint, now)
-
     def _send_error(
         self,
         exchange: http_server.Exchange,
