End the wait of a planned stop when the grace is over, not a tick later

A test that a stopped gateway exits within the grace failed once in 6 runs beside five busy processes: the last look could come a tick (0.1 s) after the end, out of the 0.4 s that are kept for the exit.

The last wait now lasts until the end at the longest.

--- a/packages/router/nutmegpost_router/planned_stop.py
+++ b/packages/router/nutmegpost_router/planned_stop.py
@@ -62,7 +62,7 @@
     await asyncio.sleep(_TICK_S)
     while server.open_work.connections and _now() < stop_times.end:
         server.drain(stop_times.idle_s)
-        await asyncio.sleep(_TICK_S)
+        await asyncio.sleep(min(_TICK_S, stop_times.end - _now()))
 
 
 async def drain(
