Keep the limit of connections when evicted ones have unsent responses

An idle connection with nothing unsent is closed first; if there is none, the one whose client has been taking a response for longest is reset.

--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -411,6 +411,13 @@
             return
         sockets.enlarge_send_buffer(self._transport, self.unsent_bytes)
 
+    def evict(self) -> None:
+        """Ends the idle connection at once."""
+        if self.unsent_bytes:
+            self.abort()
+        else:
+            self.close()
+
     def abort(self) -> None:
         """Resets the connection and discards buffered data."""
         self._is_closed_here = True
@@ -654,23 +661,29 @@
             False when the limit is reached and no connection is idle.
         """
         if len(self._connections) >= self.limits.connections:
-            idle = next(
-                (
-                    other
-                    for other in self._connections
-                    if other.idle and not other.is_closing
-                ),
-                None,
-            )
+            idle = self._find_evictable()
             if idle is None:
                 self.report_refused(
                     errors.UnavailableError("too many connections")
                 )
                 return False
-            idle.close()
+            idle.evict()
         self._connections[connection] = None
         return True
 
+    def _find_evictable(self) -> _Connection | None:
+        """Returns the connection that has been idle longest, or None.
+
+        One whose client still takes a response is the last choice.
+        """
+        unsent: _Connection | None = None
+        for connection in self._connections:
+            if connection.idle and connection.unsent_bytes:
+                unsent = unsent or connection
+            elif connection.idle and not connection.is_closing:
+                return connection
+        return unsent
+
     def mark_idle(self, connection: _Connection) -> None:
         """Moves a connection to the end of the eviction order."""
         if connection in self._connections:
--- a/packages/router/tests/test_http.py
+++ b/packages/router/tests/test_http.py
@@ -205,6 +205,32 @@
     _run(_echo, run_client, limits=lambda: http_server.Limits(connections=2))
 
 
+# Guards against connections beyond the limit that hold unsent responses.
+def test_connection_over_limit_ends_one_whose_client_takes_nothing():
+    counts = []
+
+    async def main():
+        async def answer(exchange):
+            exchange.send(http_server.Response(200, [], b"x" * 8_000_000))
+
+        server, address = await _start_server(
+            answer, limits=lambda: http_server.Limits(connections=2)
+        )
+        writers = []
+        for _ in range(6):
+            _, writer = await asyncio.open_connection(*address, limit=64)
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            writers.append(writer)
+            await asyncio.sleep(0.1)
+            counts.append(server.open_work.connections)
+        for writer in writers:
+            writer.transport.abort()
+        await server.close()
+
+    asyncio.run(main())
+    assert max(counts) == 2
+
+
 def test_connection_is_refused_when_all_others_are_busy():
     gate = _Gate()
     refused = []
