Let a silent stream go on only if the next endpoint has not run it

- A caller that left while the endpoint was probed left a held stream behind that nobody ended: its endpoint worked on, and its load stayed.
The attempt is held before anything is waited for, and is no longer probed, as its open connection shows that the endpoint is up.
- What the first endpoint sent before the next one had the request was dropped: the stream was cut although its end lay in the buffer.
Now the request is not sent then, and the stream goes on (up to a second is spent on a connect).
- A rejection whose body comes late ended the stream, as the time limit ran on.
- An endpoint that fails the request, breaks the connection or gives a foreign answer may have run it.
The first one went on in the second case: two endpoints could work on one stream for longer than the 400 ms of rule TWICE.
Now the first one ends; what breaks off there is the endpoint's failure.

--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -264,8 +264,9 @@
                 if self._links.is_isolated and not goes_on:
                     await self._send_through_peers(pending)
                     return
-                result = await self._attempt(pending, load, held)
+                choice, result = await self._attempt(pending, load, held)
                 held = result.held or held
+                await self._handle_result(pending, choice, result)
                 if result.end is sending.AttemptEnd.ANSWERED:
                     return
         finally:
@@ -277,7 +278,7 @@
         pending: pending_request.PendingRequest,
         load: pending_request.InFlightLoad | None,
         held: held_attempts.HeldAttempt | None,
-    ) -> sending.AttemptResult:
+    ) -> tuple[dispatch.Choice, sending.AttemptResult]:
         """Makes an attempt, or goes on with the one before.
 
         Args:
@@ -286,7 +287,7 @@
             held: The attempt before, if it was given up for another one.
 
         Returns:
-            How the attempt ended.
+            The endpoint of the attempt, and how it ended.
 
         Raises:
             errors.RequestError: The request ends without another attempt.
@@ -306,14 +307,30 @@
             pending.is_in_flight = True
             result = await self._sender.send(pending, load, held)
         pending.is_in_flight = False
+        return choice, result
+
+    async def _handle_result(
+        self,
+        pending: pending_request.PendingRequest,
+        choice: dispatch.Choice,
+        result: sending.AttemptResult,
+    ) -> None:
+        """Records how an attempt ended, and checks its endpoint if it failed.
+
+        Raises:
+            errors.RequestError: The request ends without another attempt.
+        """
+        if result.is_withdrawn:
+            pending.reason = result.reason
+            return
         if result.is_unreachable:
             await self._losses.handle_unreachable(
                 choice.endpoint, result.is_refused
             )
         self._record_result(pending, choice, result)
-        if result.end is sending.AttemptEnd.LOST:
+        # The connection of a held attempt shows that its endpoint is up.
+        if result.end is sending.AttemptEnd.LOST and result.held is None:
             await self._losses.check_for_crash(pending, choice.endpoint)
-        return result
 
     def _record_kept(
         self, pending: pending_request.PendingRequest, choice: dispatch.Choice
--- a/packages/router/nutmegpost_router/gateway/held_attempts.py
+++ b/packages/router/nutmegpost_router/gateway/held_attempts.py
@@ -31,7 +31,7 @@
 
 
 class HeldAttempt:
-    """A silent stream that goes on if its replacement fails at once."""
+    """A silent stream that goes on if its replacement is rejected at once."""
 
     def __init__(self, stream: OpenStream):
         """Holds a stream.
@@ -53,15 +53,30 @@
         """Whether the stream can go on."""
         return self._is_open
 
-    def end_soon(self) -> None:
-        """Ends the attempt soon, as another endpoint has the request."""
-        loop = asyncio.get_running_loop()
+    def yield_to_next(self) -> bool:
+        """Ends the attempt soon, as the next endpoint gets the request now.
+
+        Returns:
+            Whether the next endpoint is to get it; False if this one has sent
+            something meanwhile, and the attempt is to go on.
+        """
         self._stop_timer()
+        if self._stream.response.has_unread_data:
+            return False
+        loop = asyncio.get_running_loop()
         self._timer = loop.call_later(_OVERLAP_MAX_S, self.end)
+        return True
 
-    def keep(self) -> None:
-        """Keeps the attempt open, as its replacement has failed."""
-        self._stop_timer()
+    def settle(self, is_rejected: bool) -> None:
+        """Ends the attempt, unless the next endpoint has not run the request.
+
+        Args:
+            is_rejected: Whether it has not.
+        """
+        if is_rejected:
+            self._stop_timer()
+        else:
+            self.end()
 
     def release(self) -> OpenStream:
         """Returns the stream, which goes on and is no longer held."""
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -68,6 +68,8 @@
         response: Failure response of the endpoint, or None.
         is_unreachable: Whether no connection to the endpoint could be made.
         is_refused: Whether the connection was refused.
+        is_withdrawn: Whether the request was not sent, as the attempt before
+            goes on.
         held: The attempt, if it can go on should its replacement fail at
             once; None otherwise.
     """
@@ -77,6 +79,7 @@
     response: http_server.Response | None = None
     is_unreachable: bool = False
     is_refused: bool = False
+    is_withdrawn: bool = False
     held: held_attempts.HeldAttempt | None = None
 
 
@@ -121,7 +124,7 @@
             pending: The request; its attempt count is incremented.
             load: Load of the attempt, at the chosen endpoint; is released.
             held: The attempt that this one replaces, or None. It is ended soon
-                unless this one fails at once.
+                unless the endpoint rejects this one at once.
 
         Returns:
             How the attempt ended. Unless it ended as ANSWERED, the response to
@@ -166,11 +169,10 @@
             if result is None or result.held is None:
                 load.release()
             if held is not None:
-                # Without a head that accepts the request it can go on.
-                if result is not None:
-                    held.keep()
-                else:
-                    held.end()
+                # An endpoint that may have run the request takes it over.
+                held.settle(
+                    result is not None and result.end is AttemptEnd.NOT_RUN
+                )
         return result
 
     async def go_on(
@@ -262,9 +264,13 @@
                 if repeatable
                 else _IDLE_LIMIT_ONCE_S,
                 extend=extend,
-                on_sent=held.end_soon if held else lambda: None,
+                may_send=held.yield_to_next if held else lambda: True,
             )
             load.record_sign()
+        except http_client.WithdrawnError as caught:
+            return AttemptResult(
+                AttemptEnd.NOT_RUN, str(caught), is_withdrawn=True
+            )
         except http_client.ConnectError as caught:
             return AttemptResult(
                 AttemptEnd.NOT_RUN,
@@ -308,8 +314,8 @@
         head = self._protocols.endpoint_protocol.read_response_head(
             call, stream.status, stream.fields
         )
-        if held is not None and head.verdict is not ports.Verdict.NOT_RUN:
-            held.end()
+        if held is not None:
+            held.settle(head.verdict is ports.Verdict.NOT_RUN)
         is_copy = not (head.names_request or stream.is_first)
         if head.verdict is ports.Verdict.FOREIGN or is_copy:
             stream.abort()
--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -29,6 +29,7 @@
     "ReadTimeoutError",
     "Response",
     "Stream",
+    "WithdrawnError",
 ]
 
 Headers = Mapping[str, str] | Sequence[tuple[str, str]]
@@ -70,6 +71,10 @@
     """The exchange failed after the connect: the request may have arrived."""
 
 
+class WithdrawnError(errors.PeerError):
+    """The request was not sent, as it was not needed any more."""
+
+
 class BodyTooLargeError(ExchangeError):
     """The body of the response is larger than the limit."""
 
@@ -211,6 +216,11 @@
                 return
         self._wake()
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether a part of the body, or its end, waits to be read."""
+        return self._error is None and bool(self._body or self.complete)
+
     def next_cycle(self) -> None:
         """Resets the state for the next request."""
         self._stop_timer()
@@ -517,6 +527,11 @@
         """Whether this is the first response on its connection."""
         return self._connection.exchange_count == 0
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether a part of the body, or its end, waits to be read."""
+        return self._connection.has_unread_data
+
     async def read(self, timeout_s: float) -> bytes:
         """Returns the body data received so far, waiting for some if none.
 
@@ -726,7 +741,7 @@
         fresh: bool = False,
         idle_limit_s: float = IDLE_LIMIT_S,
         extend: Callable[[], float] = lambda: 0.0,
-        on_sent: Callable[[], None] = lambda: None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Stream:
         """Sends a request and waits for the head of its response.
 
@@ -734,17 +749,22 @@
         `timeout_s` is the maximum wait for the head only, `idle_limit_s` the
         maximum time for which a reused connection may have been idle,
         `extend` is called at the end of the wait and returns the time in
-        seconds for which to wait longer, and `on_sent` is called once there is
-        a connection and the request is sent.
+        seconds for which to wait longer, and `may_send` is called once there
+        is a connection and returns whether to send the request.
 
         Returns:
             The response, whose body is still to be read.
+
+        Raises:
+            WithdrawnError: The request was not sent.
         """
         connection = None if fresh else self._take_idle(address, idle_limit_s)
         if connection is None:
             connection = await self._connect(address)
+        if not may_send():
+            self.return_to_pool(address, connection)
+            raise WithdrawnError("the request is not needed any more")
         connection.send(str(address), method, path, headers, body)
-        on_sent()
         try:
             await connection.read_head(_deadline(timeout_s), extend)
         except BaseException:
