Add a test of an answer that a reset cuts as the gateway stops

Known red: the remedy is to end the sending side, and to read and discard until the caller ends its own, within a bound.

--- a/tests/platform/test_exits.py
+++ b/tests/platform/test_exits.py
@@ -247,3 +247,23 @@
             assert (await caller.read_head()).startswith(b"HTTP/1.1 ")
 
     standin.run_scenario(scenario)
+
+
+# Guards against resets that discard the end of an answer.
+def test_answer_is_whole_though_the_next_request_comes_before_its_end(tmp_path):
+    async def scenario():
+        async with (
+            _gateway(tmp_path) as (gateway, fleet),
+            _connect(gateway) as caller,
+        ):
+            fleet.runners["p1"].behaviors = [_answer_at_length]
+            await caller.send("/look/1", "long")
+            data = await caller.read_head()
+            gateway.send_signal(signal.SIGTERM)
+            while data.count(b"x") < PIECE_BYTES * PIECES // 2:
+                data += await caller.read(PAUSE_S)
+            await caller.send("/look/2", "next")
+            data += await caller.read_to_end()
+            assert data.count(b"x") >= PIECE_BYTES * PIECES
+
+    standin.run_scenario(scenario)
