Discard what a caller sends while the end of its answer is sent

A caller that sent its next request before it had the whole answer lost the end of the answer when the gateway stopped.

Cause: a connection that closes was read no more while its buffer was sent. Unread bytes at the closing make the kernel reset it and drop what it had.

A connection that has unsent bytes when it is to close now ends its sending side after them, and what comes is read and discarded until the caller closes its side, for at most the idle timeout, as for any silent caller.

--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -257,6 +257,7 @@
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
+        self._is_ended = False
         self.lost = asyncio.Event()
         self.cancels_handler_on_disconnect = False
 
@@ -287,7 +288,9 @@
     @property
     def is_closing(self) -> bool:
         """Whether it closes once the buffered data is sent."""
-        return self._transport is not None and self._transport.is_closing()
+        if self._transport is None:
+            return False
+        return self._is_ended or self._transport.is_closing()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection; closes it when there are too many."""
@@ -321,6 +324,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data unless a request is still being handled."""
+        if self._is_ended:
+            return
         self._h11.receive_data(data)
         if self._task is None:
             if self._h11.their_state is h11.IDLE and self._head is None:
@@ -334,8 +339,8 @@
         return False
 
     def send(self, event: h11.Event) -> None:
-        """Serializes and writes an event; does nothing after a disconnect."""
-        if self.lost.is_set():
+        """Serializes and writes an event, unless the connection has ended."""
+        if self.lost.is_set() or self._is_ended:
             return
         data = self._h11.send(event)
         if data and self._transport is not None:
@@ -364,6 +369,8 @@
         A chunk does not change the state of h11. Framing it here costs a tenth
         of what h11 takes for each event of a stream.
         """
+        if self._is_ended:
+            return
         if not (self._sends_chunks and data):
             self.send(h11.Data(data=data))
         elif not self.lost.is_set() and self._transport is not None:
@@ -380,9 +387,19 @@
             await self._writable.wait()
 
     def close(self) -> None:
-        """Closes the connection after the buffered data is sent."""
-        if self._transport is not None:
+        """Closes the connection after the buffered data is sent.
+
+        Until the client has it and closes its side, what comes is discarded:
+        unread bytes at the closing would reset the connection.
+        """
+        if self._transport is None or self.is_closing:
+            return
+        if not self.unsent_bytes:
             self._transport.close()
+            return
+        self._is_ended = True
+        self._transport.write_eof()
+        self._start_timer(self._limits.idle_timeout_s, self._transport.close)
 
     def offer_unsent_bytes(self) -> None:
         """Enlarges the kernel's buffer, which takes what is unsent soon."""
