--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -264,6 +264,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_closed_here = False
         self._idle_since = 0.0
+        self._is_ended = False
         self.lost = asyncio.Event()
         self.loss_reason = ""
         self.cancels_handler_on_disconnect = False
@@ -334,6 +335,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data unless a request is still being handled."""
+        if self._is_ended:
+            return
         self._h11.receive_data(data)
         if self._task is None:
             if self._h11.their_state is h11.IDLE and self._head is None:
@@ -347,8 +350,8 @@
         return False
 
     def send(self, event: h11.Event) -> None:
-        """Serializes and writes an event; does nothing after a disconnect."""
-        if self.lost.is_set():
+        """Serializes and writes an event, unless the connection has ended."""
+        if self.lost.is_set() or self._is_ended:
             return
         data = self._h11.send(event)
         if data:
@@ -377,6 +380,8 @@
         A chunk does not change the state of h11. Framing it here costs a tenth
         of what h11 takes for each event of a stream.
         """
+        if self._is_ended:
+            return
         if not (self._sends_chunks and data):
             self.send(h11.Data(data=data))
         elif not self.lost.is_set():
@@ -398,12 +403,20 @@
             await self._writable.wait()
 
     def close(self) -> None:
-        """Closes the connection after the buffered data is sent."""
+        """Closes the connection after the buffered data is sent.
+
+        Until the client has it and closes its side, what comes is discarded:
+        unread bytes at the closing would reset the connection.
+        """
+        if self._transport is None or self._is_ended:
+            return
         self._is_closed_here = True
-        if self._transport is not None:
+        if not self.unsent_bytes:
             self._transport.close()
-            if self._transport.get_write_buffer_size():
-                self._start_timer(self._limits.idle_timeout_s, self._end_idle)
+            return
+        self._is_ended = True
+        self._transport.write_eof()
+        self._start_timer(self._limits.idle_timeout_s, self._end_idle)
 
     def offer_unsent_bytes(self) -> None:
         """Enlarges the kernel's buffer, which takes what is unsent soon."""
@@ -412,11 +425,12 @@
         sockets.enlarge_send_buffer(self._transport, self.unsent_bytes)
 
     def evict(self) -> None:
-        """Ends the idle connection at once."""
+        """Ends the connection at once, without its unsent bytes if any."""
         if self.unsent_bytes:
             self.abort()
-        else:
-            self.close()
+        elif self._transport is not None:
+            self._is_closed_here = True
+            self._transport.close()
 
     def abort(self) -> None:
         """Resets the connection and discards buffered data."""
@@ -432,12 +446,10 @@
         """Ends the connection unless its client still takes a response."""
         limit_s = self._limits.idle_timeout_s
         stall_s = self._watch.stall_s() if self._watch is not None else None
-        if stall_s is None:
-            self.close()
-        elif stall_s < limit_s:
+        if stall_s is not None and stall_s < limit_s:
             self._start_timer(limit_s - stall_s, self._end_idle)
         else:
-            self.abort()
+            self.evict()
 
     def _begin_idle(self) -> None:
         self._idle_since = asyncio.get_running_loop().time()
