--- a/tests/platform/test_attempts_without_replacement.py
+++ b/tests/platform/test_attempts_without_replacement.py
@@ -84,6 +84,15 @@
     fleet.runners["e2"].behaviors = [standin.reject] * STREAMS
 
 
+def _rejects_late(fleet):
+    fleet.runners["e2"].behaviors = [_reject_late] * STREAMS
+
+
+async def _reject_late(runner, exchange):
+    await asyncio.sleep(OVERLAP_S)
+    await standin.reject(runner, exchange)
+
+
 def _has_restarted(fleet):
     fleet.runners["e2"].name = "another"
 
@@ -276,6 +285,17 @@
     standin.run_scenario(scenario)
 
 
+# Guards against streams that are cut as a second endpoint rejects them late.
+def test_streams_that_are_rejected_late_elsewhere_go_on():
+    async def scenario():
+        async with _fleet(STREAMS) as fleet:
+            silence = _Silence(Stage.EVENTS)
+            whole = await _count_whole(fleet, silence, _rejects_late)
+            assert whole == STREAMS
+
+    standin.run_scenario(scenario)
+
+
 # Guards against two endpoints that work on one stream.
 @pytest.mark.parametrize("behavior", [standin.hang, *FAILURES])
 def test_stream_leaves_a_silent_endpoint_soon_after_the_next_one_has_it(
