Look at a rejection that came in time before a held stream is ended

Trace: the requests were sent within 52 ms, all rejections were handled 215 ms later, as one event loop ran the gateway, the endpoint and 40 callers; the limit of 0.2 s ended the first three before.

Where the loop is late, the limit is now looked at after what has been received meanwhile was handled. No test shows this alone: one with an endpoint in a thread hung on the code before and was dropped.

--- a/packages/router/nutmegpost_router/gateway/held_attempts.py
+++ b/packages/router/nutmegpost_router/gateway/held_attempts.py
@@ -64,9 +64,17 @@
         if self._stream.response.has_unread_data:
             return False
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(_OVERLAP_MAX_S, self.end)
+        self._timer = loop.call_later(_OVERLAP_MAX_S, self._end_unless_settled)
         return True
 
+    def _end_unless_settled(self) -> None:
+        """Ends the attempt after what has been received is handled.
+
+        If the event loop is late, a rejection may have come in time.
+        """
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(0, self.end)
+
     def settle(self, is_rejected: bool) -> None:
         """Ends the attempt, unless the next endpoint has not run the request.
 
