--- a/packages/router/nutmegpost_router/gateway/settings.py
+++ b/packages/router/nutmegpost_router/gateway/settings.py
@@ -3,7 +3,7 @@
 docs/SETTINGS.md explains each field.
 """
 
-from typing import Annotated, TypedDict
+from typing import Annotated, Literal, NotRequired, TypedDict
 
 import msgspec
 
@@ -70,6 +70,23 @@
         descriptors_max: Maximum number of open file descriptors.
         memory_mb: Maximum memory of the process, in units of 1e6 bytes.
         load_multiple: Load bound of an endpoint as a multiple of the mean.
+        evacuation_limit_ms: Time from the publication that a zone is
+            evacuated until its endpoints must get no requests, milliseconds;
+            0 if zones are never evacuated.
+        cold_overage: Requests per second of a cold endpoint, over all
+            gateways, as a multiple of the rate that its service names.
+        cold_slack: Requests added to that in each second. Cold endpoints are
+            limited only if both keys are given.
+        contention_queue_max: Requests that wait for room at this gateway; 0
+            for none.
+        large_fleet_gateways: Number of gateways above which a fleet is large;
+            0 if none is.
+        cpu_share: Share of each core that the VM may use.
+        cores: Number of cores of the VM.
+        link_mbps: Bandwidth of the VM's link, megabits per second.
+        hedge_ratio: Second attempts per request of a service; 0 for none.
+        hedge_evidence: What a second attempt needs: `speed`, a slow first
+            endpoint by its own report, or `latency`, a late first attempt.
     """
 
     name: str
@@ -95,6 +112,22 @@
     descriptors_max: Annotated[int, msgspec.Meta(ge=64)]
     memory_mb: Annotated[int, msgspec.Meta(ge=32)]
     load_multiple: Annotated[float, msgspec.Meta(ge=1)]
+    evacuation_limit_ms: NotRequired[
+        Annotated[int, msgspec.Meta(ge=0, le=600_000)]
+    ]
+    cold_overage: NotRequired[Annotated[float, msgspec.Meta(ge=0)]]
+    cold_slack: NotRequired[Annotated[float, msgspec.Meta(ge=0)]]
+    contention_queue_max: NotRequired[
+        Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+    ]
+    large_fleet_gateways: NotRequired[
+        Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+    ]
+    cpu_share: NotRequired[Annotated[float, msgspec.Meta(gt=0)]]
+    cores: NotRequired[Annotated[float, msgspec.Meta(gt=0)]]
+    link_mbps: NotRequired[Annotated[float, msgspec.Meta(gt=0)]]
+    hedge_ratio: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=1)]]
+    hedge_evidence: NotRequired[Literal["speed", "latency"]]
 
 
 def parse(data: bytes, source: str) -> GatewaySettings:
