Refuse invalid statuses and answers that end before their upload

The client now compares the end of a body without a length with what the endpoint has acknowledged of the request, and refuses statuses above 599. The server skips one CRLF before a request (RFC 9112, section 2.2) instead of answering 400.

--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -52,6 +52,8 @@
 CHUNKS_PER_S = 1_000
 # Interim (1xx) responses before a response; more are an endless head.
 INTERIM_RESPONSES_MAX = 16
+# RFC 9110, section 15: other statuses are invalid.
+_STATUS_MAX = 599
 
 
 class ConnectError(errors.PeerError):
@@ -182,6 +184,14 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def _is_request_outstanding(self) -> bool:
+        """Whether the server has not acknowledged the whole request."""
+        assert self._transport is not None
+        if self._transport.get_write_buffer_size():
+            return True
+        return self._watch is not None and self._watch.is_outstanding()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the socket options of the new connection."""
         assert isinstance(transport, asyncio.Transport)
@@ -189,10 +199,19 @@
         self._watch = sockets.PeerWatch(transport, self._end_dead)
 
     def eof_received(self) -> bool:
-        """Marks the end of a body without a length."""
+        """Marks the end of a body without a length.
+
+        A server that has not received the whole request may close and then
+        reset the connection. What it sent may then be only a part of the body,
+        although the connection seems to end regularly.
+        """
         self._at_eof = True
         if self._error is None and not self.complete:
-            self._feed(b"")
+            if self._is_request_outstanding:
+                self._error = "closed before the server had the whole request"
+                self._wake()
+            else:
+                self._feed(b"")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -409,6 +428,10 @@
             if isinstance(event, h11.Data):
                 self._add_body(event.data)
             elif isinstance(event, h11.Response):
+                if event.status_code > _STATUS_MAX:
+                    raise h11.RemoteProtocolError(
+                        f"invalid status {event.status_code}"
+                    )
                 self.head = event
             elif isinstance(event, h11.EndOfMessage):
                 self.complete = True
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -33,6 +33,7 @@
 
 BODY_BYTES_MAX = 2_000_000
 HEADER_BYTES_MAX = 32_768
+_EMPTY_LINE = b"\r\n"
 HEADER_COUNT_MAX = 64
 REQUEST_TIMEOUT_S = 15.0
 IDLE_TIMEOUT_S = 75.0
@@ -249,9 +250,8 @@
     def __init__(self, server: "HttpServer"):
         self._server = server
         self._limits = server.limits
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
-        )
+        self._h11 = self._new_parser()
+        self._has_skipped_line = False
         self._transport: asyncio.Transport | None = None
         self._watch: sockets.PeerWatch | None = None
         self._head: h11.Request | None = None
@@ -482,6 +482,10 @@
     def _parse(self) -> None:
         while True:
             if self._h11.their_state is h11.IDLE:
+                self._skip_empty_line()
+                if self._h11.trailing_data[0] == _EMPTY_LINE[:1]:
+                    # h11 takes it for the start of a malformed request.
+                    return
                 self._check_line_endings()
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
@@ -500,6 +504,30 @@
                 self.close()
                 return
 
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+
+    def _skip_empty_line(self) -> None:
+        """Skips one empty line before a request (RFC 9112, section 2.2).
+
+        Some clients send it after the body of the request before. h11 refuses
+        it and discards nothing that it has received, so a new parser takes the
+        rest.
+        """
+        data, _ = self._h11.trailing_data
+        if self._has_skipped_line or not data.startswith(_EMPTY_LINE):
+            return
+        self._has_skipped_line = True
+        self._h11 = self._new_parser()
+        rest = data[len(_EMPTY_LINE) :]
+        if rest:
+            self._h11.receive_data(rest)
+        else:
+            # The line begins no request, so the connection is still idle.
+            self._start_timer(self._limits.idle_timeout_s, self._end_idle)
+
     def _send_continue(self) -> None:
         if self._h11.they_are_waiting_for_100_continue:
             self.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -614,6 +642,7 @@
             self.close()
             return
         self._h11.start_next_cycle()
+        self._has_skipped_line = False
         self._server.mark_idle(self)
         self._limits = self._server.limits
         self._begin_idle()
--- a/packages/router/nutmegpost_router/sockets.py
+++ b/packages/router/nutmegpost_router/sockets.py
@@ -159,6 +159,10 @@
             self._progressed_at = asyncio.get_running_loop().time()
             self._start_timer()
 
+    def is_outstanding(self) -> bool:
+        """Returns whether the peer is known not to have acknowledged all."""
+        return self._is_active and self._read().is_outstanding
+
     def stall_s(self) -> float | None:
         """Returns the time since the peer last acknowledged more, seconds.
 
--- a/packages/router/tests/test_http.py
+++ b/packages/router/tests/test_http.py
@@ -487,3 +487,44 @@
         return await client.request(address, "GET", "/", {}, timeout_s=1)
 
     assert _run(_answer_in_chunks, run_client).body == b"body"
+
+
+_REQUEST = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize("cut", [0, 1, 2])
+def test_empty_line_after_a_body_is_skipped(cut, pause_s):
+    """Guards against 400 for the CRLF that some clients send after a body."""
+
+    async def handler(exchange):
+        await asyncio.sleep(0.02)
+        await _echo(exchange)
+
+    async def run_client(address):
+        reader, writer = await asyncio.open_connection(*address)
+        for number in range(3):
+            line = b"" if number == 0 else b"\r\n"
+            writer.write(line[cut:] + _REQUEST % number + b"\r\n"[:cut])
+            if pause_s:
+                await asyncio.sleep(pause_s)
+        answers = [await _read_answer(reader) for _ in range(3)]
+        writer.close()
+        return answers
+
+    answers = _run(handler, run_client)
+    assert [status for status, _ in answers] == [200, 200, 200]
+    assert answers[2][1] == b'["POST", "/2"]ab'
+
+
+def test_only_one_empty_line_is_skipped():
+    async def run_client(address):
+        return await _raw(address, b"\r\n\r\n" + _REQUEST % 1)
+
+    assert _run(_echo, run_client).startswith(b"HTTP/1.1 400 ")
+
+
+async def _read_answer(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+    return int(head.split()[1]), await reader.readexactly(length)
