Send no requests to evacuated zones

The operator evacuates an availability zone by a key in the store.

A request that was assigned before is checked again once it has its connection. Without the setting nothing changes.

The tests of gateways were seen failing without the change, and the one of a request that waits for a connection also with only the check at the connection removed.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -127,6 +127,34 @@
 POLL_OVERDUE = Event(
     218, "INFO", "poll for {prefix} is sent again for lost answers: {reason}"
 )
+ZONE_EVACUATED = Event(
+    220,
+    "WARNING",
+    "zone {zone} is evacuated since revision {revision}, by {source}; its "
+    "endpoints get no requests",
+)
+ZONE_RESTORED = Event(
+    221,
+    "WARNING",
+    "zone {zone} is not evacuated since revision {revision}, by {source}",
+)
+EVACUATION_RETAINED = Event(
+    222,
+    "WARNING",
+    "the key that evacuates zone {zone} is missing in the restored platform "
+    "at revision {revision}; the zone stays evacuated for now",
+)
+REQUEST_WITHHELD = Event(
+    223,
+    "INFO",
+    "request {request}: attempt {attempt} is not sent to endpoint {endpoint}, "
+    "as zone {zone} is evacuated",
+)
+OPERATOR_KEY_IGNORED = Event(
+    224,
+    "WARNING",
+    "key {name} of revision {revision} is none that a gateway knows; ignored",
+)
 
 # 3xx members and peers
 MEMBER_CHANGED = Event(301, "INFO", "member {name} is {state}, was {previous}")
--- a/packages/router/nutmegpost_router/gateway/caches.py
+++ b/packages/router/nutmegpost_router/gateway/caches.py
@@ -122,6 +122,7 @@
             for endpoint in self._state.roster.listed
             if endpoint.service in services
             and services[endpoint.service].cache_tokens
+            and self._state.may_send(endpoint)
         ]
 
     def _is_assigned(self, endpoint: str) -> bool:
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -51,6 +51,9 @@
 _RETRY_AFTER_STARTING_S = 0.3
 _RETRY_AFTER_CRASHING_S = 30.0
 _RETRY_AFTER_UNKNOWN_ORIGIN_S = 30.0
+# Callers that are refused at once must not return at once.
+_RETRY_AFTER_EVACUATED_S = 1.0
+_RETRY_JITTER_EVACUATED_S = 1.0
 # Other gateways take requests at once.
 _RETRY_AFTER_STOPPING_S = 0.1
 
@@ -322,6 +325,8 @@
         """
         if result.is_withdrawn:
             pending.reason = result.reason
+            # What the budget has paid for was not sent.
+            pending.is_repeat_paid = pending.has_arrived
             return
         if result.is_unreachable:
             await self._losses.handle_unreachable(
@@ -505,6 +510,13 @@
         Raises:
             errors.RequestError: Always.
         """
+        is_unsent = not (pending.runs or pending.exchange.started)
+        if is_unsent and self._state.is_evacuated(pending.call.service):
+            raise errors.UnavailableError(
+                "the zones of all endpoints are evacuated",
+                retry_after=_RETRY_AFTER_EVACUATED_S
+                + _RETRY_JITTER_EVACUATED_S * self._state.rng.random(),
+            )
         if pending.attempts:
             self._give_up(pending)
         return_after_s = self._state.return_after_s(pending.call.service)
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -17,6 +17,7 @@
 
 from nutmegpost_core import calls
 from nutmegpost_core import errors
+from nutmegpost_core import evacuations
 from nutmegpost_core import events
 from nutmegpost_core import roster
 from nutmegpost_core import vms
@@ -58,6 +59,11 @@
 # requests the software versions that have served.
 _ERAS_FLAG = "eras"
 _VERSIONS_FLAG = "versions"
+# Position of the digest of evacuated zones among the fields of a poll, and of
+# the zones among the items of an answer. Gateways that know neither ignore what
+# follows the fields and items that they know.
+_ZONES_FIELD = 6
+_ZONES_ITEM = 7
 # Fields of an endpoint that a gateway without this flag expects.
 _OLD_FIELDS_COUNT = 9
 
@@ -205,8 +211,9 @@
     ) -> http_server.Response:
         """Answers the poll of a peer."""
         path, _, query = request.target.partition("?")
+        fields = query.split("&")
         version, digest, flag, crashes_digest, newer_flag = [
-            *query.split("&"),
+            *fields,
             "",
             "",
             "",
@@ -239,9 +246,34 @@
             content.append(None)
         if newer_flag == _VERSIONS_FLAG:
             content.append(self._state.versions.encode(now))
+        content += self._encode_zones(content, fields)
         body = cbor2.dumps(content)
         return http_server.Response(200, [], body)
 
+    def _encode_zones(
+        self, content: list[object], fields: list[str]
+    ) -> list[object]:
+        """Returns what the answer needs to tell of evacuated zones.
+
+        Args:
+            content: The answer so far.
+            fields: The fields of the poll. Only a gateway whose zones can be
+                evacuated names its digest.
+        """
+        table = self._state.evacuations
+        if (
+            not self._state.can_evacuate
+            or len(fields) < _ZONES_FIELD
+            or fields[_ZONES_FIELD - 1] == table.digest()
+        ):
+            return []
+        padding: list[object] = [None] * (_ZONES_ITEM - 1 - len(content))
+        zones = [
+            [zone, *revision, is_evacuated]
+            for zone, revision, is_evacuated in table.changes
+        ]
+        return [*padding, zones]
+
     def _encode_roster(
         self, has_eras: bool, now: float
     ) -> tuple[object, list[list[object]]]:
@@ -353,6 +385,7 @@
                 flag,
                 crashes_digest,
                 self._newer_flag(),
+                *self._zones_fields(),
             ]
         )
         started = _now()
@@ -387,6 +420,11 @@
             )
         return False
 
+    def _zones_fields(self) -> list[str]:
+        if not self._state.can_evacuate:
+            return []
+        return [self._state.evacuations.digest()]
+
     def _newer_flag(self) -> str:
         since = _now() - _VERSIONS_OBSERVED_S
         if self._state.versions.is_observed(since):
@@ -402,7 +440,23 @@
             elapsed_s: Time that the poll took, seconds.
         """
         document, revision, listed, caches, *rest = cbor2.loads(body)
-        charges, history = [*rest, None, None][:2]
+        charges, history, zones = [*rest, None, None, None][:3]
+        if zones and self._state.can_evacuate:
+            self._updates.put_nowait(
+                ports.ZonesEvacuated(
+                    [
+                        evacuations.Change(
+                            str(zone),
+                            roster.Revision(int(era), int(number)),
+                            bool(is_evacuated),
+                        )
+                        for zone, era, number, is_evacuated in zones
+                    ],
+                    roster.Revision(),
+                    is_list=False,
+                    source=source,
+                )
+            )
         if charges is not None:
             self._crashes.merge(charges, _now())
         if history is not None:
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -12,6 +12,7 @@
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
 from nutmegpost_core import errors
+from nutmegpost_core import evacuations
 from nutmegpost_core import roster
 from nutmegpost_router import http_server
 
@@ -35,6 +36,7 @@
     "ResponseHead",
     "StateUpdate",
     "Verdict",
+    "ZonesEvacuated",
 ]
 
 # Header field with the proof that a gateway relays a request for a peer.
@@ -252,6 +254,22 @@
     caches: dict[str, list[calls.PromptPart]]
 
 
+class ZonesEvacuated(NamedTuple):
+    """Evacuations of zones were read.
+
+    Attributes:
+        changes: Evacuated zones, or changes of them, oldest first.
+        revision: Revision of the platform that they reflect.
+        is_list: Whether they are all evacuated zones.
+        source: The peer that sent them; empty for the platform.
+    """
+
+    changes: list[evacuations.Change]
+    revision: roster.Revision
+    is_list: bool
+    source: str = ""
+
+
 StateUpdate = (
     PeerCachesReceived
     | CatalogPublished
@@ -260,6 +278,7 @@
     | EndpointsChanged
     | PlatformUnavailable
     | PlatformAvailable
+    | ZonesEvacuated
 )
 
 
@@ -269,8 +288,8 @@
     Attributes:
         run: Reads and watches the publications until it is cancelled. Takes
             the platform's address, the time in seconds within which a draining
-            endpoint must get no new requests, and the queue that receives the
-            updates.
+            endpoint must get no new requests, the queue that receives the
+            updates, and whether evacuations of zones are read.
         decode_configuration: Decodes a document that a peer forwarded; raises
             ConfigurationError.
         is_current: Asks the platform whether the list of endpoints has not
@@ -279,7 +298,7 @@
     """
 
     run: Callable[
-        [str, float, "asyncio.Queue[StateUpdate]"],
+        [str, float, "asyncio.Queue[StateUpdate]", bool],
         Coroutine[None, None, None],
     ]
     decode_configuration: Callable[[bytes], catalog.Catalog]
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -535,6 +535,7 @@
             self._config["platform_address"],
             self._config["leave_limit_ms"] / 1000,
             self._updates,
+            self._state.can_evacuate,
         )
 
     # Periodic work and shutdown.
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from nutmegpost_core import evacuations
 from nutmegpost_core import events
 from nutmegpost_core import roster
 from nutmegpost_router import gossip
@@ -82,6 +83,8 @@
             case ports.EndpointsChanged():
                 self._change_endpoints(update, now)
                 local_state.directory_read_at = now
+            case ports.ZonesEvacuated():
+                self._apply_evacuations(update, now)
             case ports.PeerCachesReceived(caches_by_endpoint):
                 local_state.merge_caches(caches_by_endpoint)
             case ports.PlatformUnavailable(reason):
@@ -142,11 +145,31 @@
             self._endpoints_changed()
 
     def expire(self, now: float) -> None:
-        """Removes the endpoints whose entries have been missing too long."""
+        """Ends the grace periods of missing entries and missing zones."""
+        _log_zones(self._state.evacuations.expire(now), "the grace period")
         if self._state.roster.expire(now):
             self._endpoints_changed()
             self._update_versions(now)
 
+    def _apply_evacuations(
+        self, update: ports.ZonesEvacuated, now: float
+    ) -> None:
+        changes, revision, is_list, source = update
+        table = self._state.evacuations
+        retained = set(table.in_grace())
+        if source:
+            changed = table.merge(changes, now)
+        elif is_list:
+            listed = {change.zone: change.revision for change in changes}
+            changed = table.replace(listed, revision, now)
+        else:
+            changed = table.apply_store_changes(changes, revision, now)
+        _log_zones(changed, source or "the platform")
+        for zone in sorted(set(table.in_grace()) - retained):
+            log.emit(
+                events.EVACUATION_RETAINED, zone=zone, revision=str(revision)
+            )
+
     def _record_gap(self, reason: str, now: float) -> None:
         """Records that endpoints may have come and gone without notice."""
         self._state.versions.record_gap(now)
@@ -207,6 +230,16 @@
     }
 
 
+def _log_zones(changed: list[evacuations.Change], source: str) -> None:
+    for zone, revision, is_evacuated in changed:
+        log.emit(
+            events.ZONE_EVACUATED if is_evacuated else events.ZONE_RESTORED,
+            zone=zone,
+            revision=str(revision),
+            source=source,
+        )
+
+
 def _log_outdated(
     names: list[str], revision: roster.Revision, known: roster.Revision
 ) -> None:
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import functools
 from typing import NamedTuple
 
 from nutmegpost_core import calls
@@ -69,7 +70,7 @@
         is_unreachable: Whether no connection to the endpoint could be made.
         is_refused: Whether the connection was refused.
         is_withdrawn: Whether the request was not sent, as the attempt before
-            goes on.
+            goes on, or the zone of the endpoint was evacuated.
         held: The attempt, if it can go on should its replacement fail at
             once; None otherwise.
     """
@@ -223,7 +224,7 @@
                 choice.endpoint.name,
                 remaining_s,
                 pending.last_event_id,
-                _fetch_address(choice),
+                self._fetch_address(choice),
             )
         )
         repeatable = call.route.repeatable
@@ -264,12 +265,15 @@
                 if repeatable
                 else _IDLE_LIMIT_ONCE_S,
                 extend=extend,
-                may_send=held.yield_to_next if held else lambda: True,
+                may_send=functools.partial(
+                    self._may_send, choice.endpoint, held
+                ),
             )
             load.record_sign()
         except http_client.WithdrawnError as caught:
+            reason = self._withheld_reason(pending, choice.endpoint)
             return AttemptResult(
-                AttemptEnd.NOT_RUN, str(caught), is_withdrawn=True
+                AttemptEnd.NOT_RUN, reason or str(caught), is_withdrawn=True
             )
         except http_client.ConnectError as caught:
             return AttemptResult(
@@ -286,6 +290,48 @@
             stream.abort()
             raise
 
+    def _fetch_address(self, choice: dispatch.Choice) -> str:
+        """Returns the address to fetch cached tokens from; empty for none."""
+        source = choice.speculative_source
+        if choice.source is not None:
+            source = choice.source.endpoint
+        if source is None or not self._state.may_fetch(source):
+            return ""
+        return source.address
+
+    def _may_send(
+        self,
+        endpoint: roster.Endpoint,
+        held: held_attempts.HeldAttempt | None,
+    ) -> bool:
+        """Returns whether to send a request now that there is a connection.
+
+        The zone may have been evacuated while the connection was made.
+
+        Args:
+            endpoint: The endpoint.
+            held: The attempt that the request replaces, or None; it is ended
+                soon if the request is sent.
+        """
+        return self._state.may_send(endpoint) and (
+            held is None or held.yield_to_next()
+        )
+
+    def _withheld_reason(
+        self, pending: pending_request.PendingRequest, endpoint: roster.Endpoint
+    ) -> str:
+        """Logs and returns why a zone got no request; empty if it may."""
+        if self._state.may_send(endpoint):
+            return ""
+        log.emit(
+            events.REQUEST_WITHHELD,
+            request=pending.call.identity,
+            attempt=pending.attempts,
+            endpoint=endpoint.name,
+            zone=endpoint.zone,
+        )
+        return f"zone {endpoint.zone} is evacuated"
+
     def _is_silent(self, endpoint: str) -> bool:
         return self._state.liveness.is_silent(endpoint, _now())
 
@@ -518,15 +564,6 @@
             await pending.drain()
 
 
-def _fetch_address(choice: dispatch.Choice) -> str:
-    """Returns the address to fetch cached tokens from; empty for none."""
-    if choice.source is not None:
-        return choice.source.endpoint.address
-    return (
-        choice.speculative_source.address if choice.speculative_source else ""
-    )
-
-
 def _age_ms(age_s: float | None) -> int:
     """Returns an age in milliseconds; -1 for None."""
     return -1 if age_s is None else round(age_s * 1000)
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -9,6 +9,7 @@
 from nutmegpost_core import catalog
 from nutmegpost_core import dispatch
 from nutmegpost_core import endpoint_notices
+from nutmegpost_core import evacuations
 from nutmegpost_core import events
 from nutmegpost_core import liveness
 from nutmegpost_core import load_table
@@ -53,6 +54,9 @@
         self.roster = roster.Roster(config["entry_grace_s"])
         # Monotonic time at which the entries of endpoints were last read.
         self.directory_read_at = -math.inf
+        self.evacuations = evacuations.Evacuations(
+            config.get("evacuation_limit_ms", 0) / 1000
+        )
         self.versions = software_versions.VersionHistory(config["first_start"])
         self.loads = load_table.LoadTable()
         self.prefixes = prefixes.PrefixCaches()
@@ -105,6 +109,11 @@
         """Monotonic time at which the process started, seconds."""
         return self._started
 
+    @property
+    def can_evacuate(self) -> bool:
+        """Whether zones of this deployment can be evacuated."""
+        return self._config.get("evacuation_limit_ms", 0) > 0
+
     def ready_endpoints(self) -> list[roster.Endpoint]:
         """Returns the endpoints of configured services that take requests."""
         if self.catalog is None:
@@ -112,7 +121,47 @@
         return [
             endpoint
             for service in self.catalog.services
-            for endpoint in self.roster.usable(service)
+            for endpoint in self._usable(service)
+        ]
+
+    def _usable(self, service: str) -> list[roster.Endpoint]:
+        """Returns the endpoints of a service that may get requests."""
+        return self._outside_evacuations(self.roster.usable(service))
+
+    def _outside_evacuations(
+        self, endpoints: list[roster.Endpoint]
+    ) -> list[roster.Endpoint]:
+        if not self.evacuations.zones:
+            return endpoints
+        return [each for each in endpoints if self.may_send(each)]
+
+    def may_send(self, endpoint: roster.Endpoint) -> bool:
+        """Returns whether the zone of an endpoint is not evacuated."""
+        return not self.evacuations.is_evacuated(endpoint.zone)
+
+    def may_fetch(self, endpoint: roster.Endpoint) -> bool:
+        """Returns whether other endpoints may fetch from its cache."""
+        now = asyncio.get_running_loop().time()
+        return self.evacuations.may_fetch(endpoint.zone, now)
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether all endpoints of a service are in such zones."""
+        usable = self.roster.usable(service)
+        return bool(usable) and not self._outside_evacuations(usable)
+
+    def _cache_sources(self, service: str) -> list[roster.Endpoint]:
+        """Returns the endpoints that serve only fetches from their caches."""
+        draining = self.roster.draining(service)
+        if not self.evacuations.zones:
+            return draining
+        usable = self.roster.usable(service)
+        return [
+            each
+            for each in (
+                *draining,
+                *(each for each in usable if not self.may_send(each)),
+            )
+            if self.may_fetch(each)
         ]
 
     def choose(
@@ -136,7 +185,7 @@
             fetch_tokens_per_s=service.fetch_tokens_per_s if service else 0.0,
             tie_width_s=dispatch.tie_width_s(self.fleet_size),
         )
-        usable = self.roster.usable(call.service)
+        usable = self._usable(call.service)
         uncertain: set[str] = set()
         if call.route.resumable:
             uncertain = self.versions.uncertain(usable, now)
@@ -163,7 +212,7 @@
             self.outliers.ejected(now)
             | self.liveness.avoided(call.route.repeatable, now)
             | uncertain,
-            self.roster.draining(call.service),
+            self._cache_sources(call.service),
             call.route.target_s,
             self._closed([endpoint.name for endpoint in usable], now),
         )
@@ -177,6 +226,9 @@
     def is_closed(self, endpoint: str) -> bool:
         """Returns whether this gateway may not send to an endpoint now."""
         now = asyncio.get_running_loop().time()
+        entry = self.roster.endpoints.get(endpoint)
+        if entry is not None and not self.may_send(entry):
+            return True
         return bool(self._closed([endpoint], now))
 
     def is_open(self, endpoint: roster.Endpoint) -> bool:
@@ -184,7 +236,7 @@
         now = asyncio.get_running_loop().time()
         return any(
             endpoint.name == other.name
-            for other in self.roster.usable(endpoint.service)
+            for other in self._usable(endpoint.service)
         ) and not self.notices.closed([endpoint.name], now)
 
     def return_after_s(self, service: str) -> float | None:
@@ -195,7 +247,7 @@
             takes requests again.
         """
         now = asyncio.get_running_loop().time()
-        names = {endpoint.name for endpoint in self.roster.usable(service)}
+        names = {endpoint.name for endpoint in self._usable(service)}
         if not names or self._closed(names, now) != names:
             return None
         limited = names - self.notices.closed(names, now)
