Let a few gateways of a large fleet read the platform's store

Cause: every gateway polls the store, so 135 gateways make about 160 calls a second.

Change: above large_fleet_gateways, readers chosen by rendezvous hashing read the store; the others follow two of them in turn by long polls and read the store themselves when the readers fall silent, are refused by the store, or tell what the store has not confirmed for too long.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -150,6 +150,15 @@
     "cannot exchange origins of streams with peer {peer}: {reason}",
 )
 
+READERS_CHOSEN = Event(
+    320, "INFO", "{gateways} gateways; the platform is read by {readers}"
+)
+FOLLOWING_BEGUN = Event(
+    321, "INFO", "follows the readers of the platform: {readers}"
+)
+FOLLOWING_ENDED = Event(322, "INFO", "reads the platform itself: {reason}")
+READER_SILENT = Event(323, "INFO", "no news of reader {reader}: {reason}")
+
 # 4xx requests
 REQUEST_REFUSED = Event(401, "INFO", "request refused, {code}: {reason}")
 REQUEST_FAILED = Event(
--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -112,6 +112,19 @@
         """Revision of the directory that this view reflects."""
         return self._revision
 
+    @property
+    def is_directory_unavailable(self) -> bool:
+        """Whether the directory does not respond."""
+        return self._directory_unavailable
+
+    @property
+    def available_since(self) -> float:
+        """Monotonic time of the end of the last outage, seconds.
+
+        Minus infinity if there was none.
+        """
+        return self._available_since
+
     @property
     def endpoints(self) -> Mapping[str, Endpoint]:
         """All known endpoints by name, including draining ones."""
@@ -142,6 +155,27 @@
         )
         return xxhash.xxh3_64_hexdigest(repr(identities).encode())
 
+    def details_digest(self, now: float) -> str:
+        """Returns a digest of all that the listed endpoints are chosen by.
+
+        Args:
+            now: Monotonic time, seconds.
+        """
+        details = sorted(
+            (
+                *endpoint[:6],
+                endpoint.warming_until > now,
+                endpoint.started_ms,
+                endpoint.software,
+            )
+            for endpoint in self.listed
+        )
+        return xxhash.xxh3_64_hexdigest(repr(details).encode())
+
+    def confirm(self, revision: Revision) -> None:
+        """Records that the listed endpoints are those of a later revision."""
+        self._revision = max(self._revision, revision)
+
     def usable(self, service: str) -> list[Endpoint]:
         """Returns the endpoints of a service that take new requests."""
         return self._by_service.get(service, [])
--- a/packages/core/nutmegpost_core/software_versions.py
+++ b/packages/core/nutmegpost_core/software_versions.py
@@ -125,6 +125,10 @@
             if name == service
         }
 
+    def known(self) -> list[tuple[str, str]]:
+        """Returns service and version of all that served of late, sorted."""
+        return sorted(self._serving | self._last_served.keys())
+
     def is_observed(self, since: float) -> bool:
         """Returns whether every version that served since then is known."""
         return self._observed_since <= since
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -72,6 +72,18 @@
             registry=self._registry,
         )
 
+        self._reads_platform = prometheus_client.Gauge(
+            "nutmegpost_gateway_reads_platform",
+            "Whether the gateway reads the platform itself.",
+            registry=self._registry,
+        )
+        self._reader_polls = prometheus_client.Counter(
+            "nutmegpost_gateway_reader_polls",
+            "Polls of the readers of the platform.",
+            ["result"],
+            registry=self._registry,
+        )
+
     @property
     def registry(self) -> prometheus_client.CollectorRegistry:
         """The registry that holds the metrics."""
@@ -128,6 +140,14 @@
         """Sets the number of known endpoints, including draining ones."""
         self._endpoints.set(count)
 
+    def set_reads_platform(self, reads: bool) -> None:
+        """Sets whether the gateway reads the platform itself."""
+        self._reads_platform.set(reads)
+
+    def reader_polled(self, result: str) -> None:
+        """Counts a poll of a reader by its result, `news` or `none`."""
+        self._reader_polls.labels(result).inc()
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -25,6 +25,7 @@
 from nutmegpost_router import log
 from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import ports
+from nutmegpost_router.gateway import reader_polls
 from nutmegpost_router.gateway import state
 
 __all__ = ["PeerSync"]
@@ -58,6 +59,10 @@
 # requests the software versions that have served.
 _ERAS_FLAG = "eras"
 _VERSIONS_FLAG = "versions"
+# Key of the part of an answer that tells a follower how current it is.
+_NEWS_KEY = "news"
+# Interval at which followers ask for a document that they lack.
+_DOCUMENT_RETRY_S = 0.1
 # Fields of an endpoint that a gateway without this flag expects.
 _OLD_FIELDS_COUNT = 9
 
@@ -104,6 +109,9 @@
         self._silent_until: dict[vms.Address, float] = {}
         # Whether no document has been asked for since the last pause.
         self._has_paused = False
+        self._long_polls = reader_polls.LongPolls(local_state)
+        self._is_following = False
+        self._following_since = 0.0
 
     def handle_pause(self, seconds: float) -> None:
         """Polls several peers at once, as this process stood still.
@@ -167,6 +175,61 @@
         """Returns to polling one peer per interval."""
         self._is_platform_available = True
 
+    @property
+    def is_following(self) -> bool:
+        """Whether readers tell this gateway what the platform publishes."""
+        return self._is_following
+
+    @property
+    def following_since(self) -> float:
+        """Monotonic time at which that began last, seconds."""
+        return self._following_since
+
+    def set_following(self, is_following: bool) -> None:
+        """Stops or resumes the regular polls of peers."""
+        self._is_following = is_following
+        if is_following:
+            self._following_since = _now()
+        self._sync_requested.set()
+
+    def notify_followers(self) -> None:
+        """Answers the followers that wait, if anything has changed."""
+        self._long_polls.notify()
+
+    def end_polls_of_followers(self) -> None:
+        """Makes followers ask another gateway, as this one stops."""
+        self._long_polls.close()
+
+    async def follow(
+        self, address: vms.Address, request: reader_polls.FollowRequest
+    ) -> reader_polls.News | None:
+        """Polls a reader.
+
+        Args:
+            address: Its control address.
+            request: The request; the digest of the endpoints is added.
+
+        Returns:
+            The news, or None if it sent none.
+        """
+        request = request._replace(
+            details=self._state.roster.details_digest(_now())
+        )
+        heard: list[reader_polls.News] = []
+        await self._poll_peer(
+            address, _NO_DOCUMENT, follow=request, on_news=heard.append
+        )
+        if not heard:
+            return None
+        news = heard[0]
+        if news.version > self._known_version and news.is_available:
+            if news.version > self._announced_version:
+                self._announced_version = news.version
+                self._announcers.clear()
+            self._announcers.add(address)
+            self._document_requested.set()
+        return news
+
     async def run(self) -> None:
         """Polls the peers until it is cancelled."""
         self._platform_lead_until = _now() + _PLATFORM_LEAD_S
@@ -180,6 +243,9 @@
                 self.is_platform_unavailable or self._sync_requested.is_set()
             )
             self._sync_requested.clear()
+            if self._is_following:
+                await self._sync_requested.wait()
+                continue
             await self._poll_peers(_PEERS_POLLED_MAX if polls_several else 1)
             await _wait_for_request(self._sync_requested)
 
@@ -188,7 +254,10 @@
             self._document_requested.clear()
             if self._needs_document:
                 await self._run_document_task()
-            await _wait_for_request(self._document_requested)
+            interval_s = _POLL_S
+            if self._is_following and self._needs_document:
+                interval_s = _DOCUMENT_RETRY_S
+            await _wait_for_request(self._document_requested, interval_s)
 
     async def _run_document_task(self) -> None:
         """Reads a document, until the platform delivers it."""
@@ -205,26 +274,26 @@
     ) -> http_server.Response:
         """Answers the poll of a peer."""
         path, _, query = request.target.partition("?")
-        version, digest, flag, crashes_digest, newer_flag = [
+        version, digest, flag, crashes_digest, newer_flag, follow = [
             *query.split("&"),
             "",
             "",
             "",
             "",
-        ][:5]
-        active_catalog = self._state.catalog
-        if path != _PUBLISHED_PATH or active_catalog is None:
+            "",
+        ][:6]
+        if path != _PUBLISHED_PATH or self._state.catalog is None:
             return http_server.Response(404, [], b"")
-        known_version = int(version) if version.isdecimal() else 0
-        document = (
-            self._state.document
-            if active_catalog.version > known_version
-            else b""
-        )
+        asked = reader_polls.decode_request(follow)
+        if asked is not None:
+            await self._long_polls.wait(asked)
+            if self._long_polls.is_closed:
+                return http_server.Response(503, [], b"")
+        document = self._document_for(version, asked is not None)
         now = _now()
         revision: object = 0
         listed: list[list[object]] = []
-        if digest != self._state.roster.digest():
+        if self._is_list_unknown(digest, asked):
             revision, listed = self._encode_roster(bool(newer_flag), now)
         caches = {
             name: [list(part) for part in parts]
@@ -237,11 +306,39 @@
             content.append(self._crashes.encode(now))
         elif newer_flag:
             content.append(None)
-        if newer_flag == _VERSIONS_FLAG:
+        if newer_flag == _VERSIONS_FLAG or self._is_change_for(asked):
             content.append(self._state.versions.encode(now))
+        if asked is not None:
+            content.append({_NEWS_KEY: self._long_polls.encode_news()})
         body = cbor2.dumps(content)
         return http_server.Response(200, [], body)
 
+    def _is_change_for(
+        self, request: reader_polls.FollowRequest | None
+    ) -> bool:
+        """Returns whether the state is another than a follower was told."""
+        return request is not None and request.token != self._long_polls.token()
+
+    def _is_list_unknown(
+        self,
+        digest: str,
+        asked: reader_polls.FollowRequest | None,
+    ) -> bool:
+        """Returns whether a peer lacks the list of endpoints."""
+        if asked is not None and asked.details:
+            return asked.details != self._long_polls.details()
+        return digest != self._state.roster.digest()
+
+    def _document_for(self, version: str, is_follower: bool) -> bytes:
+        """Returns the configuration, for a peer that knows a version."""
+        known_version = int(version) if version.isdecimal() else 0
+        if self._known_version <= known_version:
+            return b""
+        # Followers ask for it all at once, and have others to ask.
+        if is_follower and not self._long_polls.may_send_document():
+            return b""
+        return self._state.document
+
     def _encode_roster(
         self, has_eras: bool, now: float
     ) -> tuple[object, list[list[object]]]:
@@ -272,6 +369,8 @@
         if self._is_platform_available is False or self._has_paused:
             return True
         is_behind = self._announced_version > self._known_version
+        if self._is_following:
+            return is_behind
         return (
             is_behind or not self._known_version
         ) and _now() >= self._platform_lead_until
@@ -299,7 +398,14 @@
                         continue
                     answered = asyncio.Event()
                     poll = asyncio.create_task(
-                        self._poll_peer(address, known_version, answered.set)
+                        self._poll_peer(
+                            address,
+                            known_version,
+                            answered.set,
+                            reader_polls.FollowRequest()
+                            if self._is_following
+                            else None,
+                        )
                     )
                     polls[poll] = address
                     if await _wait_for_document(polls, poll, answered):
@@ -328,6 +434,8 @@
         address: vms.Address,
         known_version: int,
         on_answer: Callable[[], None] = lambda: None,
+        follow: reader_polls.FollowRequest | None = None,
+        on_news: Callable[[reader_polls.News], None] = lambda _: None,
     ) -> bool:
         """Polls a peer.
 
@@ -335,6 +443,9 @@
             address: Its control address.
             known_version: The peer sends its configuration if that is newer.
             on_answer: Called when the answer begins.
+            follow: The request of a follower; None for a poll that is answered
+                at once.
+            on_news: Called with the news of a reader.
 
         Returns:
             Whether it sent its configuration.
@@ -353,6 +464,7 @@
                 flag,
                 crashes_digest,
                 self._newer_flag(),
+                *([follow.encode()] if follow else []),
             ]
         )
         started = _now()
@@ -362,11 +474,13 @@
                 "GET",
                 f"{_PUBLISHED_PATH}?{query}",
                 {},
-                timeout_s=_TIMEOUT_S,
+                timeout_s=_TIMEOUT_S + (follow.wait_s if follow else 0.0),
                 body_timeout_s=_BODY_TIMEOUT_S,
                 on_answer=on_answer,
             )
             if answer.status == 200:
+                if follow is not None and follow.details:
+                    self._apply_news(answer.body, follow, on_news)
                 return self._apply(answer.body, str(address), _now() - started)
         except errors.PeerError as caught:
             self._silent_until[address] = _now() + _SILENT_RETENTION_S
@@ -393,6 +507,28 @@
             return _ERAS_FLAG
         return _VERSIONS_FLAG
 
+    def _apply_news(
+        self,
+        body: bytes,
+        follow: reader_polls.FollowRequest,
+        on_news: Callable[[reader_polls.News], None],
+    ) -> None:
+        """Queues how current the answer of a reader is, before the rest."""
+        _, _, listed, *rest = cbor2.loads(body)
+        now = _now()
+        for part in rest:
+            if isinstance(part, dict) and _NEWS_KEY in part:
+                is_same_list = (
+                    not listed
+                    and follow.details == self._state.roster.details_digest(now)
+                )
+                news = reader_polls.decode_news(
+                    part[_NEWS_KEY], is_same_list, now
+                )
+                if news.is_available:
+                    self._updates.put_nowait(news.update)
+                on_news(news)
+
     def _apply(self, body: bytes, source: str, elapsed_s: float) -> bool:
         """Queues what a peer sent; returns whether a configuration was in it.
 
@@ -402,7 +538,10 @@
             elapsed_s: Time that the poll took, seconds.
         """
         document, revision, listed, caches, *rest = cbor2.loads(body)
-        charges, history = [*rest, None, None][:2]
+        charges, history = [
+            None if isinstance(part, dict) and _NEWS_KEY in part else part
+            for part in [*rest, None, None][:2]
+        ]
         if charges is not None:
             self._crashes.merge(charges, _now())
         if history is not None:
@@ -451,10 +590,12 @@
         return bool(document)
 
 
-async def _wait_for_request(requested: asyncio.Event) -> None:
+async def _wait_for_request(
+    requested: asyncio.Event, interval_s: float = _POLL_S
+) -> None:
     """Waits for a request to poll, or for the next regular poll."""
     try:
-        async with asyncio.timeout(_POLL_S):
+        async with asyncio.timeout(interval_s):
             await requested.wait()
     except TimeoutError:
         return
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -30,6 +30,8 @@
     "PlatformUnavailable",
     "Ports",
     "PublicationReader",
+    "ReaderNews",
+    "ReadingSwitch",
     "RELAY_FIELD",
     "RequestMetadata",
     "ResponseHead",
@@ -246,6 +248,26 @@
     """The platform responds again."""
 
 
+class ReaderNews(NamedTuple):
+    """A reader of the platform told how current its answer is.
+
+    Attributes:
+        confirmed_at: Monotonic time at which the platform confirmed it,
+            seconds.
+        available_since: Monotonic time of the end of the last outage that the
+            reader noticed, seconds; minus infinity if there was none.
+        gap_at: Monotonic time of the last gap in the reader's history of
+            versions, seconds; minus infinity if there was none.
+        revision: Revision of the reader's list if it is the same as that of
+            this gateway; None otherwise.
+    """
+
+    confirmed_at: float
+    available_since: float
+    gap_at: float
+    revision: roster.Revision | None
+
+
 class PeerCachesReceived(NamedTuple):
     """A peer sent the cache content of endpoints, by endpoint name."""
 
@@ -260,17 +282,42 @@
     | EndpointsChanged
     | PlatformUnavailable
     | PlatformAvailable
+    | ReaderNews
 )
 
 
+class ReadingSwitch:
+    """Pauses the reads of the platform while another gateway makes them."""
+
+    def __init__(self) -> None:
+        self._is_on = True
+        self._changed = asyncio.Event()
+
+    @property
+    def is_on(self) -> bool:
+        """Whether the platform is to be read."""
+        return self._is_on
+
+    def turn(self, on: bool) -> None:
+        """Pauses or resumes the reads."""
+        if on != self._is_on:
+            self._is_on = on
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def wait_for_change(self) -> None:
+        """Waits until the reads are paused or resumed."""
+        await self._changed.wait()
+
+
 class PublicationReader(NamedTuple):
     """Reader of the configuration and endpoints that the platform publishes.
 
     Attributes:
         run: Reads and watches the publications until it is cancelled. Takes
             the platform's address, the time in seconds within which a draining
-            endpoint must get no new requests, and the queue that receives the
-            updates.
+            endpoint must get no new requests, the queue that receives the
+            updates, and the switch that pauses the reads.
         decode_configuration: Decodes a document that a peer forwarded; raises
             ConfigurationError.
         is_current: Asks the platform whether the list of endpoints has not
@@ -279,7 +326,7 @@
     """
 
     run: Callable[
-        [str, float, "asyncio.Queue[StateUpdate]"],
+        [str, float, "asyncio.Queue[StateUpdate]", ReadingSwitch],
         Coroutine[None, None, None],
     ]
     decode_configuration: Callable[[bytes], catalog.Catalog]
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -31,6 +31,7 @@
 from nutmegpost_router.gateway import peers
 from nutmegpost_router.gateway import ports
 from nutmegpost_router.gateway import publications
+from nutmegpost_router.gateway import reader_polls
 from nutmegpost_router.gateway import settings
 from nutmegpost_router.gateway import state
 from nutmegpost_router.gateway import stream_origins
@@ -149,6 +150,15 @@
             self._peer_sync,
             self._origins,
         )
+        self._reading_switch = ports.ReadingSwitch()
+        self._reader_follower = reader_polls.ReaderFollower(
+            self._state,
+            self._counters,
+            self._reading_switch,
+            self._peer_sync.follow,
+            self._peer_sync.set_following,
+            self._control_address,
+        )
         self._cache_sync = caches.CacheSync(
             self._state,
             protocols.endpoint_protocol,
@@ -209,6 +219,7 @@
         log.emit(events.PROCESS_STOPPING, name=self._config["name"])
         self._forwarder.begin_stop(times.listens_until, times.end)
         self._gossip.send(gossip.Leave())
+        self._peer_sync.end_polls_of_followers()
         if self._caller_server is not None:
             self._caller_server.disable_keep_alive()
         self._stopped.set()
@@ -275,6 +286,7 @@
             ("load queries", self._load_queries.run),
             ("links", self._links.run),
             ("peers", self._peer_sync.run),
+            ("readers", self._reader_follower.run),
             ("clock", self._tick),
             ("caches", self._cache_sync.run),
             ("origins", self._origins.run),
@@ -491,6 +503,16 @@
         """Port of the control address, the same at all gateways."""
         return vms.parse_address(self._config["control_address"]).port
 
+    def _control_address(self, name: str) -> vms.Address:
+        """Returns the control address of a peer.
+
+        Raises:
+            KeyError: It is no member.
+        """
+        member = self._members.members[name]
+        host = vms.parse_address(member.peer_address).host
+        return vms.Address(host, self._control_port)
+
     def _control_addresses(self) -> list[vms.Address]:
         port = self._control_port
         hosts = self._peer_hosts()
@@ -523,9 +545,8 @@
         if member is None:
             # It has been removed since it announced the version.
             return
-        host = vms.parse_address(member.peer_address).host
         self._peer_sync.record_announcement(
-            name, vms.Address(host, self._control_port), version
+            name, self._control_address(name), version
         )
 
     # Publications of the platform.
@@ -535,6 +556,7 @@
             self._config["platform_address"],
             self._config["leave_limit_ms"] / 1000,
             self._updates,
+            self._reading_switch,
         )
 
     # Periodic work and shutdown.
@@ -557,6 +579,7 @@
                 self._members.alive, len(set(self._config["seeds"])), now
             )
             self._state.fleet_size = self._fleet.count
+            self._update_readers()
             self._retry_sharers.record(
                 self._retry_sharer_names(), len(set(self._config["seeds"])), now
             )
@@ -566,6 +589,15 @@
             self._load_queries.set_hosts(self._alive_hosts())
             self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
+    def _update_readers(self) -> None:
+        if not self._config.get("large_fleet_gateways"):
+            return
+        members = self._members.members
+        self._reader_follower.update(
+            {name: members[name].zone for name in self._members.alive},
+            self._fleet.count,
+        )
+
     def _retry_sharer_names(self) -> list[str]:
         """Returns the gateways that may be running and spending retries.
 
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -15,6 +15,9 @@
 
 __all__ = ["Publications"]
 
+# Error of a time that a reader tells as an age: the way of its answer.
+_CLOCK_ERROR_S = 0.5
+
 
 class Publications:
     """The task that applies configurations and changes of endpoints."""
@@ -65,6 +68,7 @@
         """Applies updates until it is cancelled."""
         while True:
             self._apply(await self._updates.get())
+            self._peer_sync.notify_followers()
 
     def _apply(self, update: ports.StateUpdate) -> None:
         now = _now()
@@ -78,10 +82,12 @@
                 self._peer_sync.record_transfer(is_in_progress)
             case ports.EndpointsListed():
                 self._replace_endpoints(update, now)
-                local_state.directory_read_at = now
+                self._record_read(update.is_from_peer, now)
             case ports.EndpointsChanged():
                 self._change_endpoints(update, now)
-                local_state.directory_read_at = now
+                self._record_read(False, now)
+            case ports.ReaderNews():
+                self._apply_reader_news(update)
             case ports.PeerCachesReceived(caches_by_endpoint):
                 local_state.merge_caches(caches_by_endpoint)
             case ports.PlatformUnavailable(reason):
@@ -93,6 +99,48 @@
                 self._peer_sync.mark_platform_available()
                 log.emit(events.PLATFORM_RECOVERED)
 
+    def _record_read(self, is_from_peer: bool, now: float) -> None:
+        """Records that the entries of endpoints were read."""
+        if not is_from_peer:
+            self._state.directory_confirmed_at = now
+        # A reader tells separately when the platform confirmed its list.
+        if not (is_from_peer and self._peer_sync.is_following):
+            self._state.directory_read_at = now
+
+    def _apply_reader_news(self, news: ports.ReaderNews) -> None:
+        """Applies how current the answer of a reader is.
+
+        It precedes the list in the same answer, so that entries that lapsed in
+        an outage which only the reader noticed have their grace period here.
+        """
+        local_state = self._state
+        entries = local_state.roster
+        unread_s = news.confirmed_at - local_state.directory_read_at
+        if self._has_endpoints and unread_s > self._hidden_time_max_s:
+            self._record_gap(
+                f"no news of a reader for {unread_s:.1f} s", news.confirmed_at
+            )
+        if self._peer_sync.is_following:
+            if news.available_since > entries.available_since + _CLOCK_ERROR_S:
+                entries.mark_directory_unavailable()
+                entries.mark_directory_available(news.available_since)
+            since = max(
+                local_state.versions_gap_at, self._peer_sync.following_since
+            )
+            if (
+                news.gap_at > since + _CLOCK_ERROR_S
+                and local_state.versions.is_observed(news.gap_at)
+            ):
+                self._record_gap("a reader missed changes", news.gap_at)
+        if news.revision is not None:
+            entries.confirm(news.revision)
+        local_state.directory_confirmed_at = max(
+            local_state.directory_confirmed_at, news.confirmed_at
+        )
+        local_state.directory_read_at = max(
+            local_state.directory_read_at, news.confirmed_at
+        )
+
     def _replace_endpoints(
         self, update: ports.EndpointsListed, now: float
     ) -> None:
@@ -105,7 +153,10 @@
         if not is_from_peer:
             observed = self._platform_revision or known
             self._platform_revision = revision
-        elif not self._peer_sync.is_platform_unavailable:
+        elif not (
+            self._peer_sync.is_platform_unavailable
+            or self._peer_sync.is_following
+        ):
             observed = revision
         if not entries.replace(endpoints, revision, now):
             _log_outdated(["*"], revision, known)
@@ -150,6 +201,7 @@
     def _record_gap(self, reason: str, now: float) -> None:
         """Records that endpoints may have come and gone without notice."""
         self._state.versions.record_gap(now)
+        self._state.versions_gap_at = now
         log.emit(events.VERSIONS_UNCERTAIN, reason=reason)
 
     def _update_versions(self, now: float) -> None:
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -53,6 +53,11 @@
         self.roster = roster.Roster(config["entry_grace_s"])
         # Monotonic time at which the entries of endpoints were last read.
         self.directory_read_at = -math.inf
+        # Monotonic time at which the platform last confirmed the entries, to
+        # this gateway or to a reader that it follows.
+        self.directory_confirmed_at = -math.inf
+        # Monotonic time of the last gap in the history of versions.
+        self.versions_gap_at = -math.inf
         self.versions = software_versions.VersionHistory(config["first_start"])
         self.loads = load_table.LoadTable()
         self.prefixes = prefixes.PrefixCaches()
