--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -57,6 +57,11 @@
         self.evacuations = evacuations.Evacuations(
             config.get("evacuation_limit_ms", 0) / 1000
         )
+        # Monotonic time at which the platform last confirmed the entries, to
+        # this gateway or to a reader that it follows.
+        self.directory_confirmed_at = -math.inf
+        # Monotonic time of the last gap in the history of versions.
+        self.versions_gap_at = -math.inf
         self.versions = software_versions.VersionHistory(config["first_start"])
         self.loads = load_table.LoadTable()
         self.prefixes = prefixes.PrefixCaches()
