--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -232,6 +232,29 @@
     "software {software}, by {source}",
 )
 
+CONTENTION_BEGAN = Event(
+    430,
+    "INFO",
+    "requests of service {service} wait: {slots} slots, room for {free} more, "
+    "{own} in flight from here; loads of the peers known: {known}",
+)
+CONTENTION_ENDED = Event(
+    431, "INFO", "requests of service {service} are sent without a wait again"
+)
+REQUEST_WAITED = Event(
+    432,
+    "INFO",
+    "{request} waited {waited_ms} ms for room at service {service}, beyond the "
+    "share of its account or prompt {excess}, returning as agreed {returning}",
+)
+REQUEST_CROWDED_OUT = Event(
+    433,
+    "INFO",
+    "{request} refused for lack of room at service {service} after {waited_ms} "
+    "ms, {left_ms} ms before its deadline, to return in {retry_after_ms} ms: "
+    "{reason}",
+)
+
 # 5xx endpoints and placement
 ENGINE_OWNED = Event(501, "INFO", "this router now owns endpoint {engine}")
 ENGINE_RELEASED = Event(
--- /dev/null
+++ b/packages/core/tests/test_contention_load.py
@@ -0,0 +1,455 @@
+"""Replays loads that exceed a service, against first come, first served.
+
+The routers of a fleet send to endpoints with slots and a queue in order of
+arrival. They know what their peers have in flight as of the last report.
+"""
+
+import collections
+import heapq
+import itertools
+import math
+import random
+from typing import NamedTuple
+
+from nutmegpost_core import contention
+
+SLOTS = 6
+ENDPOINT_QUEUE = 24
+WORK_S = 0.045
+TARGET_S = 0.208
+DEADLINE_S = 2.6
+REPORT_S = 0.2
+TRIES_MAX = 4
+QUEUE_MAX = 64
+SECONDS = 30.0
+# Time of the trouble, after which the usual demand is known.
+TROUBLE = (10.0, 20.0)
+ACCOUNTS = [f"a{number}" for number in range(12)]
+WEIGHTS = [3, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1, 1]
+RANK_SHARES = {0: 0.25, 1: 0.25, 2: 0.5}
+
+
+class Load(NamedTuple):
+    """What callers and endpoints do.
+
+    Attributes:
+        requests_per_s: Usual demand.
+        burst: Demand during the trouble, as a multiple.
+        flood: Demand of the flooding account then, as a multiple.
+        hot_share: Share of the requests with one hot prompt then.
+        lost: Endpoints lost then.
+        is_storm: Whether callers return at once, three times, when refused.
+        routers: Number of routers.
+        endpoints: Number of endpoints.
+        has_reports: Whether routers tell their loads to all peers.
+    """
+
+    requests_per_s: float = 240.0
+    burst: float = 1.0
+    flood: float = 1.0
+    hot_share: float = 0.0
+    lost: int = 0
+    is_storm: bool = False
+    routers: int = 8
+    endpoints: int = 3
+    has_reports: bool = True
+
+
+class Caller:
+    """One request of a caller with all its tries."""
+
+    def __init__(self, number, at, account, rank, prompt):
+        self.digest = f"{account}-{number}"
+        self.at, self.account, self.rank = at, account, rank
+        self.prompt = prompt
+        self.tries = 0
+        self.took_s = None
+
+    @property
+    def in_trouble(self):
+        return TROUBLE[0] + 1 <= self.at < TROUBLE[1]
+
+
+class Endpoint:
+    def __init__(self):
+        self.running = 0
+        self.queue = collections.deque()
+        self.is_up = True
+
+    @property
+    def load(self):
+        return self.running + len(self.queue)
+
+
+class Router:
+    def __init__(self, count, rng):
+        self.own = [0] * count
+        self.of_peers = [0] * count
+        self.known_at = [0.0] * count
+        self.queue = contention.ServiceQueue(rng)
+        self.waiting = {}
+
+    def learn(self, index, total, now):
+        self.of_peers[index] = max(0, total - self.own[index])
+        self.known_at[index] = now
+
+
+class Simulation:
+    """One day; `refused_while_free` counts refusals with idle slots."""
+
+    def __init__(self, load, is_baseline, seed=1):
+        self.load, self.is_baseline = load, is_baseline
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.events = []
+        self.order = itertools.count()
+        self.endpoints = [Endpoint() for _ in range(load.endpoints)]
+        self.routers = [
+            Router(load.endpoints, self.rng) for _ in range(load.routers)
+        ]
+        self.callers = []
+        self.refused_while_free = 0
+        self.rejected = 0
+        self.idle_while_waiting_s = 0.0
+        self.slot_s = 0.0
+
+    def at(self, when, action, *arguments):
+        heapq.heappush(self.events, (when, next(self.order), action, arguments))
+
+    def run(self):
+        self.add_callers()
+        step_s = 0.02
+        for tick in range(int(SECONDS / step_s)):
+            self.at(tick * step_s, self.tick, step_s)
+        for tick in range(int(SECONDS / REPORT_S)):
+            self.at(tick * REPORT_S, self.report)
+        self.at(TROUBLE[0], self.lose)
+        self.at(TROUBLE[1], self.restore)
+        while self.events:
+            self.now, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+        return self
+
+    def add_callers(self):
+        load, rng = self.load, self.rng
+        total = sum(WEIGHTS)
+        for account, weight in zip(ACCOUNTS, WEIGHTS, strict=True):
+            at = 0.0
+            while at < SECONDS - DEADLINE_S:
+                rate = load.requests_per_s * weight / total
+                is_trouble = TROUBLE[0] <= at < TROUBLE[1]
+                if is_trouble:
+                    rate *= load.burst
+                    rate *= load.flood if account == ACCOUNTS[-1] else 1
+                at += rng.expovariate(rate)
+                rank = rng.choices(*zip(*RANK_SHARES.items(), strict=True))[0]
+                is_hot = is_trouble and rng.random() < load.hot_share
+                prompt = "hot" if is_hot else ""
+                if load.hot_share and not is_hot:
+                    prompt = f"p{rng.randrange(60)}"
+                caller = Caller(len(self.callers), at, account, rank, prompt)
+                self.callers.append(caller)
+                self.at(at, self.arrive, caller)
+
+    def lose(self):
+        for endpoint in self.endpoints[: self.load.lost]:
+            endpoint.is_up = False
+
+    def restore(self):
+        for endpoint in self.endpoints:
+            endpoint.is_up = True
+
+    def report(self):
+        if not self.load.has_reports:
+            return
+        for index in range(len(self.endpoints)):
+            total = sum(router.own[index] for router in self.routers)
+            for router in self.routers:
+                router.learn(index, total, self.now)
+
+    def tick(self, step_s):
+        free = sum(
+            max(0, SLOTS - endpoint.running)
+            for endpoint in self.endpoints
+            if endpoint.is_up
+        )
+        waiting = sum(len(router.waiting) for router in self.routers)
+        if waiting:
+            self.slot_s += SLOTS * len(self.endpoints) * step_s
+            self.idle_while_waiting_s += min(free, waiting) * step_s
+        for router in self.routers:
+            if router.waiting:
+                self.pump(router)
+                for waiter, refusal in router.queue.hopeless(
+                    self.capacity(router), self.now
+                ):
+                    caller = router.waiting.pop(waiter.sequence)[1]
+                    self.refuse(caller, refusal.retry_after_s)
+
+    def capacity(self, router, is_excess=False):
+        up = [index for index, e in enumerate(self.endpoints) if e.is_up]
+        per_slot = contention.requests_per_slot_max(True, is_excess)
+        limit = contention.limit(SLOTS, per_slot)
+        return contention.Capacity(
+            SLOTS * len(up),
+            limit * len(up),
+            sum(
+                max(0, limit - router.own[index] - router.of_peers[index])
+                for index in up
+            ),
+            sum(router.own[index] for index in up),
+            len(self.routers),
+            True,
+        )
+
+    def best(self, router, per_slot, known_since=-1.0):
+        """Returns the least loaded endpoint with room by what is believed."""
+        estimates = [
+            (router.own[index] + router.of_peers[index], index)
+            for index, endpoint in enumerate(self.endpoints)
+            if endpoint.is_up
+        ]
+        for estimate, index in sorted(estimates):
+            is_believed = router.known_at[index] > known_since
+            if estimate < contention.limit(SLOTS, per_slot) or not is_believed:
+                return index
+        return None
+
+    def best_in_quota(self, router, waiter):
+        capacity = self.capacity(router, waiter.is_excess)
+        quota = contention.quota(capacity, self.rng)
+        best = None
+        if capacity.own < quota.total:
+            per_slot = contention.requests_per_slot_max(True, waiter.is_excess)
+            best = self.best(router, per_slot)
+        if best is None and capacity.own < quota.share:
+            duration_s = router.queue.mean_duration_s
+            believed_s = contention.believed_s(capacity, duration_s)
+            best = self.best(router, 2.0, self.now - believed_s)
+        return best
+
+    def pump(self, router):
+        while router.waiting:
+            waiter = next(router.queue.in_order(self.now))
+            index = self.best_in_quota(router, waiter)
+            if index is None:
+                return
+            router.queue.remove(waiter)
+            caller = router.waiting.pop(waiter.sequence)[1]
+            router.queue.record_sent(waiter)
+            self.send(router, index, caller)
+
+    def arrive(self, caller):
+        caller.tries += 1
+        router = self.rng.choice(self.routers)
+        if self.is_baseline:
+            index = self.best(router, 2.0)
+            if index is None:
+                self.refuse(caller, 0.3)
+            else:
+                self.send(router, index, caller)
+            return
+        request = contention.Request(
+            caller.account,
+            caller.prompt,
+            "plain",
+            caller.rank,
+            self.now,
+            TARGET_S,
+            caller.at + DEADLINE_S,
+            0.0,
+            caller.digest,
+        )
+        waiter = router.queue.arrive(request, self.now)
+        if router.queue.is_contended(self.now):
+            self.pump(router)
+            index = self.best_in_quota(router, waiter)
+        else:
+            index = self.best(router, contention.requests_per_slot_max(True))
+        if index is not None:
+            router.queue.record_sent(waiter)
+            self.send(router, index, caller)
+            return
+        capacity = self.capacity(router)
+        refusal = router.queue.add(waiter, capacity, self.now)
+        if refusal is not None:
+            self.refuse(caller, refusal.retry_after_s)
+            return
+        router.waiting[waiter.sequence] = (waiter, caller)
+        if len(router.waiting) > QUEUE_MAX:
+            last = router.queue.last(self.now)
+            router.queue.remove(last)
+            refusal = router.queue.refuse(last, "queue", capacity, self.now)
+            self.refuse(
+                router.waiting.pop(last.sequence)[1], refusal.retry_after_s
+            )
+
+    def refuse(self, caller, retry_after_s):
+        idle = sum(
+            max(0, SLOTS - endpoint.running)
+            for endpoint in self.endpoints
+            if endpoint.is_up
+        )
+        self.refused_while_free += bool(idle)
+        tries_max = TRIES_MAX
+        if self.load.is_storm:
+            retry_after_s = self.rng.uniform(0.01, 0.05)
+            tries_max *= 3
+        back = self.now + retry_after_s
+        if caller.tries < tries_max and back < caller.at + DEADLINE_S - WORK_S:
+            self.at(back, self.arrive, caller)
+
+    def send(self, router, index, caller):
+        endpoint = self.endpoints[index]
+        router.own[index] += 1
+        job = (router, index, caller, self.now)
+        if endpoint.running < SLOTS:
+            self.start(endpoint, job)
+        elif len(endpoint.queue) < ENDPOINT_QUEUE:
+            endpoint.queue.append(job)
+        else:
+            self.rejected += 1
+            router.own[index] -= 1
+            router.learn(index, endpoint.load, self.now)
+            self.refuse(caller, 0.3)
+
+    def start(self, endpoint, job):
+        endpoint.running += 1
+        work_s = WORK_S * self.rng.uniform(0.6, 1.4)
+        self.at(self.now + work_s, self.finish, endpoint, job)
+
+    def finish(self, endpoint, job):
+        router, index, caller, sent = job
+        endpoint.running -= 1
+        if endpoint.queue:
+            self.start(endpoint, endpoint.queue.popleft())
+        router.own[index] -= 1
+        # An answer tells the whole load of its endpoint.
+        router.learn(index, endpoint.load, self.now)
+        if self.now <= caller.at + DEADLINE_S:
+            caller.took_s = self.now - caller.at
+        if not self.is_baseline:
+            router.queue.record_end("plain", self.now - sent)
+            self.pump(router)
+
+
+def served(callers):
+    """Returns the share of requests that were answered in time."""
+    return sum(c.took_s is not None for c in callers) / max(1, len(callers))
+
+
+def on_time(callers):
+    return sum(
+        c.took_s is not None and c.took_s <= TARGET_S for c in callers
+    ) / max(1, len(callers))
+
+
+def p95_s(callers):
+    times = sorted(math.inf if c.took_s is None else c.took_s for c in callers)
+    return times[int(0.95 * len(times))]
+
+
+def play(load, is_baseline=False):
+    return Simulation(load, is_baseline).run()
+
+
+def in_trouble(simulation, condition=lambda caller: True):
+    return [c for c in simulation.callers if c.in_trouble and condition(c)]
+
+
+def is_flooding(caller):
+    return caller.account == ACCOUNTS[-1]
+
+
+def assert_ranks_in_order(simulation, condition=lambda caller: True):
+    shares = [
+        served([c for c in in_trouble(simulation, condition) if c.rank == rank])
+        for rank in RANK_SHARES
+    ]
+    assert shares == sorted(shares, reverse=True), shares
+
+
+def assert_no_waste(simulation):
+    """Checks that slots stay busy, and refusals are for want of them."""
+    assert simulation.refused_while_free <= 0.01 * len(simulation.callers)
+    assert simulation.idle_while_waiting_s <= 0.03 * simulation.slot_s
+
+
+def test_quiet_day_is_as_without_admission():
+    """Guards against waits while there is room."""
+    load = Load()
+    usual, now = play(load, is_baseline=True), play(load)
+    assert served(now.callers) == 1.0
+    assert p95_s(now.callers) <= 1.05 * p95_s(usual.callers)
+
+
+def test_burst_is_served_by_rank():
+    """Guards against refusing urgent requests as often as others."""
+    load = Load(burst=2.4)
+    before, now = play(load, is_baseline=True), play(load)
+    assert_ranks_in_order(now)
+    assert_no_waste(now)
+    urgent = in_trouble(now, lambda c: c.rank == 0)
+    assert on_time(urgent) > 0.99
+    assert served(in_trouble(now)) > served(in_trouble(before))
+    assert on_time(in_trouble(now)) > 1.5 * on_time(in_trouble(before))
+
+
+def test_one_gateway_refuses_nothing_while_a_slot_is_free():
+    """Guards against refusals that the known loads do not call for."""
+    for load in (Load(burst=2.4, routers=1), Load(flood=20, routers=1)):
+        simulation = play(load)
+        assert simulation.refused_while_free == 0
+        assert simulation.idle_while_waiting_s == 0
+
+
+def test_flooding_account_takes_from_nobody():
+    """Guards against one account that makes all others late."""
+    load = Load(flood=20)
+    before, now = play(load, is_baseline=True), play(load)
+    others = in_trouble(now, lambda c: not is_flooding(c))
+    others_before = in_trouble(before, lambda c: not is_flooding(c))
+    assert served(others_before) < 0.9
+    assert served(others) > 0.99
+    assert on_time(others) > 0.95
+    assert_ranks_in_order(now, lambda c: not is_flooding(c))
+    assert_no_waste(now)
+
+
+def test_retry_storm_does_not_reach_urgent_requests():
+    """Guards against callers that return at once and crowd out others."""
+    load = Load(burst=2.4, is_storm=True)
+    before, now = play(load, is_baseline=True), play(load)
+    assert_ranks_in_order(now)
+    assert on_time(in_trouble(now, lambda c: c.rank == 0)) > 0.99
+    assert served(in_trouble(now)) > served(in_trouble(before))
+
+
+def test_hot_prompt_leaves_the_others_their_share():
+    """Guards against one prompt that takes half of the capacity."""
+    load = Load(burst=2.4, hot_share=0.5)
+    before, now = play(load, is_baseline=True), play(load)
+    cold = in_trouble(now, lambda c: c.prompt != "hot")
+    cold_before = in_trouble(before, lambda c: c.prompt != "hot")
+    assert served(cold_before) < 0.8
+    assert served(cold) > 0.99
+
+
+def test_lost_endpoints_are_borne_by_the_least_urgent():
+    """Guards against late answers for all after a third is lost."""
+    load = Load(burst=1.9, lost=1)
+    before, now = play(load, is_baseline=True), play(load)
+    assert_ranks_in_order(now)
+    assert_no_waste(now)
+    assert served(in_trouble(now)) > served(in_trouble(before))
+    assert on_time(in_trouble(now, lambda c: c.rank == 0)) > 0.98
+
+
+def test_many_routers_without_reports_do_not_overrun_the_endpoints():
+    """Guards against herds in a fleet whose loads are seldom told."""
+    load = Load(burst=2.4, routers=25, has_reports=False)
+    before, now = play(load, is_baseline=True), play(load)
+    assert_ranks_in_order(now)
+    assert now.rejected <= 0.01 * len(now.callers)
+    assert now.refused_while_free < 0.2 * before.refused_while_free
+    assert served(in_trouble(now)) > served(in_trouble(before))
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -32,6 +32,7 @@
 from nutmegpost_router.gateway import sending
 from nutmegpost_router.gateway import state
 from nutmegpost_router.gateway import stream_origins
+from nutmegpost_router.gateway import waiting_requests
 
 __all__ = ["Forwarder"]
 
@@ -120,6 +121,7 @@
         self._losses = losses.Losses(
             local_state, client, load_exchange, crashes, endpoint_links
         )
+        self._waiting = waiting_requests.WaitingRequests(local_state, counters)
         self._stop: _Stop | None = None
         # The requests that are being forwarded, and what ends them.
         self._open: dict[pending_request.PendingRequest, asyncio.Timeout] = {}
@@ -132,6 +134,7 @@
             end: Monotonic time of the end of the grace period, seconds.
         """
         self._stop = _Stop(late_from, end)
+        self._waiting.begin_stop()
 
     def end_requests(self) -> None:
         """Ends all requests whose answers have not begun, with an answer."""
@@ -305,7 +308,14 @@
                 )
             choice = load.choice
             pending.is_in_flight = True
-            result = await self._sender.send(pending, load, held)
+            is_answered = False
+            try:
+                result = await self._sender.send(pending, load, held)
+                is_answered = result.end is sending.AttemptEnd.ANSWERED
+            finally:
+                self._waiting.record_end(
+                    pending.call, load.started, is_answered
+                )
         pending.is_in_flight = False
         return choice, result
 
@@ -427,7 +437,10 @@
                 call, pending.tried_endpoints, pending.software
             )
         )
-        choice = self._choose_endpoint(pending)
+        if self._waiting.is_enabled:
+            choice = await self._admit_attempt(pending)
+        else:
+            choice = self._choose_endpoint(pending)
         if self._state.is_prefilling(call, choice.endpoint.name):
             choice = await self._choose_again(pending, choice, until)
         # The window of the budget takes repeats to arrive soon after this.
@@ -497,6 +510,29 @@
             )
         return choice
 
+    async def _admit_attempt(
+        self, pending: pending_request.PendingRequest
+    ) -> dispatch.Choice:
+        """Chooses the endpoint of the next attempt, and waits for its turn.
+
+        Raises:
+            errors.RequestError: The request ends without another attempt.
+        """
+        if pending.attempts and self._is_exhausted(pending, _now()):
+            self._give_up(pending)
+        admission = await self._waiting.admit(pending)
+        refusal = admission.refusal
+        if admission.choice is not None:
+            return admission.choice
+        if refusal is None:
+            self._end_without_endpoint(pending)
+        if pending.runs or pending.exchange.started:
+            self._give_up(pending)
+        raise errors.UnavailableError(
+            f"not enough capacity: {refusal.reason}",
+            retry_after=refusal.retry_after_s,
+        )
+
     def _end_without_endpoint(
         self, pending: pending_request.PendingRequest
     ) -> NoReturn:
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -61,6 +61,24 @@
             buckets=_BUCKETS_REQUESTS,
             registry=self._registry,
         )
+        self._waiting = prometheus_client.Gauge(
+            "nutmegpost_gateway_waiting",
+            "Requests that wait at this gateway for room at an endpoint.",
+            registry=self._registry,
+        )
+        self._contention_refused = prometheus_client.Counter(
+            "nutmegpost_gateway_contention_refused",
+            "Requests refused because demand exceeds the capacity.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self._wait = prometheus_client.Histogram(
+            "nutmegpost_gateway_wait_seconds",
+            "Time for which requests waited for room at an endpoint.",
+            ["result"],
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
         self._configuration = prometheus_client.Gauge(
             "nutmegpost_gateway_configuration_version",
             "Version of the configuration in force.",
@@ -120,6 +138,18 @@
         """
         self._load_error.observe(max(0, excess))
 
+    def set_waiting(self, count: int) -> None:
+        """Sets the number of requests that wait for room."""
+        self._waiting.set(count)
+
+    def contention_refused(self, reason: str) -> None:
+        """Counts a request that was refused for lack of capacity."""
+        self._contention_refused.labels(reason).inc()
+
+    def wait_ended(self, result: str, seconds: float) -> None:
+        """Records how long a request waited for room, and how that ended."""
+        self._wait.labels(result).observe(seconds)
+
     def set_configuration_version(self, version: int) -> None:
         """Sets the version of the active configuration."""
         self._configuration.set(version)
