--- a/packages/core/nutmegpost_core/contention.py
+++ b/packages/core/nutmegpost_core/contention.py
@@ -29,6 +29,7 @@
     "ServiceQueue",
     "Waiter",
     "believed_s",
+    "is_exhausted",
     "limit",
     "quota",
     "requests_per_slot_max",
@@ -93,6 +94,8 @@
 # once.
 BURST_REQUESTS = 4.0
 BURST_S = 1.0
+# Sources that are remembered from one period to the next.
+SOURCES_MAX = 2048
 _RECENT_S = 2.0
 _COST_WEIGHT = 0.05
 
@@ -232,8 +235,15 @@
         total: All that it may have while an endpoint has room.
     """
 
-    share: int
-    total: int
+    share: float
+    total: float
+
+
+def is_exhausted(capacity: Capacity) -> bool:
+    """Returns whether a router can send nothing, whatever waits."""
+    return capacity.own >= _share(capacity) and not (
+        capacity.free and capacity.is_known
+    )
 
 
 def quota(capacity: Capacity, rng: random.Random) -> Quota:
@@ -243,18 +253,22 @@
         capacity: Capacity of the service, which is contended.
         rng: Rounds the part of free capacity that is below one request.
     """
-    if math.isinf(capacity.limit):
-        return Quota(capacity.own + 1, capacity.own + 1)
-    share = max(1, math.floor(capacity.limit / capacity.routers))
+    share = _share(capacity)
     if not capacity.is_known:
         return Quota(share, share)
     claiming = max(1.0, capacity.routers * CLAIMING_SHARE)
-    claimed = math.ceil(capacity.free)
-    if claiming > 1.0:
-        claimed = math.floor(capacity.free / claiming + rng.random())
+    claimed = capacity.free / claiming
+    if claiming > 1.0 and not math.isinf(claimed):
+        claimed = math.floor(claimed + rng.random())
     return Quota(share, max(share, capacity.own + claimed))
 
 
+def _share(capacity: Capacity) -> float:
+    """Returns the equal part of the capacity that is one router's."""
+    share = capacity.limit / capacity.routers
+    return share if math.isinf(share) else max(1, math.floor(share))
+
+
 class _Source:
     """Demand of one account or prompt.
 
@@ -375,9 +389,12 @@
                 )
             source.usual += step * (rate - source.usual)
             source.period = 0.0
+        largest = sorted(
+            self._sources.items(), key=lambda item: -item[1].usual
+        )[:SOURCES_MAX]
         self._sources = {
             name: source
-            for name, source in self._sources.items()
+            for name, source in largest
             if source.usual > 0.01 * mean
         }
         self._usual_total = sum(s.usual for s in self._sources.values())
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -235,8 +235,8 @@
 CONTENTION_BEGAN = Event(
     430,
     "INFO",
-    "requests of service {service} wait: {slots} slots, room for {free} more, "
-    "{own} in flight from here; loads of the peers known: {known}",
+    "requests of service {service} wait: {slots} slots, room for {free:.0f} "
+    "more, {own} in flight from here; loads of the peers known: {known}",
 )
 CONTENTION_ENDED = Event(
     431, "INFO", "requests of service {service} are sent without a wait again"
--- a/packages/router/nutmegpost_router/gateway/waiting_requests.py
+++ b/packages/router/nutmegpost_router/gateway/waiting_requests.py
@@ -260,7 +260,7 @@
         log.emit(
             events.CONTENTION_BEGAN,
             service=service,
-            free=round(capacity.free),
+            free=capacity.free,
             slots=capacity.slots,
             own=capacity.own,
             known=capacity.is_known,
@@ -308,7 +308,9 @@
     def _send_waiting(self, service: str) -> None:
         """Sends the waiting requests for which there is room, in order."""
         queue = self._queues[service]
-        if not queue.waiting:
+        if not queue.waiting or contention.is_exhausted(
+            self._capacity(service)
+        ):
             return
         for waiter in queue.in_order(_now()):
             entry = self._entries[service][waiter.sequence]
