--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -126,10 +126,10 @@
         return [
             endpoint
             for service in self.catalog.services
-            for endpoint in self._usable(service)
+            for endpoint in self.usable(service)
         ]
 
-    def _usable(self, service: str) -> list[roster.Endpoint]:
+    def usable(self, service: str) -> list[roster.Endpoint]:
         """Returns the endpoints of a service that may get requests."""
         return self._outside_evacuations(self.roster.usable(service))
 
@@ -190,7 +190,7 @@
             fetch_tokens_per_s=service.fetch_tokens_per_s if service else 0.0,
             tie_width_s=dispatch.tie_width_s(self.fleet_size),
         )
-        usable = self._usable(call.service)
+        usable = self.usable(call.service)
         uncertain: set[str] = set()
         if call.route.resumable:
             uncertain = self.versions.uncertain(usable, now)
@@ -241,7 +241,7 @@
         now = asyncio.get_running_loop().time()
         return any(
             endpoint.name == other.name
-            for other in self._usable(endpoint.service)
+            for other in self.usable(endpoint.service)
         ) and not self.notices.closed([endpoint.name], now)
 
     def return_after_s(self, service: str) -> float | None:
@@ -252,7 +252,7 @@
             takes requests again.
         """
         now = asyncio.get_running_loop().time()
-        names = {endpoint.name for endpoint in self._usable(service)}
+        names = {endpoint.name for endpoint in self.usable(service)}
         if not names or self._closed(names, now) != names:
             return None
         limited = names - self.notices.closed(names, now)
