Use the speeds that endpoints report in the choice of an endpoint

Endpoints of one deployment work 2.5 times as slowly for 15 % of the time, and say so in a fourth figure of Server-Load, which was not read. A count of thousands of digits in that header also ended a request with an error.

Slots and speed are read from each answer. A pure module averages the figures over about the duration of a request and lets them lose weight with age; the choice multiplies the work at an endpoint by the estimate and takes the better of two random endpoints where plain calls cost about the same. Speeds travel with the parts, queries and answers of loads, in a form that older builds skip. Without a figure above the usual one the choice runs the same operations as before.

--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Callable, Collection, Mapping, Sequence
 import math
+import random
 from typing import NamedTuple
 
 import xxhash
@@ -26,6 +27,7 @@
     "FetchSource",
     "Load",
     "Policy",
+    "Speeds",
     "choose",
     "load_bound",
     "tie_width_s",
@@ -69,6 +71,8 @@
         tie_width_s: Endpoints whose cost is at most half of this above the
             lowest, in seconds, are ties, which rendezvous hashing resolves;
             see `tie_width_s`.
+        delayed_work_s: Work of a request that takes longer at a slow endpoint,
+            besides the prefill, seconds; 0 if no endpoint is slow.
     """
 
     load_multiple: float = 2.0
@@ -83,6 +87,7 @@
     cross_zone_s: float = 0.001
     warm_up_s: float = 0.5
     tie_width_s: float = 0.05
+    delayed_work_s: float = 0.0
 
 
 # Tie width added by each router of the fleet.
@@ -105,6 +110,8 @@
 FETCH_TOKENS_MIN = 200
 # Setup time of a fetch.
 FETCH_SETUP_S = 0.0025
+# Running requests by which the loads of endpoints of similar cost may differ.
+_SIMILAR_REQUESTS = 1.5
 
 
 class FetchSource(NamedTuple):
@@ -119,6 +126,19 @@
     tokens: int
 
 
+class Speeds(NamedTuple):
+    """Endpoints that are slow now.
+
+    Attributes:
+        slowdowns: Time that work takes, as a multiple of the usual time, by
+            name of the endpoint; 1 for the others.
+        rng: Chooses among endpoints of similar cost.
+    """
+
+    slowdowns: Mapping[str, float]
+    rng: random.Random
+
+
 class Choice(NamedTuple):
     """The chosen endpoint and the figures behind the choice.
 
@@ -177,6 +197,7 @@
     draining: Sequence[roster.Endpoint] = (),
     target_s: float = 0.0,
     exhausted: Collection[str] = (),
+    speeds: Speeds | None = None,
 ) -> Choice | None:
     """Chooses the endpoint for one request.
 
@@ -196,6 +217,7 @@
         target_s: Latency target of the request, seconds.
         exhausted: Names of endpoints whose request limit is used up. They do
             not count for the bound, since the others do their work.
+        speeds: Which endpoints are slow now; None if all are as usual.
 
     Returns:
         The choice, or None when every endpoint is excluded, exhausted or at
@@ -218,6 +240,7 @@
         return None
     prompt = _locate_prompt((*endpoints, *draining), caches, hints, now, policy)
     presumed = _presume_holder(prompt, endpoints, ejected)
+    slowdowns = speeds.slowdowns if speeds else {}
     costs = [
         _cost(
             policy,
@@ -227,10 +250,14 @@
             zone,
             now,
             target_s,
+            slowdowns.get(endpoint.name, 1.0),
         )
         for endpoint in candidates
     ]
-    best = _best_index(candidates, costs, loads, prompt, policy, target_s)
+    if speeds and not prompt.key:
+        best = _best_of_two(candidates, costs, loads, policy, speeds.rng)
+    else:
+        best = _best_index(candidates, costs, loads, prompt, policy, target_s)
     endpoint = candidates[best]
     source = prompt.source_for(endpoint.name, policy)
     cached = prompt.cached_by_endpoint.get(endpoint.name, 0)
@@ -401,6 +428,34 @@
     )
 
 
+def _best_of_two(
+    candidates: Sequence[roster.Endpoint],
+    costs: Sequence[float],
+    loads: Mapping[str, Load],
+    policy: Policy,
+    rng: random.Random,
+) -> int:
+    """Returns the index of the better of two random candidates of low cost.
+
+    Estimates of speeds lag, and all routers have similar ones. If each took the
+    cheapest, all would send their requests to the same endpoint. Candidates in
+    another zone than the cheapest are left out, as traffic between zones costs.
+    """
+    cheapest = min(range(len(candidates)), key=costs.__getitem__)
+    cost_max = costs[cheapest] + _SIMILAR_REQUESTS * policy.running_request_s
+    similar = [
+        index
+        for index, endpoint in enumerate(candidates)
+        if costs[index] <= cost_max
+        and endpoint.zone == candidates[cheapest].zone
+    ]
+    drawn = rng.sample(similar, min(2, len(similar)))
+    return min(
+        drawn,
+        key=lambda index: (loads[candidates[index].name].running, costs[index]),
+    )
+
+
 def _rendezvous_score(endpoint: roster.Endpoint, key: str) -> int:
     """Returns the rendezvous hash of an endpoint for a prompt; lowest wins."""
     return xxhash.xxh3_64_intdigest(f"{key}#{endpoint.name}".encode())
@@ -423,6 +478,18 @@
     )
 
 
+def _delay_s(
+    policy: Policy, load: Load, endpoint: roster.Endpoint, slowdown: float
+) -> float:
+    """Returns the delay of the work of a request at an endpoint, seconds.
+
+    It is that of slow work, and of a queue, which is worked off more slowly.
+    """
+    queued = max(0, load.running + 1 - endpoint.slots) if endpoint.slots else 0
+    queue_s = policy.delayed_work_s * queued / max(1, endpoint.slots)
+    return policy.delayed_work_s * (slowdown - 1.0) + queue_s * slowdown
+
+
 def _cost(
     policy: Policy,
     load: Load,
@@ -431,6 +498,7 @@
     zone: str,
     now: float,
     target_s: float,
+    slowdown: float,
 ) -> float:
     """Returns the estimated cost of an endpoint, seconds.
 
@@ -442,8 +510,11 @@
         zone: Availability zone of this router.
         now: Monotonic time, seconds.
         target_s: Latency target of the request, seconds.
+        slowdown: Time that work takes at the endpoint; 1 is usual.
     """
-    seconds = policy.running_request_s * load.running
+    seconds = policy.running_request_s * load.running * slowdown
+    if policy.delayed_work_s:
+        seconds += _delay_s(policy, load, endpoint, slowdown)
     if endpoint.zone != zone:
         seconds += policy.cross_zone_s
     if endpoint.warming_until > now:
@@ -459,5 +530,5 @@
         + policy.fetch_weight * fetched
     )
     uncached = max(0, prompt.tokens - cached - fetched)
-    waiting = uncached + load.pending_prefill_tokens
+    waiting = (uncached + load.pending_prefill_tokens) * slowdown
     return seconds + (weighted + waiting) / policy.prefill_tokens_per_s
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -232,6 +232,12 @@
     "software {software}, by {source}",
 )
 
+ENDPOINT_SPEED_REFUSED = Event(
+    440,
+    "WARNING",
+    "{endpoint} reports a speed that is no valid figure: {text}",
+)
+
 # 5xx endpoints and placement
 ENGINE_OWNED = Event(501, "INFO", "this router now owns endpoint {engine}")
 ENGINE_RELEASED = Event(
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 from nutmegpost_core import roster
 
 POLICY = dispatch.Policy(fetch_tokens_per_s=5_000_000.0)
+BOUNDLESS = POLICY._replace(load_slack=99.0)
 PARTS = (
     calls.PromptPart("system", 500),
     calls.PromptPart("chat", 10_000),
@@ -270,3 +271,78 @@
     choice = _choose("abcdefgh", loads, hints=None, exhausted=limited)
     assert choice.endpoint.name == "b"
     assert _choose("ab", loads, hints=None).bound == choice.bound
+
+
+# Guards against a choice that changes although no endpoint reports its speed.
+@hypothesis.given(
+    strategies.lists(strategies.integers(0, 12), min_size=1, max_size=8)
+)
+@hypothesis.settings(derandomize=True, database=None)
+def test_plain_call_without_speeds_goes_to_the_first_least_loaded(running):
+    names = "abcdefgh"[: len(running)]
+    loads = {
+        name: dispatch.Load(count)
+        for name, count in zip(names, running, strict=True)
+    }
+    choice = _choose(names, loads, hints=None, policy=BOUNDLESS)
+    assert choice.endpoint.name == min(names, key=lambda name: loads[name])
+    assert choice.cost == POLICY.running_request_s * min(running)
+
+
+# As above. The cost must be that of the same operations, to the last bit.
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 9), strategies.integers(0)),
+        min_size=2,
+        max_size=8,
+    )
+)
+@hypothesis.settings(derandomize=True, database=None)
+def test_prompt_without_speeds_costs_its_reading_and_the_queue(figures):
+    names = "abcdefgh"[: len(figures)]
+    loads = {
+        name: dispatch.Load(*figure)
+        for name, figure in zip(names, figures, strict=True)
+    }
+    caches = _cached_at(*names)
+    choice = _choose(names, loads, caches, policy=BOUNDLESS)
+    running, pending = choice.load
+    assert choice.cost == POLICY.running_request_s * running + (
+        (300 + pending) / POLICY.prefill_tokens_per_s
+    )
+
+
+def test_plain_call_avoids_a_slow_endpoint_until_the_others_are_loaded():
+    policy = POLICY._replace(delayed_work_s=0.02)
+    speeds = dispatch.Speeds({"a": 2.5}, random.Random(1))
+    choice = _choose("ab", hints=None, policy=policy, speeds=speeds)
+    assert choice.endpoint.name == "b"
+    loads = {"b": dispatch.Load(40, 0)}
+    policy = policy._replace(load_slack=99)
+    choice = _choose("ab", loads, hints=None, policy=policy, speeds=speeds)
+    assert choice.endpoint.name == "a"
+
+
+def test_prompt_avoids_a_slow_endpoint_that_has_nothing_cached():
+    first = _choose("abcd", hints=HINTS).endpoint.name
+    caches = _cached_at(*"abcd")
+    speeds = dispatch.Speeds({first: 4.0}, random.Random(1))
+    loads = {first: dispatch.Load(3, 8_000)}
+    policy = POLICY._replace(delayed_work_s=0.2)
+    choice = _choose("abcd", loads, caches, policy=policy, speeds=speeds)
+    assert choice.endpoint.name != first
+
+
+def test_calls_spread_over_endpoints_of_similar_cost_in_the_zone():
+    names = [
+        _endpoint("slow"),
+        *map(_endpoint, "abc"),
+        _endpoint("d", "zone-b"),
+    ]
+    policy = POLICY._replace(delayed_work_s=0.02)
+    speeds = dispatch.Speeds({"slow": 2.0}, random.Random(1))
+    chosen = {
+        _choose(names, hints=None, policy=policy, speeds=speeds).endpoint.name
+        for _ in range(60)
+    }
+    assert chosen == set("abc")
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -23,6 +23,7 @@
 from nutmegpost_core import budget
 from nutmegpost_core import calls
 from nutmegpost_core import dispatch
+from nutmegpost_core import endpoint_speeds
 from nutmegpost_core import events
 from nutmegpost_core import load_table
 from nutmegpost_core import vms
@@ -70,7 +71,13 @@
 _MAC_CONTEXT = b"nutmegpost loads"
 
 
+# Follows the digest of an endpoint where its speed is observed, not its load.
+# Older builds ignore an observation of a digest that they do not know.
+_SPEED_MARK = b"s"
+
 _EntriesCallback = Callable[[str, Sequence[load_queries.Entry]], None]
+_SpeedCallback = Callable[[str, endpoint_speeds.Figure], None]
+_SpeedSource = Callable[[str, float], endpoint_speeds.Figure | None]
 
 
 class Placement(NamedTuple):
@@ -166,6 +173,10 @@
         self._rng = random.Random(name)
         # Called with the name of a peer and the entries that it sent.
         self.on_entries: _EntriesCallback = lambda *_: None
+        # Called with an endpoint and a figure of its speed that a peer sent.
+        self.on_speed: _SpeedCallback = lambda *_: None
+        # Returns the figure to tell peers of an endpoint at a time.
+        self.speed_of: _SpeedSource = lambda *_: None
         self._last_received: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -217,6 +228,8 @@
     ) -> bool:
         """Sends parts of loads, queries or answers to one peer.
 
+        The speeds that are known of their endpoints go along.
+
         Returns:
             Whether the byte budget allowed it.
         """
@@ -226,8 +239,11 @@
             [int(entry.kind), endpoint_digest(entry.endpoint), entry.running]
             for entry in entries
         ]
-        datagram = self._datagram([None, [], [], encoded, []])
         now = asyncio.get_running_loop().time()
+        speeds = self._encoded_speeds(
+            [entry.endpoint for entry in entries], now
+        )
+        datagram = self._datagram([None, [], [], encoded, speeds])
         # An answer that is not sent makes the peer wait in vain.
         is_answer = any(
             entry.kind is load_queries.EntryKind.ANSWER for entry in entries
@@ -352,6 +368,19 @@
             for name, load in self._loads.own.items()
         }
 
+    def _encoded_speeds(
+        self, endpoints: Iterable[str], now: float
+    ) -> list[list[object]]:
+        return [
+            [
+                endpoint_digest(endpoint) + _SPEED_MARK,
+                figure.percent,
+                int((now - figure.at) * 1000),
+            ]
+            for endpoint in endpoints
+            if (figure := self.speed_of(endpoint, now)) is not None
+        ]
+
     def _next_placements(self) -> list[list[object]]:
         """Returns the encoded placements that come next and fit a datagram."""
         encoded: list[list[object]] = []
@@ -394,12 +423,17 @@
             }
             now = asyncio.get_running_loop().time()
             self._loads.record_report(name, reported, now)
-        for digest, running, age_ms in observations:
+        for digest, figure, age_ms in observations:
+            at = asyncio.get_running_loop().time() - max(0, age_ms) / 1000
             if digest in names_by_digest:
-                at = asyncio.get_running_loop().time() - max(0, age_ms) / 1000
                 self._loads.record_observation(
-                    names_by_digest[digest], int(running), at
+                    names_by_digest[digest], int(figure), at
                 )
+            elif (
+                digest.endswith(_SPEED_MARK)
+                and (endpoint := names_by_digest.get(digest[:-1])) is not None
+            ):
+                self.on_speed(endpoint, endpoint_speeds.Figure(int(figure), at))
         if entries:
             received = [
                 load_queries.Entry(
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -61,6 +61,11 @@
             buckets=_BUCKETS_REQUESTS,
             registry=self._registry,
         )
+        self._speeds_refused = prometheus_client.Counter(
+            "nutmegpost_gateway_speeds_refused",
+            "Responses with a wrong figure of the speed of their endpoint.",
+            registry=self._registry,
+        )
         self._configuration = prometheus_client.Gauge(
             "nutmegpost_gateway_configuration_version",
             "Version of the configuration in force.",
@@ -108,6 +113,10 @@
         """Counts a response by what the endpoint said of itself."""
         self._notices.labels(notice).inc()
 
+    def speed_refused(self) -> None:
+        """Counts a response with a wrong figure of its endpoint's speed."""
+        self._speeds_refused.inc()
+
     def first_event(self, route: str, seconds: float) -> None:
         """Records the time to the first event of a stream."""
         self._first_event.labels(route).observe(seconds)
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -11,6 +11,7 @@
 
 from nutmegpost_core import calls
 from nutmegpost_core import catalog
+from nutmegpost_core import endpoint_speeds
 from nutmegpost_core import errors
 from nutmegpost_core import roster
 from nutmegpost_router import http_server
@@ -121,6 +122,8 @@
         is_leaving: Whether the endpoint says that it leaves.
         pause_text: Time in seconds for which the endpoint wants no requests
             from this gateway, as it was sent; empty for none.
+        speed: What the response says of the slots and the speed of the
+            endpoint.
     """
 
     verdict: Verdict
@@ -131,6 +134,7 @@
     names_request: bool = True
     is_leaving: bool = False
     pause_text: str = ""
+    speed: endpoint_speeds.Report = endpoint_speeds.Report()
 
 
 class CallerProtocol(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -99,6 +99,8 @@
             lambda: self._load_exchange.is_sampling,
         )
         self._load_exchange.on_entries = self._load_queries.receive
+        self._load_exchange.on_speed = self._state.apply_peer_speed
+        self._load_exchange.speed_of = self._state.speeds.figure
         self._state.on_placement = self._load_exchange.queue_placement
         self._endpoint_news = endpoint_news.EndpointNews(
             self._state, self._gossip.send
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -352,6 +352,7 @@
             return AttemptResult(
                 AttemptEnd.LOST, f"status {stream.status} after a resume"
             )
+        self._state.record_duration(call, load.endpoint, _now() - load.started)
         pending.exchange.send(response)
         return AttemptResult(AttemptEnd.ANSWERED)
 
@@ -362,6 +363,8 @@
         head: ports.ResponseHead,
     ) -> None:
         """Records what the endpoint says of itself in a response."""
+        if not self._state.record_speed(endpoint, head.speed):
+            self._counters.speed_refused()
         if head.is_leaving:
             self._counters.notice_received("leaving")
             self._state.record_leaving(endpoint)
@@ -417,6 +420,9 @@
                 await self._relay_first_event(pending, response, relay, load)
                 if relay.event_count:
                     load.finish_prefill()
+                    self._state.record_duration(
+                        pending.call, load.endpoint, _now() - load.started
+                    )
                     self._state.record_prefilled(
                         pending.call, load.choice, _now() - load.started
                     )
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -9,6 +9,7 @@
 from nutmegpost_core import catalog
 from nutmegpost_core import dispatch
 from nutmegpost_core import endpoint_notices
+from nutmegpost_core import endpoint_speeds
 from nutmegpost_core import events
 from nutmegpost_core import liveness
 from nutmegpost_core import load_table
@@ -55,6 +56,7 @@
         self.directory_read_at = -math.inf
         self.versions = software_versions.VersionHistory(config["first_start"])
         self.loads = load_table.LoadTable()
+        self.speeds = endpoint_speeds.EndpointSpeeds()
         self.prefixes = prefixes.PrefixCaches()
         self.outliers = outliers.OutlierDetector(
             eject_after_failures=_EJECT_AFTER_FAILURES,
@@ -137,6 +139,13 @@
             tie_width_s=dispatch.tie_width_s(self.fleet_size),
         )
         usable = self.roster.usable(call.service)
+        slowdowns = self.speeds.slowdowns(
+            [endpoint.name for endpoint in usable], now
+        )
+        if slowdowns:
+            policy = policy._replace(
+                delayed_work_s=self.speeds.delayed_work_s(call.service)
+            )
         uncertain: set[str] = set()
         if call.route.resumable:
             uncertain = self.versions.uncertain(usable, now)
@@ -166,6 +175,7 @@
             self.roster.draining(call.service),
             call.route.target_s,
             self._closed([endpoint.name for endpoint in usable], now),
+            dispatch.Speeds(slowdowns, self.rng) if slowdowns else None,
         )
 
     def _closed(self, endpoints: Collection[str], now: float) -> set[str]:
@@ -325,6 +335,54 @@
             )
         return True
 
+    def record_speed(
+        self, endpoint: roster.Endpoint, report: endpoint_speeds.Report
+    ) -> bool:
+        """Records what an endpoint said of its slots and its speed.
+
+        Returns:
+            Whether the figure of its speed is valid, or there is none.
+        """
+        now = asyncio.get_running_loop().time()
+        if report.slots is not None:
+            self.speeds.record_slots(endpoint.name, report.slots)
+        if not report.speed_text:
+            return True
+        percent = endpoint_speeds.parse_percent(report.speed_text)
+        if percent is not None and self.speeds.record(
+            endpoint.name, endpoint.service, percent, now
+        ):
+            return True
+        if self.speeds.record_refused(endpoint.name):
+            log.emit(
+                events.ENDPOINT_SPEED_REFUSED,
+                endpoint=endpoint.name,
+                text=report.speed_text[:40],
+            )
+        return False
+
+    def record_duration(
+        self, call: calls.Call, endpoint: str, seconds: float
+    ) -> None:
+        """Records how long a successful attempt took.
+
+        Args:
+            call: The request.
+            endpoint: Name of the endpoint.
+            seconds: Time to the complete answer, or to the first event of a
+                stream.
+        """
+        now = asyncio.get_running_loop().time()
+        self.speeds.record_duration(endpoint, call.service, seconds, now)
+
+    def apply_peer_speed(
+        self, endpoint: str, figure: endpoint_speeds.Figure
+    ) -> None:
+        """Records a figure of an endpoint that a peer passed on."""
+        entry = self.roster.endpoints.get(endpoint)
+        if entry is not None:
+            self.speeds.record(endpoint, entry.service, *figure)
+
     def _prefill_rate(self, service: str) -> prefill.PrefillRate:
         return self._prefill_rates.setdefault(service, prefill.PrefillRate())
 
@@ -378,6 +436,7 @@
         self.outliers.set_engines(set(self.roster.endpoints))
         self.liveness.retain(set(self.roster.endpoints))
         self.notices.retain(self.roster.endpoints)
+        self.speeds.retain(self.roster.endpoints)
         for name, endpoint in self.roster.endpoints.items():
             started_ms = self._started_ms.get(name, endpoint.started_ms)
             if started_ms != endpoint.started_ms:
--- a/packages/router/tests/gateway/test_loads.py
+++ b/packages/router/tests/gateway/test_loads.py
@@ -1,6 +1,10 @@
 import asyncio
 
+import cbor2
+
+from nutmegpost_core import endpoint_speeds
 from nutmegpost_core import load_table
+from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import loads
 
 WAIT_S = 20
@@ -70,3 +74,54 @@
         assert first.silent_peers() == set()
 
     _run(scenario)
+
+
+async def _exchange_entries(pair, entries):
+    """Sends entries from the first gateway to the second one."""
+    received = []
+    second = pair.exchanges[1]
+    second.on_entries = lambda name, entries: received.append(entries)
+    tasks = [asyncio.create_task(exchange.run()) for exchange in pair.exchanges]
+    await _until(lambda: second._last_received)
+    pair.exchanges[0].send_entries(pair.hosts[1], entries)
+    await _until(lambda: received)
+    for task in tasks:
+        task.cancel()
+    return received[0]
+
+
+def test_speeds_go_along_with_queries_and_answers():
+    async def scenario():
+        pair = _Pair("127.61.14", ["e-1", "e-2"])
+        first, second = pair.exchanges
+        told = []
+        second.on_speed = lambda *speed: told.append(speed)
+        first.speed_of = lambda endpoint, now: (
+            endpoint_speeds.Figure(250, now - 0.2)
+            if endpoint == "e-1"
+            else None
+        )
+        kind = load_queries.EntryKind.ANSWER
+        entries = [load_queries.Entry(kind, name, 1) for name in pair.endpoints]
+        assert await _exchange_entries(pair, entries) == entries
+        ((endpoint, figure),) = told
+        assert (endpoint, figure.percent) == ("e-1", 250)
+        age_s = asyncio.get_running_loop().time() - figure.at
+        assert 0.19 < age_s < 0.3
+
+    _run(scenario)
+
+
+# Guards against a field that makes a build without it refuse the datagram: it
+# unpacks three values of each entry and observation, and skips unknown digests.
+def test_datagram_with_speeds_has_the_form_that_older_builds_read():
+    pair = _Pair("127.61.15", ["e-1"])
+    exchange = pair.exchanges[0]
+    exchange.speed_of = lambda endpoint, now: endpoint_speeds.Figure(250, now)
+    speeds = exchange._encoded_speeds(["e-1"], 0.0)
+    body = exchange._datagram([None, [], [], [], speeds])[: -loads._MAC_BYTES]
+    name, *_, observations = cbor2.loads(body)
+    assert name == "gateway-0"
+    ((digest, percent, age_ms),) = observations
+    assert digest not in {loads.endpoint_digest("e-1")}
+    assert (percent, age_ms) == (250, 0)
