Send a second attempt beside a late one, within a ratio

A few slow responses spoil the figures of callers, and a request that may be repeated waited for its endpoint until twice its target.

With hedge_ratio above 0, the first attempt of a safe request, or of a resumable stream before its first event, gets another one at another endpoint when its own endpoint reports to be slow or it is later than the 95th percentile, the service has capacity to spare, the other endpoint is likely to answer first, and the ratio and the retry budget allow it. The attempts run in tasks of their own; the first answer or event decides and the other connection is aborted in the same step. Both count as runs. With a ratio of 0, or nothing that could be evidence, an attempt runs as before.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -238,6 +238,20 @@
     "{endpoint} reports a speed that is no valid figure: {text}",
 )
 
+HEDGE_SENT = Event(
+    445,
+    "INFO",
+    "{request} gets a second attempt at {second} after {after_ms} ms: {first} "
+    "has slowdown {first_slowdown}, the second {second_slowdown}; usual are "
+    "{usual_ms} ms, late are {late_ms} ms",
+)
+HEDGE_ENDED = Event(
+    446,
+    "INFO",
+    "the second attempt of {request} was decided on after {after_ms} ms: "
+    "{result}",
+)
+
 # 5xx endpoints and placement
 ENGINE_OWNED = Event(501, "INFO", "this router now owns endpoint {engine}")
 ENGINE_RELEASED = Event(
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from nutmegpost_router import http_server
 from nutmegpost_router import log
 from nutmegpost_router.gateway import crash_guard
+from nutmegpost_router.gateway import hedges
 from nutmegpost_router.gateway import held_attempts
 from nutmegpost_router.gateway import links
 from nutmegpost_router.gateway import load_queries
@@ -117,6 +118,14 @@
             origins,
             self._replacements,
         )
+        self._hedges = hedges.Hedges(
+            local_state,
+            self._sender,
+            self._repeats,
+            crashes,
+            endpoint_links,
+            counters,
+        )
         self._losses = losses.Losses(
             local_state, client, load_exchange, crashes, endpoint_links
         )
@@ -256,6 +265,7 @@
         if not pending.is_relayed:
             # The gateway that relays a request has counted it.
             self._repeats.record_request(call)
+            self._hedges.record_request(call.service)
         held: held_attempts.HeldAttempt | None = None
         try:
             while True:
@@ -305,7 +315,12 @@
                 )
             choice = load.choice
             pending.is_in_flight = True
-            result = await self._sender.send(pending, load, held)
+            if self._hedges.are_possible(pending, load):
+                choice, result = await self._hedges.send(
+                    pending, load, self._handle_result
+                )
+            else:
+                result = await self._sender.send(pending, load, held)
         pending.is_in_flight = False
         return choice, result
 
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -66,6 +66,12 @@
             "Responses with a wrong figure of the speed of their endpoint.",
             registry=self._registry,
         )
+        self._hedges = prometheus_client.Counter(
+            "nutmegpost_gateway_hedges",
+            "Second attempts that were sent or refused.",
+            ["service", "result"],
+            registry=self._registry,
+        )
         self._configuration = prometheus_client.Gauge(
             "nutmegpost_gateway_configuration_version",
             "Version of the configuration in force.",
@@ -117,6 +123,15 @@
         """Counts a response with a wrong figure of its endpoint's speed."""
         self._speeds_refused.inc()
 
+    def hedge_ended(self, service: str, result: str) -> None:
+        """Counts a second attempt that ended, or was refused.
+
+        Args:
+            service: The service of the request.
+            result: How it ended, or why there was none.
+        """
+        self._hedges.labels(service, result).inc()
+
     def first_event(self, route: str, seconds: float) -> None:
         """Records the time to the first event of a stream."""
         self._first_event.labels(route).observe(seconds)
--- a/packages/router/nutmegpost_router/gateway/pending_request.py
+++ b/packages/router/nutmegpost_router/gateway/pending_request.py
@@ -1,6 +1,7 @@
 """A request that is being forwarded, and the load of its current attempt."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from nutmegpost_core import calls
@@ -68,6 +69,9 @@
             continue it; None while any version can run the request.
         failure_response: Last failure response of an endpoint, or None.
         reason: Why the last attempt failed; empty before the first failure.
+        is_hedged: Whether two attempts run and none has decided.
+        on_first_event: Called with the load of an attempt before its first
+            event is relayed; None if nothing depends on it.
         is_held_up: Whether a stream has waited for its caller to read.
     """
 
@@ -102,6 +106,8 @@
         self.software: str | None = None
         self.failure_response: http_server.Response | None = None
         self.reason = ""
+        self.is_hedged = False
+        self.on_first_event: Callable[[InFlightLoad], None] | None = None
         self.is_held_up = False
 
     @property
--- a/packages/router/nutmegpost_router/gateway/replacements.py
+++ b/packages/router/nutmegpost_router/gateway/replacements.py
@@ -67,10 +67,14 @@
         self._has_peer = has_peer
 
     def are_possible(self, pending: pending_request.PendingRequest) -> bool:
-        """Returns whether the route allows a run after the current attempt."""
+        """Returns whether the route allows a run after the current attempt.
+
+        While two attempts run, none is replaced.
+        """
         route = pending.call.route
         return (
             route.repeatable
+            and not pending.is_hedged
             and pending.runs + 1 < route.endpoints_max
             and pending.attempts < attempts_max(route)
         )
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -334,7 +334,7 @@
             call.route.kind is catalog.RequestKind.STREAM
             and stream.status == 200
         ):
-            return await self._relay(pending, stream, head, choice, load)
+            return await self._relay(pending, stream, head, load)
         if head.verdict is ports.Verdict.NOT_RUN:
             return await self._read_rejection(stream, head)
         try:
@@ -390,7 +390,6 @@
         pending: pending_request.PendingRequest,
         stream: http_client.Stream,
         head: ports.ResponseHead,
-        choice: dispatch.Choice,
         load: pending_request.InFlightLoad,
     ) -> AttemptResult:
         relay = event_relay.EventRelay(
@@ -398,7 +397,7 @@
             stream.status,
             head.fields,
             load,
-            lambda: self._record_origin(pending, choice.endpoint),
+            lambda: self._begin_answer(pending, load),
         )
         return await self._relay_to_end(
             pending, held_attempts.OpenStream(stream, head, relay, load)
@@ -444,6 +443,16 @@
         response.close_with_idle_timeout(head.idle_s)
         return AttemptResult(AttemptEnd.ANSWERED)
 
+    def _begin_answer(
+        self,
+        pending: pending_request.PendingRequest,
+        load: pending_request.InFlightLoad,
+    ) -> None:
+        """Prepares for the first event of an attempt."""
+        if pending.on_first_event is not None:
+            pending.on_first_event(load)
+        self._record_origin(pending, load.choice.endpoint)
+
     def _record_origin(
         self,
         pending: pending_request.PendingRequest,
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -11,6 +11,7 @@
 from nutmegpost_core import endpoint_notices
 from nutmegpost_core import endpoint_speeds
 from nutmegpost_core import events
+from nutmegpost_core import hedging
 from nutmegpost_core import liveness
 from nutmegpost_core import load_table
 from nutmegpost_core import outliers
@@ -57,6 +58,7 @@
         self.versions = software_versions.VersionHistory(config["first_start"])
         self.loads = load_table.LoadTable()
         self.speeds = endpoint_speeds.EndpointSpeeds()
+        self.latencies = hedging.Latencies()
         self.prefixes = prefixes.PrefixCaches()
         self.outliers = outliers.OutlierDetector(
             eject_after_failures=_EJECT_AFTER_FAILURES,
@@ -374,6 +376,8 @@
         """
         now = asyncio.get_running_loop().time()
         self.speeds.record_duration(endpoint, call.service, seconds, now)
+        if self._config.get("hedge_ratio", 0.0) > 0:
+            self.latencies.record(call.route.name, call.service, seconds)
 
     def apply_peer_speed(
         self, endpoint: str, figure: endpoint_speeds.Figure
