Ask for the load of an endpoint before a hedge is sent there

In a large fleet a gateway knows little of the load of an endpoint, and asks the gateway that counts before each send. A hedge was sent without, so it could exceed the load bound. Evidence, refusals and the choice are now separate steps with the question between them, and what is refused is checked again after it. Tests of hedges and conventions pass.

--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -124,6 +124,7 @@
             self._repeats,
             crashes,
             endpoint_links,
+            queries,
             counters,
         )
         self._losses = losses.Losses(
--- a/packages/router/nutmegpost_router/gateway/hedges.py
+++ b/packages/router/nutmegpost_router/gateway/hedges.py
@@ -18,6 +18,7 @@
 from nutmegpost_router import log
 from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import links
+from nutmegpost_router.gateway import load_queries
 from nutmegpost_router.gateway import metrics
 from nutmegpost_router.gateway import pending_request
 from nutmegpost_router.gateway import repeats
@@ -101,6 +102,7 @@
         budgeted_repeats: repeats.Repeats,
         crashes: crash_guard.CrashGuard,
         endpoint_links: links.EndpointLinks,
+        queries: load_queries.LoadQueries,
         counters: metrics.GatewayMetrics,
     ):
         """Creates an object that has made no attempt.
@@ -111,6 +113,7 @@
             budgeted_repeats: Pays for second attempts.
             crashes: Knows which requests may crash endpoints.
             endpoint_links: Knows whether any endpoint can be reached.
+            queries: Asks for the loads of endpoints.
             counters: Metrics.
         """
         ratio = local_state.config.get("hedge_ratio", 0.0)
@@ -119,6 +122,7 @@
         self._repeats = budgeted_repeats
         self._crashes = crashes
         self._links = endpoint_links
+        self._queries = queries
         self._counters = counters
         self._is_on = ratio > 0
         self._evidence = hedging.Evidence(
@@ -210,16 +214,24 @@
         while await race.is_undecided(interval_s):
             if pending.replacement is not None:
                 return None
-            refusal, choice = self._consider(pending, race.first)
-            if choice is not None:
-                return pending_request.InFlightLoad(
-                    self._state, pending.call, choice
+            if not self._has_reason(pending, race.first):
+                continue
+            refusal = self._refusal(pending)
+            if refusal is None:
+                await self._queries.learn(
+                    lambda: self._choose(pending, race.first)
                 )
-            if refusal is not None:
-                interval_s = _CHECK_MAX_S
-                if refusal not in refused:
-                    refused.add(refusal)
-                    self._counters.hedge_ended(pending.call.service, refusal)
+                if not await race.is_undecided(0):
+                    return None
+                refusal, choice = self._select(pending, race.first)
+                if choice is not None:
+                    return pending_request.InFlightLoad(
+                        self._state, pending.call, choice
+                    )
+            interval_s = _CHECK_MAX_S
+            if refusal is not None and refusal not in refused:
+                refused.add(refusal)
+                self._counters.hedge_ended(pending.call.service, refusal)
         return None
 
     def _check_interval_s(
@@ -231,50 +243,72 @@
         interval_s = median_s / _CHECKS_PER_REQUEST
         return min(_CHECK_MAX_S, max(_CHECK_MIN_S, interval_s))
 
-    def _consider(
+    def _outlook(self, first: pending_request.InFlightLoad) -> hedging.Outlook:
+        now = _now()
+        return hedging.Outlook(
+            now - first.started,
+            self._state.speeds.slowdown(first.endpoint, now),
+            self._state.speeds.reports(first.endpoint, now),
+        )
+
+    def _has_reason(
+        self,
+        pending: pending_request.PendingRequest,
+        first: pending_request.InFlightLoad,
+    ) -> bool:
+        """Returns whether the first attempt calls for a second one."""
+        call = pending.call
+        usual = self._state.latencies.usual(call.route.name, call.service)
+        return (
+            usual is not None
+            and hedging.has_evidence(
+                self._evidence, self._outlook(first), usual
+            )
+            and call.deadline - _now() >= replacements.ATTEMPT_TIME_MIN_S
+            and not self._links.is_isolated
+        )
+
+    def _refusal(
+        self, pending: pending_request.PendingRequest
+    ) -> hedging.Result | None:
+        """Returns why the request may have no second attempt, or None."""
+        service = pending.call.service
+        if self._may_crash(pending.fingerprint, _now()):
+            return hedging.Result.CRASHING
+        if self._is_contended(service):
+            return hedging.Result.CONTENDED
+        if not self._budget.is_allowed(service):
+            return hedging.Result.OVER_RATIO
+        if not self._repeats.is_allowed(service):
+            return hedging.Result.OVER_BUDGET
+        return None
+
+    def _select(
         self,
         pending: pending_request.PendingRequest,
         first: pending_request.InFlightLoad,
     ) -> tuple[hedging.Result | None, dispatch.Choice | None]:
-        """Decides on a second attempt, and pays for it.
+        """Selects the endpoint of a second attempt, and pays for it.
 
         Returns:
-            Why there is none, None while nothing calls for one; and the
-            endpoint of the second attempt, or None.
+            Why there is none, or None; and the endpoint, or None.
         """
         call = pending.call
-        now = _now()
         usual = self._state.latencies.usual(call.route.name, call.service)
-        outlook = hedging.Outlook(
-            now - first.started,
-            self._state.speeds.slowdown(first.endpoint, now),
-            self._state.speeds.reports(first.endpoint, now),
-        )
-        if (
-            usual is None
-            or not hedging.has_evidence(self._evidence, outlook, usual)
-            or call.deadline - now < replacements.ATTEMPT_TIME_MIN_S
-            or self._links.is_isolated
-        ):
-            return None, None
-        if self._may_crash(pending.fingerprint, now):
-            return hedging.Result.CRASHING, None
-        if self._is_contended(call.service):
-            return hedging.Result.CONTENDED, None
-        if not self._budget.is_allowed(call.service):
-            return hedging.Result.OVER_RATIO, None
-        if not self._repeats.is_allowed(call.service):
-            return hedging.Result.OVER_BUDGET, None
-        choice = self._choose(pending, first, now)
-        if choice is None or replacements.is_full(choice):
+        choice = self._choose(pending, first)
+        # Other requests may have spent the rest while loads were asked for.
+        refusal = self._refusal(pending)
+        if refusal is not None:
+            return refusal, None
+        if choice is None or usual is None or replacements.is_full(choice):
             return hedging.Result.NO_ENDPOINT, None
-        slowdown = self._state.speeds.slowdown(choice.endpoint.name, now)
+        outlook = self._outlook(first)
+        slowdown = self._state.speeds.slowdown(choice.endpoint.name, _now())
         extra_s = choice.duplicate_prefill_tokens / prefill.PREFILL_TOKENS_PER_S
         if not hedging.is_faster(outlook, slowdown, extra_s, usual):
             return hedging.Result.NOT_FASTER, None
         self._repeats.try_spend(call, pending.attempts + 1)
         self._budget.spend(call.service)
-        late_s = usual.late_s or 0.0
         log.emit(
             events.HEDGE_SENT,
             request=call.identity,
@@ -284,7 +318,7 @@
             first_slowdown=round(outlook.slowdown, 2),
             second_slowdown=round(slowdown, 2),
             usual_ms=round(usual.median_s * 1000),
-            late_ms=round(late_s * 1000),
+            late_ms=round((usual.late_s or 0.0) * 1000),
         )
         return None, choice
 
@@ -292,10 +326,10 @@
         self,
         pending: pending_request.PendingRequest,
         first: pending_request.InFlightLoad,
-        now: float,
     ) -> dispatch.Choice | None:
         """Chooses the endpoint of a second attempt, or None."""
         call = pending.call
+        now = _now()
         speeds = self._state.speeds
         needs_report = self._evidence is hedging.Evidence.SPEED
         unfit = {
