--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -296,6 +296,25 @@
     "ms, {left_ms} ms before its deadline, to return in {retry_after_ms} ms: "
     "{reason}",
 )
+ENDPOINT_SPEED_REFUSED = Event(
+    440,
+    "WARNING",
+    "{endpoint} reports a speed that is no valid figure: {text}",
+)
+
+HEDGE_SENT = Event(
+    445,
+    "INFO",
+    "{request} gets a second attempt at {second} after {after_ms} ms: {first} "
+    "has slowdown {first_slowdown}, the second {second_slowdown}; usual are "
+    "{usual_ms} ms, late are {late_ms} ms",
+)
+HEDGE_ENDED = Event(
+    446,
+    "INFO",
+    "the second attempt of {request} was decided on after {after_ms} ms: "
+    "{result}",
+)
 
 # 5xx endpoints and placement
 ENGINE_OWNED = Event(501, "INFO", "this router now owns endpoint {engine}")
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -380,7 +380,7 @@
             call.route.kind is catalog.RequestKind.STREAM
             and stream.status == 200
         ):
-            return await self._relay(pending, stream, head, choice, load)
+            return await self._relay(pending, stream, head, load)
         if head.verdict is ports.Verdict.NOT_RUN:
             return await self._read_rejection(stream, head)
         try:
@@ -398,6 +398,7 @@
             return AttemptResult(
                 AttemptEnd.LOST, f"status {stream.status} after a resume"
             )
+        self._state.record_duration(call, load.endpoint, _now() - load.started)
         pending.exchange.send(response)
         return AttemptResult(AttemptEnd.ANSWERED)
 
@@ -408,6 +409,8 @@
         head: ports.ResponseHead,
     ) -> None:
         """Records what the endpoint says of itself in a response."""
+        if not self._state.record_speed(endpoint, head.speed):
+            self._counters.speed_refused()
         if head.is_leaving:
             self._counters.notice_received("leaving")
             self._state.record_leaving(endpoint)
@@ -433,7 +436,6 @@
         pending: pending_request.PendingRequest,
         stream: http_client.Stream,
         head: ports.ResponseHead,
-        choice: dispatch.Choice,
         load: pending_request.InFlightLoad,
     ) -> AttemptResult:
         relay = event_relay.EventRelay(
@@ -441,7 +443,7 @@
             stream.status,
             head.fields,
             load,
-            lambda: self._record_origin(pending, choice.endpoint),
+            lambda: self._begin_answer(pending, load),
         )
         return await self._relay_to_end(
             pending, held_attempts.OpenStream(stream, head, relay, load)
@@ -463,6 +465,9 @@
                 await self._relay_first_event(pending, response, relay, load)
                 if relay.event_count:
                     load.finish_prefill()
+                    self._state.record_duration(
+                        pending.call, load.endpoint, _now() - load.started
+                    )
                     self._state.record_prefilled(
                         pending.call, load.choice, _now() - load.started
                     )
@@ -484,6 +489,16 @@
         response.close_with_idle_timeout(head.idle_s)
         return AttemptResult(AttemptEnd.ANSWERED)
 
+    def _begin_answer(
+        self,
+        pending: pending_request.PendingRequest,
+        load: pending_request.InFlightLoad,
+    ) -> None:
+        """Prepares for the first event of an attempt."""
+        if pending.on_first_event is not None:
+            pending.on_first_event(load)
+        self._record_origin(pending, load.choice.endpoint)
+
     def _record_origin(
         self,
         pending: pending_request.PendingRequest,
