Cut the processor time and memory of a gateway without requests

Cause: ten times a second a gateway sorted and parsed the addresses of all members, and it did so again for each report, datagram and peer poll. Its tasks woke at different times. It loaded loguru, the Prometheus library and, through them, multiprocessing, email and http.server.

Change: the members that may take work, and what follows from them (gateway/fleet_view.py), are computed once for each version of the membership; the digest and the names of the roster once for each change of it; names by digest once for each set of names. Periodic tasks share their times (ticks.py), with a phase of its own for each process, and two waits use a timer instead of a timeout. JSON log lines are written without loguru. Meters (gateway/meters.py) hold plain numbers, and the Prometheus library is loaded by the first reading of the metrics.

--- a/packages/core/nutmegpost_core/member_table.py
+++ b/packages/core/nutmegpost_core/member_table.py
@@ -120,6 +120,7 @@
         self._revivals: dict[str, list[float]] = {}
         self._leaving_incarnations: dict[str, int] = {}
         self._live: list[str] | None = None
+        self._version = 0
         self._update_digest(None, local_member)
 
     @property
@@ -127,6 +128,11 @@
         """All members by name."""
         return self._members
 
+    @property
+    def version(self) -> int:
+        """Number that rises with each change of a member or its state."""
+        return self._version
+
     @property
     def live(self) -> list[str]:
         """Sorted names of the members that may still be running."""
@@ -154,6 +160,7 @@
             new=member.revision,
         )
         self._members[member.name] = member
+        self._version += 1
         if member.state is State.LEAVING:
             self._leaving_incarnations[member.name] = member.incarnation
         self._update_digest(old, member)
@@ -219,6 +226,7 @@
             if since < before and member.peer_address not in listed:
                 self._buckets[self._bucket(name)].discard(name)
                 del self._members[name]
+                self._version += 1
                 del self._departed_since[name]
                 self._revivals.pop(name, None)
                 self._leaving_incarnations.pop(name, None)
--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -155,6 +155,13 @@
         self._reconfigured: set[str] = set()
         self._config_version = local_member.config_version
         self._config_digest = local_member.config_digest
+        # The members in `alive`, what they were computed from, and the time
+        # from which a hold-down that ends may add one.
+        self._alive: list[str] = []
+        self._alive_version = -1
+        self._alive_from = 0.0
+        self._alive_until = 0.0
+        self._view_version = 0
 
     @property
     def local(self) -> Member:
@@ -173,16 +180,17 @@
         Includes suspects until they are declared dead. Excludes leaving
         members, and flapping members during their hold-down time.
         """
-        names = []
-        for name in self._table.live:
-            if self._table.is_leaving(name):
-                continue
-            if (
-                name == self._name
-                or self._table.hold_down_until(name) <= self._now
-            ):
-                names.append(name)
-        return names
+        self._refresh_alive()
+        return list(self._alive)
+
+    @property
+    def view_version(self) -> int:
+        """Number that rises when `members` or `alive` change.
+
+        Changes of the configuration that a member reports do not count.
+        """
+        self._refresh_alive()
+        return self._view_version
 
     @property
     def reachable(self) -> list[str]:
@@ -338,6 +346,32 @@
                 self._suspicion_s(), min(gap_s, self._timing.stale_max_s)
             )
 
+    def _refresh_alive(self) -> None:
+        """Computes the members that may take work if they may have changed.
+
+        In a large fleet this takes long compared to the other work of a tick.
+        """
+        if (
+            self._alive_version == self._table.version
+            and self._alive_from <= self._now < self._alive_until
+        ):
+            return
+        names = []
+        self._alive_until = math.inf
+        for name in self._table.live:
+            if self._table.is_leaving(name):
+                continue
+            held_until = self._table.hold_down_until(name)
+            if name == self._name or held_until <= self._now:
+                names.append(name)
+            else:
+                self._alive_until = min(self._alive_until, held_until)
+        if names != self._alive or self._alive_version != self._table.version:
+            self._view_version += 1
+        self._alive = names
+        self._alive_version = self._table.version
+        self._alive_from = self._now
+
     # Failure detection
 
     def _start_probe(self, now: float) -> list[Datagram]:
--- a/packages/core/nutmegpost_core/retrybudget.py
+++ b/packages/core/nutmegpost_core/retrybudget.py
@@ -113,6 +113,9 @@
                 seconds.
         """
         self._retention_s = retention_s
+        self._present: frozenset[str] = frozenset()
+        self._present_at = -math.inf
+        # Routers that are not present, and when they were last seen.
         self._last_seen: dict[str, float] = {}
         self._count = 1
 
@@ -129,13 +132,23 @@
             listed: Number of routers that the settings name.
             now: Monotonic time, seconds.
         """
-        for name in routers:
-            self._last_seen[name] = now
+        # A frozen set that is recorded again is not copied or compared.
+        present = frozenset(routers)
+        if present is not self._present:
+            self._replace_present(present)
+        self._present_at = now
         oldest = now - self._retention_s
-        self._last_seen = {
-            name: at for name, at in self._last_seen.items() if at > oldest
-        }
-        self._count = max(listed, len(self._last_seen))
+        for name, at in list(self._last_seen.items()):
+            if at <= oldest:
+                del self._last_seen[name]
+        self._count = max(listed, len(self._present) + len(self._last_seen))
+
+    def _replace_present(self, present: frozenset[str]) -> None:
+        for name in self._present - present:
+            self._last_seen[name] = self._present_at
+        for name in present:
+            self._last_seen.pop(name, None)
+        self._present = present
 
 
 def extra_from(
--- a/packages/core/nutmegpost_core/roster.py
+++ b/packages/core/nutmegpost_core/roster.py
@@ -103,6 +103,9 @@
         self._tombstones: dict[str, _Tombstone] = {}
         self._departed: dict[str, tuple[Endpoint, float]] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
+        # Computed on demand; None after a change.
+        self._digest: str | None = None
+        self._names_with_cache: frozenset[str] | None = None
         self._revision = Revision()
         self._directory_unavailable = False
         self._available_since = float("-inf")
@@ -131,6 +134,11 @@
 
         Entry revisions are excluded, since they change continuously.
         """
+        if self._digest is None:
+            self._digest = self._compute_digest()
+        return self._digest
+
+    def _compute_digest(self) -> str:
         identities = sorted(
             (
                 endpoint.name,
@@ -159,13 +167,21 @@
             and (endpoint.is_draining or endpoint.name in self._departed)
         ]
 
-    def names_with_cache(self) -> set[str]:
-        """Returns the names of all endpoints that may still have a cache."""
-        return {*self._endpoints, *self._departed}
+    def names_with_cache(self) -> frozenset[str]:
+        """Returns the names of all endpoints that may still have a cache.
+
+        Returns the same object until the names may have changed.
+        """
+        if self._names_with_cache is None:
+            self._names_with_cache = frozenset(
+                (*self._endpoints, *self._departed)
+            )
+        return self._names_with_cache
 
     def mark_down(self, name: str) -> None:
         """Discards a departed endpoint that no longer accepts connections."""
         self._departed.pop(name, None)
+        self._discard_computed()
 
     def mark_directory_unavailable(self) -> None:
         """Records that the directory does not respond."""
@@ -263,6 +279,7 @@
         for name, (_, until) in list(self._departed.items()):
             if until <= now:
                 del self._departed[name]
+                self._discard_computed()
         return expired
 
     def _upsert(self, endpoint: Endpoint) -> bool:
@@ -320,7 +337,12 @@
             last.sequence if last else 0,
         )
 
+    def _discard_computed(self) -> None:
+        self._digest = None
+        self._names_with_cache = None
+
     def _rebuild_index(self) -> None:
+        self._discard_computed()
         self._by_service = {}
         for endpoint in self._endpoints.values():
             if not endpoint.is_draining:
--- a/packages/router/nutmegpost_router/gateway/load_queries.py
+++ b/packages/router/nutmegpost_router/gateway/load_queries.py
@@ -18,6 +18,7 @@
 from nutmegpost_core import ownership
 from nutmegpost_core import tracked_loads
 from nutmegpost_router import log
+from nutmegpost_router import ticks
 
 __all__ = ["Entry", "EntryKind", "LoadQueries"]
 
@@ -148,7 +149,8 @@
     async def run(self) -> None:
         """Tells the trackers the own parts until it is cancelled."""
         while True:
-            await asyncio.sleep(_TELL_INTERVAL_S)
+            now = _now()
+            await asyncio.sleep(ticks.next_tick(now, _TELL_INTERVAL_S) - now)
             self._tell()
 
     def _tell(self) -> None:
--- a/packages/router/nutmegpost_router/gateway/loads.py
+++ b/packages/router/nutmegpost_router/gateway/loads.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import bisect
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Sequence
 import functools
 import hmac
 import random
@@ -27,6 +27,7 @@
 from nutmegpost_core import load_table
 from nutmegpost_core import vms
 from nutmegpost_router import log
+from nutmegpost_router import ticks
 from nutmegpost_router.gateway import load_queries
 
 __all__ = [
@@ -135,8 +136,8 @@
         address: str,
         key: str,
         loads: load_table.LoadTable,
-        peers: Callable[[], Iterable[str]],
-        endpoints: Callable[[], Iterable[str]],
+        peers: Callable[[], Sequence[str]],
+        endpoints: Callable[[], Collection[str]],
         on_peer_update: Callable[[PeerUpdate], None],
     ):
         """Creates the task with nothing queued.
@@ -147,7 +148,8 @@
             key: Secret shared by the gateways.
             loads: Source of the own reports and target of the received ones.
             peers: Returns the hosts of the peers.
-            endpoints: Returns the names of all endpoints.
+            endpoints: Returns the names of all endpoints: the same object only
+                if they have not changed.
             on_peer_update: Called with the notices that a peer sent.
         """
         self._name = name
@@ -156,6 +158,9 @@
         self._loads = loads
         self._peers = peers
         self._endpoints = endpoints
+        # The endpoints for which the names by digest were built.
+        self._named: Collection[str] | None = None
+        self._names_by_digest: dict[bytes, str] = {}
         self._on_peer_update = on_peer_update
         self._budget = budget.Budget(BUDGET_BYTES_PER_S, BUDGET_BURST_BYTES)
         self._placements: list[_QueuedPlacement] = []
@@ -252,7 +257,7 @@
                 now = loop.time()
                 is_due = now >= next_report
                 if is_due:
-                    next_report = now + REPORT_INTERVAL_S
+                    next_report = ticks.next_tick(now, REPORT_INTERVAL_S)
                     self._loads.expire(now)
                     self._send_report(now)
                 self._send_notices(now)
@@ -265,19 +270,22 @@
             await asyncio.sleep(BATCH_DELAY_S)
             return
         self._queued_event.clear()
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, seconds), self._queued_event.set
+        )
         try:
-            async with asyncio.timeout(max(0.0, seconds)):
-                await self._queued_event.wait()
+            await self._queued_event.wait()
+        finally:
+            timer.cancel()
+        if self._placements or self._down:
             await asyncio.sleep(BATCH_DELAY_S)
-        except TimeoutError:
-            return
 
     def _send_report(self, now: float) -> None:
         """Sends this gateway's loads, or relays observations.
 
         Sends nothing if the next report is not due or exceeds the budget.
         """
-        hosts = list(self._peers())
+        hosts = self._peers()
         datagram = self._datagram([self._encoded_loads(), [], [], [], []])
         self._report_interval_s = max(
             REPORT_INTERVAL_S, self._interval_s(datagram, hosts)
@@ -302,7 +310,7 @@
             interval_s = self._interval_s(datagram, hosts) / share
             self._next_report = now + interval_s
 
-    def _interval_s(self, datagram: bytes, hosts: list[str]) -> float:
+    def _interval_s(self, datagram: bytes, hosts: Sequence[str]) -> float:
         """Returns the time in which the report budget pays for one report."""
         size = (len(datagram) + _HEADER_BYTES) * len(hosts)
         return size / (REPORT_BUDGET_SHARE * BUDGET_BYTES_PER_S)
@@ -321,7 +329,7 @@
         if not (placements or down):
             return
         datagram = self._datagram([None, placements, down, [], []])
-        hosts = list(self._peers())
+        hosts = self._peers()
         if self._send_to_peers(datagram, hosts, budget.Kind.UPDATE, now):
             del self._placements[: len(placements)]
             del self._down[: len(down)]
@@ -331,7 +339,11 @@
         return body + self._mac(body)
 
     def _send_to_peers(
-        self, datagram: bytes, hosts: list[str], kind: budget.Kind, now: float
+        self,
+        datagram: bytes,
+        hosts: Sequence[str],
+        kind: budget.Kind,
+        now: float,
     ) -> bool:
         """Sends a datagram to all peers if the budget allows it.
 
@@ -382,10 +394,7 @@
     def _apply(self, body: bytes) -> None:
         name, loads, placements, down, entries, observations = cbor2.loads(body)
         self._last_received[str(name)] = asyncio.get_running_loop().time()
-        names_by_digest = {
-            endpoint_digest(endpoint): endpoint
-            for endpoint in self._endpoints()
-        }
+        names_by_digest = self._endpoint_names()
         if loads is not None:
             reported = {
                 names_by_digest[digest]: dispatch.Load(*load)
@@ -425,6 +434,16 @@
                 )
             )
 
+    def _endpoint_names(self) -> dict[bytes, str]:
+        """Returns the names of all endpoints by digest."""
+        endpoints = self._endpoints()
+        if endpoints is not self._named:
+            self._named = endpoints
+            self._names_by_digest = {
+                endpoint_digest(endpoint): endpoint for endpoint in endpoints
+            }
+        return self._names_by_digest
+
     def _mac(self, body: bytes) -> bytes:
         return hmac.digest(self._key, body, "sha256")[:_MAC_BYTES]
 
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -1,13 +1,18 @@
-"""Metrics of a gateway, in a Prometheus registry of its own.
+"""Metrics of a gateway, in a registry of its own.
 
 docs/METRICS.md explains each metric.
 """
 
-import prometheus_client
+from typing import TYPE_CHECKING
+
+from nutmegpost_router.gateway import meters
+
+if TYPE_CHECKING:
+    import prometheus_client
 
 __all__ = ["CONTENT_TYPE", "GatewayMetrics"]
 
-CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+CONTENT_TYPE = meters.CONTENT_TYPE
 _BUCKETS_REQUESTS = (0, 1, 2, 4, 8, 16, 32)
 _BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.5, 0.8, 1.0, 2.5, 5.0, 10.0)
 
@@ -16,66 +21,65 @@
     """The counters, histograms and gauges of one gateway."""
 
     def __init__(self) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
-        prometheus_client.ProcessCollector(registry=self._registry)
-        self._requests = prometheus_client.Counter(
+        self._registry = meters.Registry()
+        self._requests = meters.counter(
             "nutmegpost_gateway_requests",
             "Requests that ended.",
             ["route", "code"],
             registry=self._registry,
         )
-        self._attempts = prometheus_client.Counter(
+        self._attempts = meters.counter(
             "nutmegpost_gateway_attempts_failed",
             "Sends to endpoints that did not bring an answer.",
             ["end"],
             registry=self._registry,
         )
-        self._notices = prometheus_client.Counter(
+        self._notices = meters.counter(
             "nutmegpost_gateway_endpoint_notices",
             "Responses in which endpoints said that they leave or pause.",
             ["notice"],
             registry=self._registry,
         )
-        self._first_event = prometheus_client.Histogram(
+        self._first_event = meters.histogram(
             "nutmegpost_gateway_first_event_seconds",
             "Time from the receipt of a request to its first event.",
             ["route"],
             buckets=_BUCKETS_S,
             registry=self._registry,
         )
-        self._through_peers = prometheus_client.Counter(
+        self._through_peers = meters.counter(
             "nutmegpost_gateway_sent_through_peers",
             "Requests sent through a peer as no endpoint could be reached.",
             ["end"],
             registry=self._registry,
         )
-        self._repeats = prometheus_client.Counter(
+        self._repeats = meters.counter(
             "nutmegpost_gateway_repeats",
             "Decisions of the retry budget on sending a request again.",
             ["service", "decision"],
             registry=self._registry,
         )
-        self._load_error = prometheus_client.Histogram(
+        self._load_error = meters.histogram(
             "nutmegpost_gateway_load_error_requests",
             "Requests by which the reported load exceeds the estimate.",
             buckets=_BUCKETS_REQUESTS,
             registry=self._registry,
         )
-        self._configuration = prometheus_client.Gauge(
+        self._configuration = meters.gauge(
             "nutmegpost_gateway_configuration_version",
             "Version of the configuration in force.",
             registry=self._registry,
         )
-        self._endpoints = prometheus_client.Gauge(
+        self._endpoints = meters.gauge(
             "nutmegpost_gateway_endpoints",
             "Endpoints known, those that leave included.",
             registry=self._registry,
         )
 
     @property
-    def registry(self) -> prometheus_client.CollectorRegistry:
-        """The registry that holds the metrics."""
-        return self._registry
+    def registry(self) -> "prometheus_client.CollectorRegistry":
+        """The registry of the Prometheus library that holds the metrics."""
+        return self._registry.prometheus
 
     def request_ended(self, route: str, code: str) -> None:
         """Counts a request by its route and its result code.
@@ -118,7 +122,7 @@
         Args:
             excess: Load that an endpoint reported, less the estimate.
         """
-        self._load_error.observe(max(0, excess))
+        self._load_error.labels().observe(max(0, excess))
 
     def set_configuration_version(self, version: int) -> None:
         """Sets the version of the active configuration."""
@@ -130,4 +134,4 @@
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+        return self._registry.render()
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -19,9 +19,11 @@
 from nutmegpost_router import http_server
 from nutmegpost_router import log
 from nutmegpost_router import planned_stop
+from nutmegpost_router import ticks
 from nutmegpost_router.gateway import caches
 from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import endpoint_news
+from nutmegpost_router.gateway import fleet_view
 from nutmegpost_router.gateway import forwarding
 from nutmegpost_router.gateway import links
 from nutmegpost_router.gateway import load_queries
@@ -46,11 +48,6 @@
 # Time beyond the retry window for which a gateway that is not seen still counts
 # in the fleet: it may be running, and what it spent counts in the window.
 _FLEET_RETENTION_S = 20.0
-_REACHABLE = (
-    membership.State.ALIVE,
-    membership.State.LEAVING,
-    membership.State.SUSPECT,
-)
 # Shares of the descriptor and memory limits for callers; the rest is for
 # connections to endpoints and peers, and for the process itself.
 _CALLER_CONNECTIONS_SHARE = 0.5
@@ -83,12 +80,15 @@
         self._updates: asyncio.Queue[ports.StateUpdate] = asyncio.Queue()
         self._notices: asyncio.Queue[gossip.Notice] = asyncio.Queue()
         self._members = self._membership()
+        self._fleet_view = fleet_view.FleetView(self._members)
+        # Version of the view that the tasks were last told.
+        self._told_version = -1
         self._load_exchange = loads.LoadExchange(
             config["name"],
             config["loads_address"],
             config["peer_key"],
             self._state.loads,
-            self._peer_hosts,
+            lambda: self._fleet_view.current.peer_hosts,
             self._state.roster.names_with_cache,
             self._state.apply_peer_update,
         )
@@ -430,23 +430,6 @@
         ]
         self._gossip.send(gossip.Seed(contacts))
 
-    def _peer_hosts(self) -> list[str]:
-        members = self._members.members
-        return [
-            vms.parse_address(members[name].peer_address).host
-            for name in members
-            if name != self._config["name"]
-            and members[name].state in _REACHABLE
-        ]
-
-    def _alive_hosts(self) -> dict[str, str]:
-        """Returns the hosts of all live gateways by name, own one included."""
-        members = self._members.members
-        return {
-            name: vms.parse_address(members[name].peer_address).host
-            for name in self._members.alive
-        }
-
     def _relay_peers(self) -> list[peer_relay.Peer]:
         """Returns the peers that may reach endpoints, nearest first."""
         members = self._members.members
@@ -473,13 +456,10 @@
 
         A gateway that has met none yet takes the addresses that it knows.
         """
-        members = self._members.members
+        port = self._control_port
         live = {
-            name: vms.Address(
-                vms.parse_address(members[name].peer_address).host,
-                self._control_port,
-            )
-            for name in self._members.alive
+            name: vms.Address(host, port)
+            for name, host in self._fleet_view.current.alive_hosts.items()
             if name != self._config["name"]
         }
         return live or {
@@ -493,12 +473,12 @@
 
     def _control_addresses(self) -> list[vms.Address]:
         port = self._control_port
-        hosts = self._peer_hosts()
-        hosts += [
-            vms.parse_address(seed).host for seed in self._config["seeds"]
-        ]
+        hosts = {
+            *self._fleet_view.current.peer_hosts,
+            *(vms.parse_address(seed).host for seed in self._config["seeds"]),
+        }
         own = vms.parse_address(self._config["control_address"]).host
-        return [vms.Address(host, port) for host in sorted(set(hosts) - {own})]
+        return [vms.Address(host, port) for host in sorted(hosts - {own})]
 
     async def _handle_notices(self) -> None:
         while True:
@@ -542,7 +522,8 @@
     async def _tick(self) -> None:
         last_boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
         while True:
-            await asyncio.sleep(_TICK_S)
+            now = _now()
+            await asyncio.sleep(ticks.next_tick(now, _TICK_S) - now)
             log.flush()
             boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
             if boot_s - last_boot_s > _TICK_S + _PAUSE_MIN_S:
@@ -553,30 +534,21 @@
             last_boot_s = boot_s
             now = _now()
             self._publications.expire(now)
-            self._fleet.record(
-                self._members.alive, len(set(self._config["seeds"])), now
-            )
-            self._state.fleet_size = self._fleet.count
-            self._retry_sharers.record(
-                self._retry_sharer_names(), len(set(self._config["seeds"])), now
-            )
-            self._state.retry_sharers = self._retry_sharers.count
+            self._update_fleet(now)
             self._crashes.expire(now)
-            self._state.rate_limits.set_routers(self._members.alive)
-            self._load_queries.set_hosts(self._alive_hosts())
             self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
-    def _retry_sharer_names(self) -> list[str]:
-        """Returns the gateways that may be running and spending retries.
-
-        One that is believed to be dead may be cut off, or start again. It
-        counts until its entry is removed, unless it said that it stops.
-        """
-        return [
-            name
-            for name, member in self._members.members.items()
-            if member.state is not membership.State.LEFT
-        ]
+    def _update_fleet(self, now: float) -> None:
+        view = self._fleet_view.current
+        listed = len(set(self._config["seeds"]))
+        self._fleet.record(view.alive_names, listed, now)
+        self._state.fleet_size = self._fleet.count
+        self._retry_sharers.record(view.retry_sharers, listed, now)
+        self._state.retry_sharers = self._retry_sharers.count
+        if view.version != self._told_version:
+            self._told_version = view.version
+            self._state.rate_limits.set_routers(view.alive)
+            self._load_queries.set_hosts(view.alive_hosts)
 
     async def _drain(self) -> http_server.OpenWork:
         """Serves the open connections until none is left or the grace is over.
--- a/packages/router/nutmegpost_router/gossip.py
+++ b/packages/router/nutmegpost_router/gossip.py
@@ -17,10 +17,10 @@
 from nutmegpost_core import errors
 from nutmegpost_core import events
 from nutmegpost_core import membership
-from nutmegpost_core import quarantine
 from nutmegpost_core import vms
 from nutmegpost_router import log
 from nutmegpost_router import settings
+from nutmegpost_router import ticks
 
 __all__ = [
     "Command",
@@ -194,7 +194,7 @@
         self._disseminator = disseminator
         self._outbox = outbox
         self._clock = clock
-        self._inbox: asyncio.Queue[Command | _Received] = asyncio.Queue()
+        self._inbox: asyncio.Queue[Command | _Received | None] = asyncio.Queue()
         self._transport: asyncio.DatagramTransport | None = None
         self._counts = Counts()
         self._last_step_at = clock()
@@ -240,7 +240,7 @@
         if message is not None:
             self._transmit(self._handle(message, now))
         if now >= self._next_tick:
-            self._next_tick = now + _TICK_S
+            self._next_tick = ticks.next_tick(now, _TICK_S)
             self._transmit(self._members.tick(now))
         self._send_notices()
 
@@ -250,11 +250,14 @@
         delay = self._next_tick - self._clock()
         if delay <= 0:
             return None
+        # Costs less than a timeout, which cancels the wait five times a second.
+        timer = asyncio.get_running_loop().call_later(
+            delay, self._inbox.put_nowait, None
+        )
         try:
-            async with asyncio.timeout(delay):
-                return await self._inbox.get()
-        except TimeoutError:
-            return None
+            return await self._inbox.get()
+        finally:
+            timer.cancel()
 
     def _detect_pause(self, now: float) -> None:
         gap = now - self._last_step_at - _TICK_S
@@ -360,6 +363,9 @@
             )
 
     def _send_suspect_notices(self, key: bytes, payload: bytes) -> None:
+        # Gateways publish no such items and need not load the module.
+        from nutmegpost_core import quarantine
+
         for report_key, report_payload in quarantine.split_batch(key, payload):
             self._outbox.put_nowait(
                 ItemReceived(
@@ -378,6 +384,8 @@
 
 
 def _log_suspect(key: bytes, payload: bytes) -> None:
+    from nutmegpost_core import quarantine
+
     try:
         digest, engine, state = quarantine.read_report(key, payload)
     except errors.PeerError:
--- a/packages/router/nutmegpost_router/log.py
+++ b/packages/router/nutmegpost_router/log.py
@@ -1,22 +1,27 @@
-"""Numbered log events through loguru.
+"""Numbered log events.
 
 Each event is one line, as text on standard error or as JSON on standard output.
+Loguru writes the text. It is loaded when it is first needed, because it takes
+two megabytes of memory that a process with JSON output has no use for.
 Lines of the same event are rate limited, so that a flood of refusals costs a
 bounded share of the processor; the next line that is written reports how many
 were suppressed.
 """
 
 import atexit
+import datetime
 import os
 import sys
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import loguru
 import msgspec
 
 from nutmegpost_core import events
 
+if TYPE_CHECKING:
+    import loguru
+
 __all__ = [
     "LINES_PER_SECOND",
     "OUTPUT_BYTES_MAX",
@@ -35,8 +40,17 @@
 OUTPUT_BYTES_MAX = 262_144
 # Size of the buffered lines at which they are written without a flush.
 BATCH_BYTES = 8_192
-# Number of the level WARNING; lines of this level and above are not delayed.
-_FLUSHED_LEVEL = 30
+# Numbers of the levels; lines of the level WARNING and above are not delayed.
+_LEVELS = {
+    "TRACE": 5,
+    "DEBUG": 10,
+    "INFO": 20,
+    "SUCCESS": 25,
+    "WARNING": 30,
+    "ERROR": 40,
+    "CRITICAL": 50,
+}
+_FLUSHED_LEVEL = _LEVELS["WARNING"]
 
 _FORMAT = (
     "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[process]} "
@@ -88,7 +102,7 @@
 
 
 class _NonBlockingSink:
-    """Loguru sink that writes JSON lines without blocking.
+    """Sink, also for loguru, that writes JSON lines without blocking.
 
     Lines are buffered until `flush`, a line of a high level or a full batch,
     since each write costs as much as formatting a line. Data that the file
@@ -97,9 +111,10 @@
     dropped lines.
     """
 
-    def __init__(self, descriptor: int):
+    def __init__(self, descriptor: int, level: str = "TRACE"):
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
+        self._level = _LEVELS[level]
         self._buffer = bytearray()
         self._dropped = 0
 
@@ -117,6 +132,25 @@
         }
         if "fields" not in extra:
             line["text"] = record["message"]
+        self._write_line(line, record["level"].no)
+
+    def write_event(self, event: events.Event, fields: dict[str, Any]) -> None:
+        """Writes or buffers an event as a line of JSON."""
+        level = _LEVELS[event.level]
+        if level < self._level:
+            return
+        time_now = datetime.datetime.now().astimezone()
+        line = {
+            "time": time_now.isoformat(timespec="milliseconds"),
+            "level": event.level,
+            "process": _process["name"],
+            "number": event.number,
+            "event": _event_names.get(event.number, ""),
+            **fields,
+        }
+        self._write_line(line, level)
+
+    def _write_line(self, line: dict[str, Any], level: int) -> None:
         if self._dropped:
             line["lines_dropped"] = self._dropped
         data = msgspec.json.encode(line, enc_hook=str) + b"\n"
@@ -125,7 +159,7 @@
         else:
             self._dropped = 0
             self._buffer += data
-        is_urgent = record["level"].no >= _FLUSHED_LEVEL
+        is_urgent = level >= _FLUSHED_LEVEL
         if is_urgent or len(self._buffer) >= BATCH_BYTES:
             self.flush()
 
@@ -142,6 +176,7 @@
 
 # The sink of the structured output, if it is set up.
 _sinks: list[_NonBlockingSink] = []
+_process = {"name": ""}
 
 
 def set_up(process: str, level: str = "INFO") -> None:
@@ -151,7 +186,11 @@
         process: Name of this process, written in each line.
         level: Minimum level that is written.
     """
+    import loguru
+
     _configure(process, LINES_PER_SECOND)
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"process": process, "number": 0})
     # diagnose=False keeps the values of variables, such as keys, out of
     # tracebacks.
     loguru.logger.add(
@@ -171,8 +210,7 @@
         level: Minimum level that is written.
     """
     _configure(process, STRUCTURED_LINES_PER_SECOND)
-    sink = _NonBlockingSink(sys.stdout.fileno())
-    loguru.logger.add(sink.write, level=level, diagnose=False, backtrace=False)
+    sink = _NonBlockingSink(sys.stdout.fileno(), level)
     _sinks.append(sink)
     atexit.register(sink.flush)
 
@@ -185,14 +223,17 @@
 
 def set_process_name(process: str) -> None:
     """Changes the name of this process in the lines that follow."""
-    loguru.logger.configure(extra={"process": process, "number": 0})
+    _process["name"] = process
+    if not _sinks:
+        import loguru
+
+        loguru.logger.configure(extra={"process": process, "number": 0})
 
 
 def _configure(process: str, lines_max: int) -> None:
     _limits["lines"] = lines_max
     _sinks.clear()
-    loguru.logger.remove()
-    set_process_name(process)
+    _process["name"] = process
 
 
 def emit(event: events.Event, **fields: Any) -> None:
@@ -209,12 +250,16 @@
     omitted = throttle.take_omitted()
     if omitted:
         fields["lines_omitted"] = omitted
-    text = ""
-    # Structured lines hold the fields of the event in place of its text.
-    if not _sinks:
-        text = _escape_unprintable(_format_message(event, fields))
-        if omitted:
-            text = f"{text} (and {omitted} more of {event.number} not written)"
+    if _sinks:
+        # Structured lines hold the fields of the event in place of its text.
+        for sink in _sinks:
+            sink.write_event(event, fields)
+        return
+    import loguru
+
+    text = _escape_unprintable(_format_message(event, fields))
+    if omitted:
+        text = f"{text} (and {omitted} more of {event.number} not written)"
     bound_logger = loguru.logger.bind(
         number=event.number,
         event=_event_names.get(event.number, ""),
--- a/packages/router/nutmegpost_router/settings.py
+++ b/packages/router/nutmegpost_router/settings.py
@@ -5,7 +5,6 @@
 
 import collections
 from collections.abc import Iterable
-import pathlib
 from typing import Annotated, Any, NotRequired, TypedDict, TypeVar
 
 import msgspec
@@ -157,7 +156,8 @@
         errors.SettingsError: The file cannot be read.
     """
     try:
-        return pathlib.Path(path).read_bytes()
+        with open(path, "rb") as file:
+            return file.read()
     except (OSError, ValueError) as caught:
         raise errors.SettingsError(path, "$", str(caught)) from caught
 
--- a/packages/router/tests/test_log.py
+++ b/packages/router/tests/test_log.py
@@ -1,6 +1,8 @@
 import json
 import os
 import re
+import subprocess
+import sys
 
 import loguru
 import pytest
@@ -148,3 +150,40 @@
     loguru.logger.remove()
     os.close(writer)
     os.close(reader)
+
+
+def test_lines_without_loguru_are_those_of_loguru(monkeypatch):
+    """Guards against lines that depend on which of the two writes them."""
+    monkeypatch.setitem(log._process, "name", "p")
+    reader, writer = os.pipe()
+    sink = log._NonBlockingSink(writer, "INFO")
+    sink.write_event(events.Event(7, "DEBUG", "x"), {"n": 1})
+    sink.write_event(_EVENT, {"code": "c", "reason": "r"})
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"process": "p", "number": 0})
+    loguru.logger.add(sink.write, level="INFO")
+    fields = {"code": "c", "reason": "r"}
+    loguru.logger.bind(number=401, event="", fields=fields).info("x")
+    loguru.logger.remove()
+    sink.flush()
+    os.close(writer)
+    with os.fdopen(reader, "rb") as pipe:
+        own, logurus = (json.loads(line) for line in pipe.read().splitlines())
+    pattern = r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}[+-]\d\d:\d\d"
+    assert re.fullmatch(pattern, own.pop("time"))
+    assert re.fullmatch(pattern, logurus.pop("time"))
+    own.pop("event"), logurus.pop("event")
+    assert list(own.items()) == list(logurus.items())
+
+
+def test_the_gateway_program_loads_no_library_that_it_does_not_need():
+    """Guards against an import that costs every gateway its memory."""
+    program = (
+        "import sys, nutmegpost_platform.main; "
+        "print({'loguru', 'prometheus_client', 'http.server', "
+        "'multiprocessing', 'email', 'websockets'} & sys.modules.keys())"
+    )
+    shown = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, check=True
+    )
+    assert shown.stdout.strip() == b"set()"
