Test that speeds reach other gateways, and hedges while a gateway stops

Neither was covered: the first test fails in all three cases with the wiring of the figures taken out of the process. A figure goes along with a datagram that is sent anyway, so one of a request that was neither asked for nor still running at the next message is not passed on.

--- a/tests/platform/test_endpoint_speeds.py
+++ b/tests/platform/test_endpoint_speeds.py
@@ -9,6 +9,7 @@
 from nutmegpost_core import catalog
 from nutmegpost_core import endpoint_speeds
 from nutmegpost_platform import endpoint_protocol
+from nutmegpost_router.gateway import loads
 
 ROUTE = catalog.Route(
     "look", "", "/", catalog.RequestKind.SAFE, (), 1, 1, 0, 1, True, False, 1
@@ -99,3 +100,35 @@
             assert count in metrics.body
 
     standin.run_scenario(scenario)
+
+
+# Guards against a gateway of a large fleet that knows of no speed, as it rarely
+# sends to any one endpoint.
+@pytest.mark.parametrize("names", [("p1", "p2"), ("q1", "q2"), ("r1", "r2")])
+def test_gateway_learns_speeds_from_the_gateway_that_counts(names, monkeypatch):
+    monkeypatch.setattr(loads, "REPORT_INTERVAL_MAX_S", 0.0)
+
+    async def scenario():
+        runners = [_Reporting(name, "plain", 8) for name in names]
+        async with standin.Fleet(runners, gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            for gateway in fleet.gateways:
+                await fleet.wait_until(
+                    lambda gateway=gateway: (
+                        gateway._load_exchange.is_sampling
+                        and len(gateway._load_queries._hosts) == 2
+                    )
+                )
+            for runner in runners:
+                runner.load = "1,0,4,250"
+            for number in range(8):
+                await fleet.send_request("/look/1", f"id-{number}")
+            await asyncio.sleep(0.3)
+            other = fleet.gateways[1]
+            now = asyncio.get_running_loop().time()
+            used = [runner.name for runner in runners if runner.received]
+            for name in used:
+                await other._load_queries._ask(name)
+                assert other.local_state.speeds.slowdown(name, now) > 1.2
+
+    standin.run_scenario(scenario)
--- a/tests/platform/test_hedging.py
+++ b/tests/platform/test_hedging.py
@@ -433,3 +433,25 @@
             assert len(_arrivals(fleet, "late")) == 1
 
     standin.run_scenario(scenario)
+
+
+# Guards against attempts that outlive a gateway that stops, and a caller that
+# gets no answer.
+def test_both_attempts_are_cancelled_when_the_gateway_stops():
+    async def scenario():
+        async with _fleet(stop_grace_s=1.5) as fleet:
+            await _warm_up(fleet)
+            for runner in fleet.runners.values():
+                runner.behaviors = [standin.hang]
+            request = asyncio.create_task(_send(fleet, "/look/1", "stopped"))
+            await fleet.wait_until(
+                lambda: len(_arrivals(fleet, "stopped")) == 2
+            )
+            fleet.gateways[0].stop()
+            assert (await request).status == 502
+            await asyncio.sleep(CANCEL_MAX_S)
+            for runner in fleet.runners.values():
+                assert runner.cancelled == ["stopped"]
+            assert _running(fleet) == 0
+
+    standin.run_scenario(scenario)
