--- a/tests/platform/test_hedging.py
+++ b/tests/platform/test_hedging.py
@@ -48,6 +48,16 @@
     return await fleet.send_request(path, identity, method)
 
 
+def _slow(seconds):
+    """Returns a behavior that answers after a time."""
+
+    async def behavior(runner, exchange):
+        await asyncio.sleep(seconds)
+        await standin.respond(runner, exchange)
+
+    return behavior
+
+
 def _hang_next(fleet, behavior=standin.hang):
     """Makes the endpoint that gets the next request run a behavior.
 
@@ -152,17 +162,13 @@
     ("path", "service"), [("/issue/1", "plain"), ("/ask/1", "engines")]
 )
 def test_request_that_may_not_be_repeated_is_never_hedged(path, service):
-    async def slow(runner, exchange):
-        await asyncio.sleep(0.4)
-        await standin.respond(runner, exchange)
-
     async def scenario():
         config = standin.configuration(1)
         for route in config["routes"]:
             route["maxAttempts"] = 3
         async with _fleet(service=service, config=config) as fleet:
             await _warm_up(fleet, path)
-            _hang_next(fleet, slow)
+            _hang_next(fleet, _slow(0.4))
             response = await _send(fleet, path, "once")
             assert response.status == 200
             assert len(_arrivals(fleet, "once")) == 1
@@ -175,14 +181,10 @@
     "overrides", [{"hedge_ratio": 0}, {"hedge_evidence": "speed"}]
 )
 def test_no_hedge_without_the_setting_or_its_evidence(overrides):
-    async def slow(runner, exchange):
-        await asyncio.sleep(0.3)
-        await standin.respond(runner, exchange)
-
     async def scenario():
         async with _fleet(**overrides) as fleet:
             await _warm_up(fleet)
-            _hang_next(fleet, slow)
+            _hang_next(fleet, _slow(0.3))
             assert (await _send(fleet, "/look/1", "one")).status == 200
             assert len(_arrivals(fleet, "one")) == 1
 
@@ -293,17 +295,13 @@
         await asyncio.sleep(0.1)
         await standin.drop_connection(runner, exchange)
 
-    async def slow(runner, exchange):
-        await asyncio.sleep(0.3)
-        await standin.respond(runner, exchange)
-
     async def scenario():
         async with _fleet(("p1", "p2", "p3")) as fleet:
             await _warm_up(fleet)
 
             async def first(runner, exchange):
                 for other in fleet.runners.values():
-                    other.behaviors = [slow]
+                    other.behaviors = [_slow(0.3)]
                 await fail_later(runner, exchange)
 
             _hang_next(fleet, first)
@@ -341,15 +339,11 @@
 
 # Guards against hedges that add load where there is none to spare.
 def test_no_hedge_while_half_of_the_slots_are_in_use():
-    async def slow(runner, exchange):
-        await asyncio.sleep(0.5)
-        await standin.respond(runner, exchange)
-
     async def scenario():
         async with _fleet() as fleet:
             await _warm_up(fleet)
             for runner in fleet.runners.values():
-                runner.behaviors = [slow] * 20
+                runner.behaviors = [_slow(0.5)] * 20
             await asyncio.gather(
                 *[_send(fleet, "/look/1", f"id-{n}") for n in range(10)]
             )
@@ -363,10 +357,6 @@
 # Guards against a second attempt at an endpoint that should get none.
 @pytest.mark.parametrize("is_leaving", [True, False])
 def test_hedge_is_not_sent_to_an_endpoint_that_leaves_or_is_ejected(is_leaving):
-    async def slow(runner, exchange):
-        await asyncio.sleep(0.3)
-        await standin.respond(runner, exchange)
-
     async def scenario():
         async with _fleet() as fleet:
             await _warm_up(fleet)
@@ -380,7 +370,7 @@
             else:
                 now = asyncio.get_running_loop().time()
                 state.outliers.eject("p2", now)
-            fleet.runners["p1"].behaviors = [slow]
+            fleet.runners["p1"].behaviors = [_slow(0.3)]
             assert (await _send(fleet, "/look/1", "late")).status == 200
             assert _arrivals(fleet, "late") == ["p1"]
             assert await _metric(fleet, "refused-no-endpoint") == 1
@@ -390,10 +380,6 @@
 
 # Guards against a request that crashes an endpoint and takes a second one down.
 def test_request_that_is_charged_with_a_crash_is_not_hedged():
-    async def slow(runner, exchange):
-        await asyncio.sleep(0.3)
-        await standin.respond(runner, exchange)
-
     async def scenario():
         async with _fleet() as fleet:
             await _warm_up(fleet)
@@ -405,7 +391,7 @@
                 return admit(fingerprint, now)
 
             guard.admit = charge_and_admit
-            _hang_next(fleet, slow)
+            _hang_next(fleet, _slow(0.3))
             assert (await _send(fleet, "/look/1", "late")).status == 200
             assert len(_arrivals(fleet, "late")) == 1
             assert await _metric(fleet, "refused-crashing") == 1
@@ -415,17 +401,13 @@
 
 # Guards against two gateways that both hedge one request.
 def test_request_that_a_peer_relays_is_not_hedged():
-    async def slow(runner, exchange):
-        await asyncio.sleep(0.3)
-        await standin.respond(runner, exchange)
-
     async def scenario():
         async with _fleet(gateways=2) as fleet:
             await fleet.wait_until_all_met()
             await _warm_up(fleet)
             relay = fleet.gateways[0]._forwarder._relay
             proof = relay._proof("late").decode()
-            _hang_next(fleet, slow)
+            _hang_next(fleet, _slow(0.3))
             response = await fleet.send_request(
                 "/look/1", "late", nutmegpost_relay=proof
             )
