Let no request wait that no endpoint may take up once it has room

A stream bound to a software version waited for endpoints whose version is uncertain, which are never chosen for it.

--- a/packages/router/nutmegpost_router/gateway/waiting_requests.py
+++ b/packages/router/nutmegpost_router/gateway/waiting_requests.py
@@ -412,10 +412,14 @@
         self, pending: pending_request.PendingRequest
     ) -> list[roster.Endpoint]:
         """Returns the endpoints that may take a request once they have room."""
+        usable = self._state.roster.usable(pending.call.service)
+        excluded = set(pending.tried_endpoints)
+        if pending.software is not None:
+            excluded |= self._state.versions.uncertain(usable, _now())
         return [
             endpoint
-            for endpoint in self._state.roster.usable(pending.call.service)
-            if endpoint.name not in pending.tried_endpoints
+            for endpoint in usable
+            if endpoint.name not in excluded
             and pending.software in (None, endpoint.software)
             and not self._state.is_closed(endpoint.name)
         ]
