Limit the requests of cold endpoints over all gateways

Well above coldPerS requests a second a cold endpoint crashes. Gateways made such an endpoint only dearer in the choice, each by its own view.

With cold_overage and cold_slack, a cold endpoint is a limit that the gateways divide as they divide one that an endpoint names, by the same table. Its buckets start empty, all of them and the refill of a second stay within the bound, and a gateway that does not see the whole fleet takes part for its part of it. Cold-Ms in any answer counts as the entry does, and peers are told of it. The cost of a warming endpoint falls to 0 in coldStartS. Without the settings, or coldPerS, nothing changes.

--- a/packages/core/nutmegpost_core/catalog.py
+++ b/packages/core/nutmegpost_core/catalog.py
@@ -93,6 +93,10 @@
             a plain service.
         fetch_tokens_per_s: Rate at which an endpoint fetches cached prompt
             tokens from another endpoint, tokens per second; 0 if it cannot.
+        cold_start_s: Time for which an endpoint is cold after it starts,
+            seconds; 0 if unknown.
+        cold_per_s: Requests per second that a cold endpoint takes from all
+            routers together; 0 for no limit.
     """
 
     name: str
@@ -100,6 +104,8 @@
     slots: int = 0
     cache_tokens: int = 0
     fetch_tokens_per_s: float = 0.0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Account(NamedTuple):
--- a/packages/core/nutmegpost_core/dispatch.py
+++ b/packages/core/nutmegpost_core/dispatch.py
@@ -66,6 +66,8 @@
             the request.
         cross_zone_s: Cost of an endpoint in another availability zone, seconds.
         warm_up_s: Cost of an endpoint that is warming up, seconds.
+        cold_start_s: Time in which this cost falls to 0 at the end of the
+            warm-up, seconds, so that load shifts gradually; 0 if it stays.
         tie_width_s: Endpoints whose cost is at most half of this above the
             lowest, in seconds, are ties, which rendezvous hashing resolves;
             see `tie_width_s`.
@@ -82,6 +84,7 @@
     tie_target_share: float = 0.25
     cross_zone_s: float = 0.001
     warm_up_s: float = 0.5
+    cold_start_s: float = 0.0
     tie_width_s: float = 0.05
 
 
@@ -145,6 +148,12 @@
     load: Load
     speculative_source: roster.Endpoint | None = None
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether the endpoint can run the request at once, if known."""
+        slots = self.endpoint.slots
+        return not slots or self.load.running < slots
+
     @property
     def reusable_tokens(self) -> int:
         """Prompt tokens that need no prefill: cached or fetched."""
@@ -423,6 +432,15 @@
     )
 
 
+def _warm_up_cost(policy: Policy, remaining_s: float) -> float:
+    """Returns the cost of an endpoint that is warming up, seconds."""
+    if remaining_s <= 0:
+        return 0.0
+    if not policy.cold_start_s:
+        return policy.warm_up_s
+    return policy.warm_up_s * min(1.0, remaining_s / policy.cold_start_s)
+
+
 def _cost(
     policy: Policy,
     load: Load,
@@ -446,8 +464,7 @@
     seconds = policy.running_request_s * load.running
     if endpoint.zone != zone:
         seconds += policy.cross_zone_s
-    if endpoint.warming_until > now:
-        seconds += policy.warm_up_s
+    seconds += _warm_up_cost(policy, endpoint.warming_until - now)
     cached = prompt.cached_by_endpoint.get(endpoint.name, 0)
     fetched = prompt.fetched_tokens(endpoint.name, policy)
     if fetched:
--- a/packages/core/nutmegpost_core/dissemination.py
+++ b/packages/core/nutmegpost_core/dissemination.py
@@ -41,6 +41,7 @@
     CRASH_REPORT = 5
     CRASH_TRIAL = 6
     ENDPOINT_LIMIT = 7
+    ENDPOINT_COLD = 8
 
 
 # Kinds with a lower number are sent first when not all items fit.
@@ -51,6 +52,7 @@
     Kind.SUCCESSOR: 1,
     Kind.ENDPOINT_LEAVING: 2,
     Kind.ENDPOINT_LIMIT: 2,
+    Kind.ENDPOINT_COLD: 2,
     Kind.LOADS: 3,
 }
 URGENT = frozenset(
@@ -60,6 +62,7 @@
         Kind.CRASH_REPORT,
         Kind.CRASH_TRIAL,
         Kind.ENDPOINT_LIMIT,
+        Kind.ENDPOINT_COLD,
     ]
 )
 _SYNCED = frozenset(
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -155,6 +155,14 @@
     "WARNING",
     "key {name} of revision {revision} is none that a gateway knows; ignored",
 )
+ENDPOINT_COLD = Event(
+    225,
+    "INFO",
+    "endpoint {endpoint} is cold for {remaining_ms} ms, by {source}",
+)
+COLD_HEADER_REFUSED = Event(
+    226, "WARNING", "endpoint {endpoint} sent a Cold-Ms of {text}; ignored"
+)
 
 # 3xx members and peers
 MEMBER_CHANGED = Event(301, "INFO", "member {name} is {state}, was {previous}")
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -134,6 +134,26 @@
     assert _choose(names, hints=None).endpoint.name == "b"
 
 
+def test_load_shifts_gradually_to_an_endpoint_that_warms_up():
+    policy = POLICY._replace(cold_start_s=60.0)
+    shares = []
+    for now in (0.0, 30.0, 55.0, 60.0):
+        # A plain request goes to the endpoint that costs less.
+        names = [_endpoint("a", warming_until=60.0), _endpoint("b")]
+        chosen = [
+            _choose(
+                names,
+                {"b": dispatch.Load(running)},
+                hints=None,
+                policy=policy._replace(load_multiple=10.0, load_slack=200.0),
+                now=now,
+            ).endpoint.name
+            for running in range(150)
+        ]
+        shares.append(chosen.count("a"))
+    assert shares == sorted(set(shares))
+
+
 def test_endpoint_in_warm_up_is_avoided():
     names = [_endpoint("a", warming_until=9.0), _endpoint("b")]
     loads = {"b": dispatch.Load(2, 0)}
--- a/packages/router/nutmegpost_router/gateway/endpoint_news.py
+++ b/packages/router/nutmegpost_router/gateway/endpoint_news.py
@@ -34,6 +34,7 @@
         self._publish = publish
         local_state.on_rate_limit = self._publish_rate_limit
         local_state.on_leaving = self._publish_leaving
+        local_state.cold.on_cold = self._publish_cold
 
     def receive(self, item: gossip.ItemReceived) -> bool:
         """Applies an item of a peer; returns whether it was such news."""
@@ -44,6 +45,9 @@
                     item.key.decode(), requests_per_s
                 )
                 return True
+            if item.kind is dissemination.Kind.ENDPOINT_COLD:
+                self._state.cold.apply_peer(item.key.decode(), item.expires)
+                return True
             if item.kind is dissemination.Kind.ENDPOINT_LEAVING:
                 self._state.apply_peer_leaving(
                     item.key.decode(), int(item.payload)
@@ -72,6 +76,20 @@
             )
         )
 
+    def _publish_cold(self, endpoint: str, remaining_s: float) -> None:
+        """Tells the peers for how long an endpoint stays cold.
+
+        The item expires when the endpoint is warm.
+        """
+        self._publish(
+            gossip.Publish(
+                dissemination.Kind.ENDPOINT_COLD,
+                endpoint.encode(),
+                b"",
+                remaining_s,
+            )
+        )
+
     def _publish_leaving(self, endpoint: roster.Endpoint) -> None:
         """Tells the peers that an endpoint said that it leaves."""
         self._publish(
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -123,6 +123,8 @@
         is_leaving: Whether the endpoint says that it leaves.
         pause_text: Time in seconds for which the endpoint wants no requests
             from this gateway, as it was sent; empty for none.
+        cold_text: Time in milliseconds for which the endpoint stays cold, as
+            it was sent; empty if not given.
     """
 
     verdict: Verdict
@@ -133,6 +135,7 @@
     names_request: bool = True
     is_leaving: bool = False
     pause_text: str = ""
+    cold_text: str = ""
 
 
 class CallerProtocol(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -563,7 +563,10 @@
             )
             self._state.retry_sharers = self._retry_sharers.count
             self._crashes.expire(now)
-            self._state.rate_limits.set_routers(self._members.alive)
+            self._state.rate_limits.set_routers(
+                self._members.alive, now, self._retry_sharers.count
+            )
+            self._state.cold.retain(now)
             self._load_queries.set_hosts(self._alive_hosts())
             self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -411,6 +411,8 @@
         if head.is_leaving:
             self._counters.notice_received("leaving")
             self._state.record_leaving(endpoint)
+        if head.cold_text:
+            self._state.cold.record(endpoint, head.cold_text)
         if head.pause_text:
             self._counters.notice_received("pause")
             self._state.record_pause(endpoint, head.pause_text, call.identity)
--- a/packages/router/nutmegpost_router/gateway/state.py
+++ b/packages/router/nutmegpost_router/gateway/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable, Mapping
+import functools
 import math
 import random
 
@@ -22,6 +23,7 @@
 from nutmegpost_core import software_versions
 from nutmegpost_core import timeouts
 from nutmegpost_router import log
+from nutmegpost_router.gateway import cold_endpoints
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import settings
 
@@ -89,6 +91,7 @@
         self.caches_synced = config["first_start"]
         self._started_ms: dict[str, int] = {}
         self.rate_limits = ratelimits.EndpointLimits(config["name"])
+        self.cold = cold_endpoints.ColdEndpoints(config, self.rate_limits)
         self.notices = endpoint_notices.EndpointNotices()
         self._prefill_rates: dict[str, prefill.PrefillRate] = {}
         self.on_placement: Callable[[loads.Placement], None] = lambda _: None
@@ -178,18 +181,22 @@
             software: The only software version that can run it; None for any.
         """
         now = asyncio.get_running_loop().time()
-        service = self.catalog and self.catalog.services.get(call.service)
+        service: catalog.Service | None = None
+        if self.catalog is not None:
+            service = self.catalog.services.get(call.service)
         policy = dispatch.Policy(
             load_multiple=self._config["load_multiple"],
             prefill_tokens_per_s=self._prefill_rate(call.service).tokens_per_s,
             fetch_tokens_per_s=service.fetch_tokens_per_s if service else 0.0,
             tie_width_s=dispatch.tie_width_s(self.fleet_size),
+            cold_start_s=self.cold.ramp_s(service),
         )
-        usable = self._usable(call.service)
+        usable = self.cold.update(self._usable(call.service), service, now)
         uncertain: set[str] = set()
         if call.route.resumable:
             uncertain = self.versions.uncertain(usable, now)
-        return dispatch.choose(
+        choose = functools.partial(
+            dispatch.choose,
             usable,
             self.loads.total,
             self.prefixes,
@@ -214,8 +221,14 @@
             | uncertain,
             self._cache_sources(call.service),
             call.route.target_s,
-            self._closed([endpoint.name for endpoint in usable], now),
         )
+        closed = self._closed([endpoint.name for endpoint in usable], now)
+        avoided = self.cold.avoided(usable, now)
+        if avoided:
+            choice = choose(exhausted=closed | avoided)
+            if choice is not None and choice.has_free_slot:
+                return choice
+        return choose(exhausted=closed)
 
     def _closed(self, endpoints: Collection[str], now: float) -> set[str]:
         """Returns the endpoints to which this gateway may not send now."""
