Test evacuations whose answer is lost or too long to read

The watch on op/ carries configurations too, so the missing-answer detection and the size limit of a history must also hold for evacuations.

--- a/packages/core/nutmegpost_core/evacuations.py
+++ b/packages/core/nutmegpost_core/evacuations.py
@@ -10,7 +10,7 @@
 writes the key again.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 import xxhash
@@ -74,7 +74,7 @@
         self._complete_until = roster.Revision()
 
     @property
-    def zones(self) -> Iterable[str]:
+    def zones(self) -> Collection[str]:
         """Names of the evacuated zones."""
         return self._known_since.keys()
 
--- a/tests/platform/test_evacuated_zones.py
+++ b/tests/platform/test_evacuated_zones.py
@@ -275,6 +275,65 @@
     standin.run_scenario(scenario)
 
 
+def test_evacuation_whose_answer_is_lost_is_noticed():
+    async def scenario():
+        async with _fleet() as fleet:
+            watch = fleet.store._watch
+            lost = []
+
+            async def lose_first(values):
+                answer = await watch(values)
+                if values["prefix"] == "op/" and not lost:
+                    lost.append(values)
+                    await asyncio.sleep(standin.TIMEOUT_S)
+                return answer
+
+            fleet.store._watch = lose_first
+            fleet.store.put("op/config", standin.configuration(2))
+            await fleet.wait_until(
+                lambda: fleet.gateways[0].local_state.catalog.version == 2
+            )
+            await asyncio.sleep(0.1)
+            fleet.store.put(KEY, {})
+            await fleet.wait_until(lambda: lost)
+            async with asyncio.timeout(4.0):
+                await _wait_until_known(fleet, "zone-b", True)
+
+    standin.run_scenario(scenario)
+
+
+def test_evacuation_among_changes_that_are_too_long_to_read_is_known():
+    async def scenario():
+        async with _fleet() as fleet:
+            fleet.store.is_down = True
+            fleet.store.cut_polls()
+            await asyncio.sleep(0.5)
+            routes = [
+                standin.route(f"route-{number}", "safe", "plain")
+                for number in range(1_000)
+            ]
+            for version in range(2, 6):
+                config = standin.configuration(version)
+                config["routes"] += routes
+                fleet.store.put("op/config", config)
+                fleet.store.put(KEY, {})
+            ranges = []
+            list_range = fleet.store._list_range
+
+            def record(prefix):
+                ranges.append(prefix)
+                return list_range(prefix)
+
+            fleet.store._list_range = record
+            fleet.store.is_down = False
+            async with asyncio.timeout(4.0):
+                await _wait_until_known(fleet, "zone-b", True)
+            assert fleet.gateways[0].local_state.catalog.version == 5
+            assert "op/" in ranges
+
+    standin.run_scenario(scenario)
+
+
 def test_evacuations_cost_no_poll_of_the_store_beside_the_others():
     async def scenario():
         prefixes = []
