Test for how long caches of an evacuated zone are fetched from

A fetch for longer than 0.8 of the limit would reach endpoints of the zone after it; none at all would prefill prompts again that could still be moved.

--- a/tests/platform/test_evacuated_zones.py
+++ b/tests/platform/test_evacuated_zones.py
@@ -216,6 +216,45 @@
     standin.run_scenario(scenario)
 
 
+def test_caches_of_the_zone_are_fetched_from_for_a_part_of_the_limit():
+    async def scenario():
+        async with _fleet("engines", evacuation_limit_ms=2000) as fleet:
+            holders = {}
+
+            async def send(part, name):
+                """Returns the endpoint of a prompt, and its request."""
+                await fleet.send_stream_request(
+                    "/ask/1",
+                    f"{part}-{name}",
+                    Token_Count="3010,40",
+                    Prompt_Prefix=f"{part}:3000,own-{part}-{name}:10",
+                )
+                return next(
+                    (runner, request)
+                    for runner in fleet.runners.values()
+                    for request in runner.received
+                    if request.headers["attempt-id"] == f"{part}-{name}"
+                )
+
+            for number in range(20):
+                runner, _ = await send(f"p{number}", "first")
+                holders.setdefault(runner, []).append(f"p{number}")
+            holder, (early, late, *_) = max(
+                holders.items(), key=lambda item: len(item[1])
+            )
+            fleet.store.put(f"op/evacuate/{holder.zone}", {})
+            await _wait_until_known(fleet, holder.zone, True)
+            runner, request = await send(early, "early")
+            assert runner is not holder
+            assert request.headers["kv-fetch"] == holder.address
+            await asyncio.sleep(1.7)
+            runner, request = await send(late, "late")
+            assert runner is not holder
+            assert "kv-fetch" not in request.headers
+
+    standin.run_scenario(scenario)
+
+
 def test_requests_are_refused_at_once_while_all_zones_are_evacuated():
     async def scenario():
         async with _fleet() as fleet:
