--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -128,6 +128,8 @@
             from this gateway, as it was sent; empty for none.
         speed: What the response says of the slots and the speed of the
             endpoint.
+        cold_text: Time in milliseconds for which the endpoint stays cold, as
+            it was sent; empty if not given.
     """
 
     verdict: Verdict
@@ -139,6 +141,7 @@
     is_leaving: bool = False
     pause_text: str = ""
     speed: endpoint_speeds.Report = endpoint_speeds.Report()
+    cold_text: str = ""
 
 
 class CallerProtocol(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -83,8 +83,9 @@
         self._notices: asyncio.Queue[gossip.Notice] = asyncio.Queue()
         self._members = self._membership()
         self._fleet_view = fleet_view.FleetView(self._members)
-        # Version of the view that the tasks were last told.
-        self._told_version = -1
+        # Version of the view, and number of gateways that share the retry
+        # budget, that the tasks were last told.
+        self._told_fleet = (-1, 0)
         self._load_exchange = loads.LoadExchange(
             config["name"],
             config["loads_address"],
@@ -576,6 +577,7 @@
             self._publications.expire(now)
             self._update_fleet(now)
             self._crashes.expire(now)
+            self._state.cold.retain(now)
             self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
     def _update_fleet(self, now: float) -> None:
@@ -587,9 +589,10 @@
             self._reader_follower.update(view.alive_zones, self._fleet.count)
         self._retry_sharers.record(view.retry_sharers, listed, now)
         self._state.retry_sharers = self._retry_sharers.count
-        if view.version != self._told_version:
-            self._told_version = view.version
-            self._state.rate_limits.set_routers(view.alive)
+        sharers = self._retry_sharers.count
+        if (view.version, sharers) != self._told_fleet:
+            self._told_fleet = view.version, sharers
+            self._state.rate_limits.set_routers(view.alive, now, sharers)
             self._load_queries.set_hosts(view.alive_hosts)
 
     async def _drain(self) -> http_server.OpenWork:
--- a/tests/platform/test_evacuated_zones.py
+++ b/tests/platform/test_evacuated_zones.py
@@ -216,6 +216,45 @@
     standin.run_scenario(scenario)
 
 
+def test_caches_of_the_zone_are_fetched_from_for_a_part_of_the_limit():
+    async def scenario():
+        async with _fleet("engines", evacuation_limit_ms=2000) as fleet:
+            holders = {}
+
+            async def send(part, name):
+                """Returns the endpoint of a prompt, and its request."""
+                await fleet.send_stream_request(
+                    "/ask/1",
+                    f"{part}-{name}",
+                    Token_Count="3010,40",
+                    Prompt_Prefix=f"{part}:3000,own-{part}-{name}:10",
+                )
+                return next(
+                    (runner, request)
+                    for runner in fleet.runners.values()
+                    for request in runner.received
+                    if request.headers["attempt-id"] == f"{part}-{name}"
+                )
+
+            for number in range(20):
+                runner, _ = await send(f"p{number}", "first")
+                holders.setdefault(runner, []).append(f"p{number}")
+            holder, (early, late, *_) = max(
+                holders.items(), key=lambda item: len(item[1])
+            )
+            fleet.store.put(f"op/evacuate/{holder.zone}", {})
+            await _wait_until_known(fleet, holder.zone, True)
+            runner, request = await send(early, "early")
+            assert runner is not holder
+            assert request.headers["kv-fetch"] == holder.address
+            await asyncio.sleep(1.7)
+            runner, request = await send(late, "late")
+            assert runner is not holder
+            assert "kv-fetch" not in request.headers
+
+    standin.run_scenario(scenario)
+
+
 def test_requests_are_refused_at_once_while_all_zones_are_evacuated():
     async def scenario():
         async with _fleet() as fleet:
@@ -275,6 +314,65 @@
     standin.run_scenario(scenario)
 
 
+def test_evacuation_whose_answer_is_lost_is_noticed():
+    async def scenario():
+        async with _fleet() as fleet:
+            watch = fleet.store._watch
+            lost = []
+
+            async def lose_first(values):
+                answer = await watch(values)
+                if values["prefix"] == "op/" and not lost:
+                    lost.append(values)
+                    await asyncio.sleep(standin.TIMEOUT_S)
+                return answer
+
+            fleet.store._watch = lose_first
+            fleet.store.put("op/config", standin.configuration(2))
+            await fleet.wait_until(
+                lambda: fleet.gateways[0].local_state.catalog.version == 2
+            )
+            await asyncio.sleep(0.1)
+            fleet.store.put(KEY, {})
+            await fleet.wait_until(lambda: lost)
+            async with asyncio.timeout(4.0):
+                await _wait_until_known(fleet, "zone-b", True)
+
+    standin.run_scenario(scenario)
+
+
+def test_evacuation_among_changes_that_are_too_long_to_read_is_known():
+    async def scenario():
+        async with _fleet() as fleet:
+            fleet.store.is_down = True
+            fleet.store.cut_polls()
+            await asyncio.sleep(0.5)
+            routes = [
+                standin.route(f"route-{number}", "safe", "plain")
+                for number in range(1_000)
+            ]
+            for version in range(2, 6):
+                config = standin.configuration(version)
+                config["routes"] += routes
+                fleet.store.put("op/config", config)
+                fleet.store.put(KEY, {})
+            ranges = []
+            list_range = fleet.store._list_range
+
+            def record(prefix):
+                ranges.append(prefix)
+                return list_range(prefix)
+
+            fleet.store._list_range = record
+            fleet.store.is_down = False
+            async with asyncio.timeout(4.0):
+                await _wait_until_known(fleet, "zone-b", True)
+            assert fleet.gateways[0].local_state.catalog.version == 5
+            assert "op/" in ranges
+
+    standin.run_scenario(scenario)
+
+
 def test_evacuations_cost_no_poll_of_the_store_beside_the_others():
     async def scenario():
         prefixes = []
