--- a/packages/core/nutmegpost_core/readers.py
+++ b/packages/core/nutmegpost_core/readers.py
@@ -26,8 +26,8 @@
 ]
 
 # One reader for this many gateways, so that it answers as many polls a second,
-# about 2 KB/s. 135 gateways have 9 readers.
-GATEWAYS_PER_READER = 15
+# and sends less than 2 KB/s for them. 135 gateways have 12 readers.
+GATEWAYS_PER_READER = 12
 # One for each of three zones, and two others when one is lost.
 READERS_MIN = 3
 # Share of the limit at which a large fleet counts as small again.
@@ -181,6 +181,11 @@
         """Why the gateway stopped following."""
         return self._reason
 
+    @property
+    def is_platform_refused(self) -> bool:
+        """Whether the platform answers none of the readers."""
+        return bool(self._order) and self._refusals.issuperset(self._order)
+
     @property
     def wait_s(self) -> float:
         """Time for which the next reader may wait for a change, seconds.
@@ -292,7 +297,7 @@
 
     def _doubt(self, now: float) -> str:
         """Returns why not to rely on the readers; empty for no reason."""
-        if self._refusals.issuperset(self._order):
+        if self.is_platform_refused:
             return "the platform answers no reader"
         if now - self._news_at > self._times.news_max_s:
             return "no reader answers"
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -479,8 +479,12 @@
                 on_answer=on_answer,
             )
             if answer.status == 200:
-                if follow is not None and follow.details:
-                    self._apply_news(answer.body, follow, on_news)
+                if (
+                    follow is not None
+                    and follow.details
+                    and not self._apply_news(answer.body, follow, on_news)
+                ):
+                    return False
                 return self._apply(answer.body, str(address), _now() - started)
         except errors.PeerError as caught:
             self._silent_until[address] = _now() + _SILENT_RETENTION_S
@@ -512,8 +516,15 @@
         body: bytes,
         follow: reader_polls.FollowRequest,
         on_news: Callable[[reader_polls.News], None],
-    ) -> None:
-        """Queues how current the answer of a reader is, before the rest."""
+    ) -> bool:
+        """Queues how current the answer of a reader is, before the rest.
+
+        Returns:
+            Whether the rest counts. It does not while the platform does not
+            answer the reader: entries that lapsed have their grace period
+            there, which it does not know yet.
+        """
+        is_available = True
         _, _, listed, *rest = cbor2.loads(body)
         now = _now()
         for part in rest:
@@ -525,9 +536,11 @@
                 news = reader_polls.decode_news(
                     part[_NEWS_KEY], is_same_list, now
                 )
-                if news.is_available:
+                is_available = news.is_available
+                if is_available:
                     self._updates.put_nowait(news.update)
                 on_news(news)
+        return is_available
 
     def _apply(self, body: bytes, source: str, elapsed_s: float) -> bool:
         """Queues what a peer sent; returns whether a configuration was in it.
--- a/packages/router/nutmegpost_router/gateway/publications.py
+++ b/packages/router/nutmegpost_router/gateway/publications.py
@@ -124,6 +124,8 @@
             if news.available_since > entries.available_since + _CLOCK_ERROR_S:
                 entries.mark_directory_unavailable()
                 entries.mark_directory_available(news.available_since)
+            elif entries.is_directory_unavailable:
+                entries.mark_directory_available(news.confirmed_at)
             since = max(
                 local_state.versions_gap_at, self._peer_sync.following_since
             )
--- a/packages/router/nutmegpost_router/gateway/reader_polls.py
+++ b/packages/router/nutmegpost_router/gateway/reader_polls.py
@@ -342,6 +342,9 @@
             log.emit(events.FOLLOWING_BEGUN, readers=" ".join(self._chosen))
         else:
             log.emit(events.FOLLOWING_ENDED, reason=follower.reason)
+            if follower.is_platform_refused:
+                # Entries can have lapsed since; they have a grace period.
+                self._state.roster.mark_directory_unavailable()
         self._counters.set_reads_platform(not is_following)
         self._set_following(is_following)
         self._switch.turn(not is_following)
