Read a configuration from the store that no gateway sends in time

Cause: a document of 741 KB that gateways pass on at half of a 10 Mbit/s link reaches 130 followers after the limit of 3 s (worked out).

Change: a follower that still lacks a version 0.3 of leave_limit_ms after it heard of it reads the store, and follows again once it has it.

--- a/packages/core/nutmegpost_core/readers.py
+++ b/packages/core/nutmegpost_core/readers.py
@@ -51,6 +51,8 @@
             platform.
         age_max_s: Time since the platform confirmed what the readers tell,
             after which the follower reads the platform.
+        document_max_s: Time without a configuration that readers have, after
+            which the follower reads the platform.
         spread_s: Time by which that is delayed at most, so that not all
             followers read the platform at the same moment.
         renewal_s: Time by which the platform must have confirmed news later
@@ -61,6 +63,7 @@
     silence_s: float
     news_max_s: float
     age_max_s: float
+    document_max_s: float
     spread_s: float
     renewal_s: float
 
@@ -83,6 +86,7 @@
         silence_s=0.4,
         news_max_s=wait_s + 0.3 * leave_limit_s,
         age_max_s=0.3 * leave_limit_s + 1.2,
+        document_max_s=0.3 * leave_limit_s,
         spread_s=0.1 * leave_limit_s,
         renewal_s=0.8 * wait_s,
     )
@@ -263,11 +267,14 @@
         self._news_at = now
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
-    def update(self, now: float) -> bool:
+    def update(self, now: float, behind_since: float = math.inf) -> bool:
         """Decides whether the gateway follows, and returns it.
 
         Args:
             now: Monotonic time, seconds.
+            behind_since: Monotonic time since which it has known of a
+                configuration that no peer has sent yet, seconds; infinity if
+                it has the newest one.
         """
         if not self._order:
             self._end("it is a reader, or the fleet is small")
@@ -277,16 +284,17 @@
                 now - self._confirmed_at <= age_max_s
                 and now - self._news_at <= self._times.wait_s
                 and not self._has_failure
+                and math.isinf(behind_since)
             ):
                 self._is_following = True
                 self._spread_s = self._rng.uniform(0, self._times.spread_s)
                 self._doubt_since = None
         else:
-            self._update_doubt(now)
+            self._update_doubt(now, behind_since)
         return self._is_following
 
-    def _update_doubt(self, now: float) -> None:
-        reason = self._doubt(now)
+    def _update_doubt(self, now: float, behind_since: float) -> None:
+        reason = self._doubt(now, behind_since)
         if not reason:
             self._doubt_since = None
             return
@@ -295,7 +303,7 @@
         if now - self._doubt_since >= self._spread_s:
             self._end(reason)
 
-    def _doubt(self, now: float) -> str:
+    def _doubt(self, now: float, behind_since: float) -> str:
         """Returns why not to rely on the readers; empty for no reason."""
         if self.is_platform_refused:
             return "the platform answers no reader"
@@ -303,6 +311,8 @@
             return "no reader answers"
         if now - self._confirmed_at > self._times.age_max_s:
             return "what the readers tell is too old"
+        if now - behind_since > self._times.document_max_s:
+            return "no gateway sends the configuration"
         return ""
 
     def _end(self, reason: str) -> None:
--- a/packages/core/tests/test_readers.py
+++ b/packages/core/tests/test_readers.py
@@ -152,6 +152,21 @@
     assert follower.update(10.1)
 
 
+# Guards against a document that peers are too slow, or too few, to send.
+def test_follower_without_the_configuration_reads_the_platform():
+    follower = _follower()
+    ended = None
+    for tick in range(1, 40):
+        now = tick / 10
+        _hear_news(follower, now)
+        if not follower.update(now, behind_since=0.5):
+            ended = ended or now
+    assert ended is not None
+    # It has 0.3 of the limit, and does not follow again before.
+    assert 1.4 < ended <= 1.8
+    assert not follower.is_following
+
+
 def test_reader_does_not_follow():
     follower = _follower()
     follower.set_readers({})
--- a/packages/router/nutmegpost_router/gateway/peers.py
+++ b/packages/router/nutmegpost_router/gateway/peers.py
@@ -12,6 +12,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 
 import cbor2
 
@@ -62,7 +63,7 @@
 # Key of the part of an answer that tells a follower how current it is.
 _NEWS_KEY = "news"
 # Interval at which followers ask for a document that they lack.
-_DOCUMENT_RETRY_S = 0.1
+_DOCUMENT_RETRY_S = 0.2
 # Fields of an endpoint that a gateway without this flag expects.
 _OLD_FIELDS_COUNT = 9
 
@@ -112,6 +113,8 @@
         self._long_polls = reader_polls.LongPolls(local_state)
         self._is_following = False
         self._following_since = 0.0
+        # Time at which a version newer than the known one was first heard of.
+        self._announced_at = 0.0
 
     def handle_pause(self, seconds: float) -> None:
         """Polls several peers at once, as this process stood still.
@@ -132,14 +135,20 @@
             peer: Its control address.
             version: The version that it has.
         """
+        if version > self._announced_version <= self._known_version:
+            self._platform_lead_until = _now() + _PLATFORM_LEAD_S
+        self._record_version(version, peer)
+        self._request_sync(f"{name} has {version}")
+
+    def _record_version(self, version: int, peer: vms.Address) -> None:
+        """Records that a peer has a version."""
         if version > self._announced_version:
             if self._announced_version <= self._known_version:
-                self._platform_lead_until = _now() + _PLATFORM_LEAD_S
+                self._announced_at = _now()
             self._announced_version = version
             self._announcers.clear()
         if version == self._announced_version:
             self._announcers.add(peer)
-        self._request_sync(f"{name} has {version}")
 
     def record_transfer(self, is_in_progress: bool) -> None:
         """Records whether the platform is sending a configuration.
@@ -185,6 +194,16 @@
         """Monotonic time at which that began last, seconds."""
         return self._following_since
 
+    @property
+    def behind_since(self) -> float:
+        """Monotonic time since which a known configuration is missing, seconds.
+
+        Infinity if this gateway has the newest one that it has heard of.
+        """
+        if self._announced_version <= self._known_version:
+            return math.inf
+        return self._announced_at
+
     def set_following(self, is_following: bool) -> None:
         """Stops or resumes the regular polls of peers."""
         self._is_following = is_following
@@ -223,10 +242,7 @@
             return None
         news = heard[0]
         if news.version > self._known_version and news.is_available:
-            if news.version > self._announced_version:
-                self._announced_version = news.version
-                self._announcers.clear()
-            self._announcers.add(address)
+            self._record_version(news.version, address)
             self._document_requested.set()
         return news
 
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -157,6 +157,7 @@
             self._reading_switch,
             self._peer_sync.follow,
             self._peer_sync.set_following,
+            lambda: self._peer_sync.behind_since,
             self._control_address,
         )
         self._cache_sync = caches.CacheSync(
--- a/packages/router/nutmegpost_router/gateway/reader_polls.py
+++ b/packages/router/nutmegpost_router/gateway/reader_polls.py
@@ -268,6 +268,7 @@
         switch: ports.ReadingSwitch,
         poll: _Poll,
         set_following: Callable[[bool], None],
+        behind_since: Callable[[], float],
         control_address: Callable[[str], vms.Address],
     ):
         """Creates a task that follows nobody.
@@ -279,6 +280,8 @@
             poll: Polls a reader, given its control address and the request
                 without digests; returns None if it sent no news.
             set_following: Told whether the gateway follows.
+            behind_since: Returns since when the newest configuration known has
+                been missing, monotonic seconds; infinity if it is not.
             control_address: Returns the control address of a live peer.
         """
         config = local_state.config
@@ -287,6 +290,7 @@
         self._switch = switch
         self._poll = poll
         self._set_following = set_following
+        self._behind_since = behind_since
         self._control_address = control_address
         self._name = config["name"]
         self._times = readers.timing(config["leave_limit_ms"] / 1000)
@@ -335,7 +339,7 @@
     def _update_role(self) -> None:
         follower = self._follower
         was_following = follower.is_following
-        is_following = follower.update(_now())
+        is_following = follower.update(_now(), self._behind_since())
         if is_following == was_following:
             return
         if is_following:
--- a/tests/platform/test_store_readers.py
+++ b/tests/platform/test_store_readers.py
@@ -314,6 +314,18 @@
     standin.run_scenario(scenario)
 
 
+# Guards against a document that no peer can send in time.
+def test_followers_read_a_configuration_that_no_peer_sends():
+    async def scenario():
+        async with _fleet() as fleet:
+            for gateway in fleet.gateways:
+                gateway._peer_sync._document_for = lambda *_: b""
+            await _publish(fleet)
+            await fleet.wait_until(lambda: len(_followers(fleet)) == FOLLOWERS)
+
+    standin.run_scenario(scenario)
+
+
 def _record_documents(handle, gateway, sent):
     async def recorded(request):
         response = await handle(request)
