Look at the members for the choice of readers twice a second

Cause: the tick looked at all members ten times a second.

Change: the choice is made at most each 0.5 s, and only in a large fleet.

--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -595,7 +595,7 @@
             return
         members = self._members.members
         self._reader_follower.update(
-            {name: members[name].zone for name in self._members.alive},
+            lambda: {name: members[name].zone for name in self._members.alive},
             self._fleet.count,
         )
 
--- a/packages/router/nutmegpost_router/gateway/reader_polls.py
+++ b/packages/router/nutmegpost_router/gateway/reader_polls.py
@@ -45,6 +45,8 @@
 _IDLE_S = 0.5
 # Time for which digests are used again.
 _DIGESTS_RETENTION_S = 0.2
+# Interval at which the members are looked at; there can be 1,000 of them.
+_CHOICE_INTERVAL_S = 0.5
 # Link of a VM whose settings name none, and the share of it for documents.
 _LINK_MBPS = 10.0
 _DOCUMENT_LINK_SHARE = 0.5
@@ -300,26 +302,32 @@
         self._size = readers.FleetSize(config.get("large_fleet_gateways", 0))
         self._zones: dict[str, str] = {}
         self._chosen: list[str] = []
+        self._choice_due = 0.0
         self._tokens: dict[str, str] = {}
         self._counters.set_reads_platform(True)
 
-    def update(self, zones: Mapping[str, str], gateways: int) -> None:
+    def update(
+        self, live_zones: Callable[[], Mapping[str, str]], gateways: int
+    ) -> None:
         """Updates the readers and the role of this gateway.
 
         Args:
-            zones: Zones of the live gateways by name, this one included unless
-                it stops.
+            live_zones: Returns the zones of the live gateways by name, this
+                one included unless it stops.
             gateways: Number of gateways that were seen of late.
         """
-        is_large = self._size.update(gateways)
-        if not is_large:
-            zones = {}
+        if _now() >= self._choice_due:
+            self._choice_due = _now() + _CHOICE_INTERVAL_S
+            is_large = self._size.update(gateways)
+            self._update_zones(live_zones() if is_large else {})
+        self._update_role()
+
+    def _update_zones(self, zones: Mapping[str, str]) -> None:
         if zones != self._zones:
             self._zones = dict(zones)
             chosen = readers.choose(zones, readers.reader_count(len(zones)))
             if chosen != self._chosen:
                 self._set_readers(chosen, len(zones))
-        self._update_role()
 
     def _set_readers(self, chosen: list[str], gateways: int) -> None:
         log.emit(
