--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -170,6 +170,7 @@
             self._reading_switch,
             self._peer_sync.follow,
             self._peer_sync.set_following,
+            lambda: self._peer_sync.behind_since,
             self._control_address,
         )
         self._cache_sync = caches.CacheSync(
@@ -586,7 +587,9 @@
         self._fleet.record(view.alive_names, listed, now)
         self._state.fleet_size = self._fleet.count
         if self._config.get("large_fleet_gateways"):
-            self._reader_follower.update(view.alive_zones, self._fleet.count)
+            self._reader_follower.update(
+                lambda: view.alive_zones, self._fleet.count
+            )
         self._retry_sharers.record(view.retry_sharers, listed, now)
         self._state.retry_sharers = self._retry_sharers.count
         sharers = self._retry_sharers.count
--- a/packages/router/nutmegpost_router/gateway/reader_polls.py
+++ b/packages/router/nutmegpost_router/gateway/reader_polls.py
@@ -45,6 +45,8 @@
 _IDLE_S = 0.5
 # Time for which digests are used again.
 _DIGESTS_RETENTION_S = 0.2
+# Interval at which the members are looked at; there can be 1,000 of them.
+_CHOICE_INTERVAL_S = 0.5
 # Link of a VM whose settings name none, and the share of it for documents.
 _LINK_MBPS = 10.0
 _DOCUMENT_LINK_SHARE = 0.5
@@ -269,6 +271,7 @@
         switch: ports.ReadingSwitch,
         poll: _Poll,
         set_following: Callable[[bool], None],
+        behind_since: Callable[[], float],
         control_address: Callable[[str], vms.Address],
     ):
         """Creates a task that follows nobody.
@@ -280,6 +283,8 @@
             poll: Polls a reader, given its control address and the request
                 without digests; returns None if it sent no news.
             set_following: Told whether the gateway follows.
+            behind_since: Returns since when the newest configuration known has
+                been missing, monotonic seconds; infinity if it is not.
             control_address: Returns the control address of a live peer.
         """
         config = local_state.config
@@ -288,6 +293,7 @@
         self._switch = switch
         self._poll = poll
         self._set_following = set_following
+        self._behind_since = behind_since
         self._control_address = control_address
         self._name = config["name"]
         self._times = readers.timing(config["leave_limit_ms"] / 1000)
@@ -297,26 +303,32 @@
         self._size = readers.FleetSize(config.get("large_fleet_gateways", 0))
         self._zones: dict[str, str] = {}
         self._chosen: list[str] = []
+        self._choice_due = 0.0
         self._tokens: dict[str, str] = {}
         self._counters.set_reads_platform(True)
 
-    def update(self, zones: Mapping[str, str], gateways: int) -> None:
+    def update(
+        self, live_zones: Callable[[], Mapping[str, str]], gateways: int
+    ) -> None:
         """Updates the readers and the role of this gateway.
 
         Args:
-            zones: Zones of the live gateways by name, this one included unless
-                it stops.
+            live_zones: Returns the zones of the live gateways by name, this
+                one included unless it stops.
             gateways: Number of gateways that were seen of late.
         """
-        is_large = self._size.update(gateways)
-        if not is_large:
-            zones = {}
+        if _now() >= self._choice_due:
+            self._choice_due = _now() + _CHOICE_INTERVAL_S
+            is_large = self._size.update(gateways)
+            self._update_zones(live_zones() if is_large else {})
+        self._update_role()
+
+    def _update_zones(self, zones: Mapping[str, str]) -> None:
         if zones != self._zones:
             self._zones = dict(zones)
             chosen = readers.choose(zones, readers.reader_count(len(zones)))
             if chosen != self._chosen:
                 self._set_readers(chosen, len(zones))
-        self._update_role()
 
     def _set_readers(self, chosen: list[str], gateways: int) -> None:
         log.emit(
@@ -336,13 +348,16 @@
     def _update_role(self) -> None:
         follower = self._follower
         was_following = follower.is_following
-        is_following = follower.update(_now())
+        is_following = follower.update(_now(), self._behind_since())
         if is_following == was_following:
             return
         if is_following:
             log.emit(events.FOLLOWING_BEGUN, readers=" ".join(self._chosen))
         else:
             log.emit(events.FOLLOWING_ENDED, reason=follower.reason)
+            if follower.is_platform_refused:
+                # Entries can have lapsed since; they have a grace period.
+                self._state.roster.mark_directory_unavailable()
         self._counters.set_reads_platform(not is_following)
         self._set_following(is_following)
         self._switch.turn(not is_following)
--- a/tests/platform/test_store_readers.py
+++ b/tests/platform/test_store_readers.py
@@ -314,6 +314,18 @@
     standin.run_scenario(scenario)
 
 
+# Guards against a document that no peer can send in time.
+def test_followers_read_a_configuration_that_no_peer_sends():
+    async def scenario():
+        async with _fleet() as fleet:
+            for gateway in fleet.gateways:
+                gateway._peer_sync._document_for = lambda *_: b""
+            await _publish(fleet)
+            await fleet.wait_until(lambda: len(_followers(fleet)) == FOLLOWERS)
+
+    standin.run_scenario(scenario)
+
+
 def _record_documents(handle, gateway, sent):
     async def recorded(request):
         response = await handle(request)
@@ -340,15 +352,16 @@
 
 
 # Guards against a follower that drops entries which lapsed during an outage
-# before their endpoints can write them again.
-def test_entries_that_lapse_in_an_outage_have_their_grace_period():
+# before their endpoints can write them again; a short one only readers notice.
+@pytest.mark.parametrize("half_s", [0.05, 0.5])
+def test_entries_that_lapse_in_an_outage_have_their_grace_period(half_s):
     async def scenario():
         async with _fleet() as fleet:
             fleet.store.is_down = True
             fleet.store.cut_polls()
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(half_s)
             fleet.store.remove("servers/p1")
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(half_s)
             fleet.store.is_down = False
             for _ in range(12):
                 await asyncio.sleep(0.1)
