Select the addresses of a large fleet by zone and capacity

Cause: with more gateways than a caller uses addresses, callers used some 64 regardless of zone and size of the VM.

Datagrams of the membership end with capacities and the sender's load where a capacity is announced; without one they are as before.

--- a/packages/core/nutmegpost_core/datagrams.py
+++ b/packages/core/nutmegpost_core/datagrams.py
@@ -94,6 +94,10 @@
         entries: Full descriptions of members.
         state_updates: Changed states of members.
         items: Disseminated items.
+        capacity: Capacity of the sender, thousandths of a core; 0 if it
+            announces none.
+        load: What the sender spends, thousandths of a core.
+        entry_capacities: Capacities of the members in `entries`, in order.
     """
 
     wire_version: int
@@ -108,9 +112,14 @@
     entries: list[Entry] = []  # noqa: RUF012
     state_updates: list[StateUpdate] = []  # noqa: RUF012
     items: list[dissemination.Item] = []  # noqa: RUF012
+    capacity: int = 0
+    load: int = 0
+    entry_capacities: list[int] = []  # noqa: RUF012
 
 
 _FIELD_COUNT = len(Packet._fields)
+# Fields of a datagram without capacities.
+_BASE_FIELD_COUNT = Packet._fields.index("capacity")
 
 
 def pack_address(text: str) -> bytes:
@@ -144,6 +153,8 @@
 
 def encode(packet: Packet) -> bytes:
     """Encodes a datagram, without its MAC."""
+    if packet[_BASE_FIELD_COUNT:] == (0, 0, []):
+        return cbor2.dumps(packet[:_BASE_FIELD_COUNT])
     return cbor2.dumps(packet)
 
 
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -149,6 +149,16 @@
     "INFO",
     "cannot exchange origins of streams with peer {peer}: {reason}",
 )
+ADDRESSES_SELECTED = Event(
+    310, "INFO", "addresses are selected by zone, of {gateways} gateways"
+)
+ADDRESSES_UNSELECTED = Event(
+    311, "INFO", "all addresses are told, of {gateways} gateways"
+)
+ZONE_SHORT = Event(
+    312, "WARNING", "zone {zone} has room for {share} of its demand"
+)
+ZONE_SUFFICIENT = Event(313, "INFO", "zone {zone} has room for its demand")
 
 # 4xx requests
 REQUEST_REFUSED = Event(401, "INFO", "request refused, {code}: {reason}")
--- a/packages/core/nutmegpost_core/member_table.py
+++ b/packages/core/nutmegpost_core/member_table.py
@@ -58,6 +58,7 @@
         revision: Revision of the update; only the member itself raises it.
         config_version: Configuration in force there; 0 for unknown.
         config_digest: Digest of that configuration, hexadecimal.
+        capacity: Its capacity, thousandths of a core; 0 if unknown.
     """
 
     name: str
@@ -69,6 +70,7 @@
     revision: int = 0
     config_version: int = 0
     config_digest: str = ""
+    capacity: int = 0
 
 
 class Change(NamedTuple):
@@ -198,6 +200,13 @@
         )
         return True
 
+    def record_capacity(self, name: str, capacity: int) -> None:
+        """Stores the capacity of a member."""
+        member = self._members[name]
+        if member.capacity != capacity:
+            self._members[name] = member._replace(capacity=capacity)
+            self._version += 1
+
     def hold_down_until(self, name: str) -> float:
         """Returns the end of the hold-down time of a flapping member.
 
--- a/packages/core/nutmegpost_core/membership.py
+++ b/packages/core/nutmegpost_core/membership.py
@@ -23,6 +23,7 @@
 __all__ = [
     "Change",
     "Datagram",
+    "LoadSample",
     "Member",
     "Membership",
     "State",
@@ -35,6 +36,8 @@
 
 _ENTRY_OVERHEAD_BYTES = 40
 _STATE_UPDATE_OVERHEAD_BYTES = 14
+# Size of the capacity of an entry.
+_CAPACITY_BYTES = 3
 _RELAY_LIFETIME_S = 5.0
 # Disseminated items get this fraction of the free bytes of a datagram when
 # updates of members are pending too.
@@ -86,6 +89,18 @@
     data: bytes
 
 
+class LoadSample(NamedTuple):
+    """What a member said of its load.
+
+    Attributes:
+        load: What it spends, thousandths of a core.
+        at: Monotonic time at which it was received, seconds.
+    """
+
+    load: int
+    at: float
+
+
 class _Probe(NamedTuple):
     """The probe of this period that awaits an acknowledgement."""
 
@@ -155,6 +170,8 @@
         self._reconfigured: set[str] = set()
         self._config_version = local_member.config_version
         self._config_digest = local_member.config_digest
+        self._load = 0
+        self._loads: dict[str, LoadSample] = {}
         # The members in `alive`, what they were computed from, and the time
         # from which a hold-down that ends may add one.
         self._alive: list[str] = []
@@ -200,6 +217,14 @@
             name for name in self.alive if members[name].state is State.ALIVE
         ]
 
+    @property
+    def loads(self) -> Mapping[str, LoadSample]:
+        """What the peers that announce a capacity last said of their loads.
+
+        A peer says it in each datagram that it sends to this router.
+        """
+        return self._loads
+
     @property
     def traffic_budget(self) -> budget.Budget:
         """The byte budget of control traffic."""
@@ -231,6 +256,10 @@
         self._config_digest = digest
         self._table.record_configuration(self._name, version, digest)
 
+    def set_load(self, load: int) -> None:
+        """Sets the load to report, thousandths of a core."""
+        self._load = load
+
     def seed(self, addresses: Sequence[str]) -> None:
         """Sets the contacts: the peer addresses of routers in the VM list.
 
@@ -452,6 +481,13 @@
         self._table.remove_departed(
             now - self._timing.departed_retention_s, self._contacts
         )
+        if len(self._loads) >= len(self._table.members):
+            members = self._table.members
+            self._loads = {
+                name: sample
+                for name, sample in self._loads.items()
+                if name in members
+            }
 
     def _suspicion_s(self) -> float:
         fleet_size = max(10, len(self._table.live))
@@ -651,6 +687,8 @@
             subject,
             bucket_digests,
             item_digest,
+            capacity=self.local.capacity,
+            load=self._load if self.local.capacity else 0,
         )
         size = len(datagrams.encode(packet)) + datagrams.HEADER_BYTES
         budget_kind = _BUDGET_KINDS[kind]
@@ -709,8 +747,13 @@
             if used_bytes:
                 remaining_bytes -= used_bytes
                 self._count_sent(name)
+        members = self._table.members
+        capacities = [members[entry.name].capacity for entry in entries]
         return packet._replace(
-            entries=entries, state_updates=state_updates, items=items
+            entries=entries,
+            state_updates=state_updates,
+            items=items,
+            entry_capacities=capacities if any(capacities) else [],
         )
 
     def _append_member(
@@ -724,6 +767,8 @@
         entry = _encode_member(member)
         if member.state in (State.ALIVE, State.LEAVING):
             size = len(name) + len(entry.zone) + _ENTRY_OVERHEAD_BYTES
+            if member.capacity:
+                size += _CAPACITY_BYTES
             if size > remaining_bytes:
                 return 0
             entries.append(entry)
@@ -751,12 +796,38 @@
         self._record_configuration(packet)
         for entry in packet.entries:
             self._apply_update(_decode_member(entry), now)
+        self._record_capacities(packet, now)
         for update in packet.state_updates:
             known = self._table.members.get(update.name)
             if known is not None:
                 self._apply_state_update(known, update, now)
         return self._disseminator.merge(packet.items, now)
 
+    def _record_capacities(self, packet: datagrams.Packet, now: float) -> None:
+        """Records the load of the sender, and the capacities that it knows.
+
+        Builds that know none send no capacities.
+        """
+        if packet.capacity > 0:
+            self._record_capacity(packet.sender, packet.capacity)
+            self._loads[packet.sender.name] = LoadSample(
+                max(0, packet.load), now
+            )
+        for entry, capacity in zip(
+            packet.entries, packet.entry_capacities, strict=False
+        ):
+            self._record_capacity(entry, capacity)
+
+    def _record_capacity(self, entry: datagrams.Entry, capacity: int) -> None:
+        known = self._table.members.get(entry.name)
+        if (
+            known is not None
+            and known.incarnation == entry.incarnation
+            and entry.name != self._name
+            and capacity > 0
+        ):
+            self._table.record_capacity(entry.name, capacity)
+
     def _record_configuration(self, packet: datagrams.Packet) -> None:
         name = packet.sender.name
         known = self._table.members.get(name)
@@ -793,6 +864,7 @@
             member = member._replace(
                 config_version=known.config_version,
                 config_digest=known.config_digest,
+                capacity=known.capacity,
             )
         self._store(member, now)
 
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -1,5 +1,6 @@
 import random
 
+import cbor2
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -478,3 +479,49 @@
     contacts = [f"10.0.0.{number}:7000" for number in (2, 3, 4)]
     view.seed(contacts)
     assert sorted(item.address for item in view.tick(0.0)) == contacts
+
+
+def _exchange(first, second, now=1.0):
+    """Runs probes of the first member until the second has replied."""
+    first.seed(["10.0.0.2:7000"])
+    for datagram in first.tick(now):
+        for reply in second.receive(datagram.data, "10.0.0.1:7000", now):
+            first.receive(reply.data, "10.0.0.2:7000", now)
+
+
+def test_capacity_arrives_with_the_description_of_a_member():
+    """Guards against members whose capacity is unknown until they probe."""
+    view = membership.Membership(_member(capacity=700), random.Random(1))
+    other = membership.Membership(
+        _member(2, "10.0.0.2:7000", capacity=300), random.Random(2)
+    )
+    third = _member(3, "10.0.0.3:7000")
+    other.add_members([third._replace(capacity=900)], 0.0)
+    other._pending_updates[third.name] = 0
+    view.set_load(41)
+    version = view.view_version
+    _exchange(view, other)
+    members = view.members
+    assert members["router-0002"].capacity == 300
+    assert members["router-0003"].capacity == 900
+    assert view.view_version > version
+    assert other.members["router-0001"].capacity == 700
+    assert other.loads["router-0001"].load == 41
+
+
+def test_builds_without_capacities_understand_the_datagrams():
+    """Guards against datagrams that older builds refuse, or lose members by."""
+    entry = datagrams.Entry("r", 1, 0, 0, b"123456", b"123456", "a")
+    packet = datagrams.Packet(1, 0, 5, entry, 0, b"", entries=[entry])
+    encoded = datagrams.encode(packet)
+    assert len(cbor2.loads(encoded)) == 12
+    assert datagrams.decode(encoded) == packet
+    announcing = packet._replace(capacity=36, load=5, entry_capacities=[9])
+    view = membership.Membership(_member(), random.Random(1))
+    view.add_members([_member(2, "10.0.0.2:7000")], 0.0)
+    for datagram in view.tick(1.0):
+        assert len(cbor2.loads(datagram.data)) == 12
+    fields = cbor2.loads(datagrams.encode(announcing))
+    # A build without the fields cuts those that it does not know.
+    assert fields[:12] == cbor2.loads(encoded)
+    assert datagrams.decode(datagrams.encode(announcing)) == announcing
--- a/packages/router/nutmegpost_router/gateway/metrics.py
+++ b/packages/router/nutmegpost_router/gateway/metrics.py
@@ -59,6 +59,12 @@
             ["service", "decision"],
             registry=self._registry,
         )
+        self._resolutions = meters.counter(
+            "nutmegpost_gateway_resolutions",
+            "Responses with addresses selected by zone and capacity.",
+            ["zone"],
+            registry=self._registry,
+        )
         self._load_error = meters.histogram(
             "nutmegpost_gateway_load_error_requests",
             "Requests by which the reported load exceeds the estimate.",
@@ -81,6 +87,10 @@
         """The registry of the Prometheus library that holds the metrics."""
         return self._registry.prometheus
 
+    def addresses_selected(self, result: str) -> None:
+        """Counts a response with addresses by whose they were."""
+        self._resolutions.labels(result).inc()
+
     def request_ended(self, route: str, code: str) -> None:
         """Counts a request by its route and its result code.
 
--- a/packages/router/nutmegpost_router/gateway/ports.py
+++ b/packages/router/nutmegpost_router/gateway/ports.py
@@ -175,11 +175,14 @@
             time in seconds for which callers may cache them.
         is_readiness: Returns whether a request is a readiness probe.
         is_resolution: Returns whether a request asks for addresses.
+        caller_zone: Returns the zone of the caller that asks for addresses;
+            empty if it is unknown.
     """
 
     address_response: Callable[[Sequence[str], float], http_server.Response]
     is_readiness: Callable[[http_server.Request], bool]
     is_resolution: Callable[[http_server.Request], bool]
+    caller_zone: Callable[[http_server.Request], str] = lambda _: ""
 
 
 class CatalogPublished(NamedTuple):
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -20,6 +20,7 @@
 from nutmegpost_router import log
 from nutmegpost_router import planned_stop
 from nutmegpost_router import ticks
+from nutmegpost_router.gateway import address_listing
 from nutmegpost_router.gateway import caches
 from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import endpoint_news
@@ -81,6 +82,9 @@
         self._notices: asyncio.Queue[gossip.Notice] = asyncio.Queue()
         self._members = self._membership()
         self._fleet_view = fleet_view.FleetView(self._members)
+        self._listing = address_listing.AddressListing(
+            config, self._members, self._counters, self._state.rng
+        )
         # Version of the view that the tasks were last told.
         self._told_version = -1
         self._load_exchange = loads.LoadExchange(
@@ -350,7 +354,7 @@
         if directory.is_readiness(request):
             return http_server.Response(200 if self.ready else 503, [], b"")
         if directory.is_resolution(request):
-            addresses = self._public_addresses()
+            addresses = self._public_addresses(directory.caller_zone(request))
             if not addresses:
                 return http_server.Response(503, [], b"")
             return directory.address_response(
@@ -372,8 +376,11 @@
         headers = [("Content-Type", metrics.CONTENT_TYPE)]
         return http_server.Response(200, headers, self._counters.render())
 
-    def _public_addresses(self) -> list[str]:
-        """Returns the public addresses of the gateways believed to be up.
+    def _public_addresses(self, caller_zone: str) -> list[str]:
+        """Returns public addresses of gateways believed to be up.
+
+        In a large fleet they are selected for the zone of the caller;
+        otherwise they are those of all gateways.
 
         A gateway that receives no reports from any peer may itself be cut off
         from the network, so it still lists them. It omits them once they have
@@ -387,6 +394,8 @@
         if not listed and not self._is_only_gateway(reachable):
             listed = alive_peers
         names = listed | ({own} if self.ready else set())
+        if self._listing.is_large(len(names)):
+            return self._listing.select(sorted(names), caller_zone, _now())
         return [members[name].public_address for name in sorted(names)]
 
     def _is_only_gateway(self, reachable: set[str]) -> bool:
@@ -405,6 +414,7 @@
             self._config["public_address"],
             self._config["peer_address"],
             self._config["zone"],
+            capacity=address_listing.announced_capacity(self._config),
         )
         disseminator = dissemination.Disseminator(rng)
         members = membership.Membership(
@@ -535,6 +545,7 @@
             now = _now()
             self._publications.expire(now)
             self._update_fleet(now)
+            self._listing.measure(now)
             self._crashes.expire(now)
             self._state.rate_limits.retain(self._state.roster.endpoints, now)
 
