Play loads that are known late in the tests of addresses

Cause: the play knew every load after 8 s, but a gateway hears of a peer about every 45 s. Nor did the test of the fleet view reach the end of a hold-down.

Change: loads are learned one by one, and members flap more often.

--- a/packages/core/tests/test_addresses.py
+++ b/packages/core/tests/test_addresses.py
@@ -47,23 +47,24 @@
     }
 
 
-def _play(gateways, demand_at, seconds, rng, lag_s=8, lost=lambda _: False):
-    """Plays seconds; what is known of loads is some seconds old.
+def _play(gateways, demand_at, seconds, rng, lost=lambda *_: False):
+    """Plays seconds; the load of a gateway is learned every 45 s or so.
 
     Yields:
         The time, the gateways that run, and their utilizations.
     """
-    history = [collections.Counter()] * lag_s
+    known = [gateway._replace(load=None) for gateway in gateways]
     for second in range(seconds):
-        known = [
-            gateway._replace(load=round(history[-lag_s][gateway.address]))
-            for gateway in gateways
-            if not lost((gateway, second))
-        ]
+        known = [gateway for gateway in known if not lost(gateway, second)]
         demands = {zone: demand_at(zone, second) for zone in ZONES}
         loads = _loads(known, demands, rng)
-        history.append(loads)
         yield second, known, _utilizations(known, loads)
+        known = [
+            gateway._replace(load=round(loads[gateway.address]))
+            if rng.random() < 1 / 45
+            else gateway
+            for gateway in known
+        ]
 
 
 def _wave(zone, second, period_s=30):
@@ -75,8 +76,8 @@
     """Guards against small gateways above half of their capacity."""
     rng = random.Random(1)
     worst = 0.0
-    for second, _, used in _play(_fleet(), _wave, 90, rng):
-        if second > 10:
+    for second, _, used in _play(_fleet(), _wave, 150, rng):
+        if second > 30:
             worst = max(worst, max(used.values()))
     assert 0.2 < worst < 0.5
     listed = addresses.select(_fleet(), "b", rng).addresses
@@ -107,13 +108,12 @@
         lambda *_: DEMAND,
         60,
         rng,
-        lost=lambda at: at[0].zone == "a" and at[1] >= 20,
+        lost=lambda gateway, second: gateway.zone == "a" and second >= 20,
     ):
         if second >= 20:
             listed = addresses.select(known, "a", rng)
             assert listed.own_share == 0.0
             assert {address[0] for address in listed.addresses} == {"b", "c"}
-        if second >= 30:
             assert max(used.values()) < 0.6
 
 
--- a/packages/router/tests/gateway/test_fleet_view.py
+++ b/packages/router/tests/gateway/test_fleet_view.py
@@ -25,18 +25,22 @@
 def test_view_is_current_after_each_change_and_computed_once_for_each():
     """Guards against a stale view, and against computing it on each tick."""
     rng = random.Random(7)
-    members = membership.Membership(_member(1), rng)
+    # Without probes that suspect members, so that a hold-down can end alone.
+    timing = membership.Timing(period_s=1e9)
+    members = membership.Membership(_member(1), rng, timing)
     view = fleet_view.FleetView(members)
     now, held_back = 0.0, 0
     for step in range(2_000):
         now += rng.choice([0.0, 0.1, 0.1, 3.0])
         members.tick(now)
         if rng.random() < 0.3:
-            known = members.members.get(f"gw-{rng.randrange(2, 9)}")
-            state = rng.choice(member_table.STATES)
-            fields = {"state": state, "revision": step + 1}
-            number = int(known.name[3:]) if known else rng.randrange(2, 9)
-            members.add_members([_member(number, **fields)], now)
+            # A process that leaves does not return, and members flap.
+            (state,) = rng.choices(member_table.STATES, [8, 1, 2, 8, 2])
+            member = _member(
+                rng.randrange(2, 5), state=state, revision=step + 1
+            )
+            process = member._replace(incarnation=1 + step // 100)
+            members.add_members([process], now)
         current = view.current
         assert current._replace(version=0) == _recomputed(members, now)
         assert view.current is current
