Compute the pools of zones once a second instead of for each response

Cause: a response of a large fleet took longer to select than to send.

Change: the pools are kept for a second while the same gateways are up; the draw is made for each response.

--- a/packages/core/nutmegpost_core/addresses.py
+++ b/packages/core/nutmegpost_core/addresses.py
@@ -24,8 +24,10 @@
     "ADDRESSES_MAX",
     "Gateway",
     "Listing",
+    "Plan",
     "Resources",
     "capacity",
+    "plan",
     "select",
 ]
 
@@ -146,20 +148,31 @@
     return max(1, min(65_535, round(1000 * min(bounds))))
 
 
-def select(
-    gateways: Iterable[Gateway], caller_zone: str, rng: random.Random
-) -> Listing:
-    """Selects the addresses of a response.
+# The pools of all zones.
+Plan = Mapping[str, _Zone]
+
+
+def plan(gateways: Iterable[Gateway]) -> Plan:
+    """Returns the pools of all zones, for any number of responses.
 
     Args:
         gateways: All gateways that are believed to be up.
+    """
+    return _zones(_with_rooms(list(gateways)))
+
+
+def select(pools: Plan, caller_zone: str, rng: random.Random) -> Listing:
+    """Selects the addresses of a response.
+
+    Args:
+        pools: The pools of all zones.
         caller_zone: The zone of the caller; may be unknown.
         rng: Source of randomness.
 
     Returns:
         Up to ADDRESSES_MAX addresses; none only without gateways.
     """
-    zones = _zones(_with_rooms(list(gateways)))
+    zones = dict(pools)
     own = zones.pop(caller_zone, None)
     chosen: list[Gateway] = []
     own_share = 0.0
--- a/packages/core/tests/test_addresses.py
+++ b/packages/core/tests/test_addresses.py
@@ -28,12 +28,17 @@
     ]
 
 
+def _select(gateways, zone, rng):
+    return addresses.select(addresses.plan(gateways), zone, rng)
+
+
 def _loads(gateways, demands, rng, callers=20):
     """Returns the load of each address when callers of zones hold answers."""
     loads = collections.Counter()
+    pools = addresses.plan(gateways)
     for zone, demand in demands.items():
         for _ in range(callers):
-            listed = addresses.select(gateways, zone, rng).addresses
+            listed = addresses.select(pools, zone, rng).addresses
             assert len(set(listed)) == len(listed) <= addresses.ADDRESSES_MAX
             for address in listed:
                 loads[address] += demand / callers / len(listed)
@@ -80,7 +85,7 @@
         if second > 30:
             worst = max(worst, max(used.values()))
     assert 0.2 < worst < 0.5
-    listed = addresses.select(_fleet(), "b", rng).addresses
+    listed = _select(_fleet(), "b", rng).addresses
     assert sum(address[0] != "b" for address in listed) == 2
 
 
@@ -111,7 +116,7 @@
         lost=lambda gateway, second: gateway.zone == "a" and second >= 20,
     ):
         if second >= 20:
-            listed = addresses.select(known, "a", rng)
+            listed = _select(known, "a", rng)
             assert listed.own_share == 0.0
             assert {address[0] for address in listed.addresses} == {"b", "c"}
             assert max(used.values()) < 0.6
@@ -152,7 +157,7 @@
     for seed in range(300):
         rng = random.Random(seed)
         order = rng.sample(fleet, len(fleet))
-        seen.update(addresses.select(order, "c", rng).addresses)
+        seen.update(_select(order, "c", rng).addresses)
     assert len([address for address in seen if address[0] == "c"]) == 24
 
 
@@ -169,8 +174,8 @@
         loads["a:0"] < 0.9 * loads["a:1"]
     )
     nothing = [gateway._replace(room=0, load=None) for gateway in fleet]
-    assert addresses.select(nothing, "?", random.Random(7)).addresses
-    assert addresses.select([], "a", random.Random(7)).addresses == []
+    assert _select(nothing, "?", random.Random(7)).addresses
+    assert _select([], "a", random.Random(7)).addresses == []
 
 
 def test_capacity_is_that_of_the_scarcest_resource():
--- a/packages/router/nutmegpost_router/gateway/address_listing.py
+++ b/packages/router/nutmegpost_router/gateway/address_listing.py
@@ -21,10 +21,13 @@
 _MEASURE_INTERVAL_S = 1.0
 _NEWEST_WEIGHT = 0.3
 # Age at which what a peer said of its load no longer counts. With 135 gateways
-# a peer sends this one a datagram every 45 s or so.
+# a peer sends this one a datagram about every 50 s.
 _LOAD_LIFETIME_S = 60.0
 # Own share of the zone's demand below which it counts as short of capacity.
 _SHORT_BELOW = 0.95
+# Time for which pools are used again if the same gateways are up. To compute
+# them takes longer than to answer.
+_PLAN_LIFETIME_S = 1.0
 
 
 def announced_capacity(config: settings.GatewaySettings) -> int:
@@ -69,6 +72,9 @@
         self._process_s = time.process_time()
         self._is_large = False
         self._short_zones: set[str] = set()
+        self._plan: addresses.Plan = {}
+        self._plan_key: tuple[int, tuple[str, ...]] = (-1, ())
+        self._plan_until = 0.0
 
     def is_large(self, fleet_size: int) -> bool:
         """Returns whether a fleet is so large that addresses are selected.
@@ -109,24 +115,33 @@
             caller_zone: Zone of the caller; empty if unknown.
             now: Monotonic time, seconds.
         """
-        members = self._members.members
         listing = addresses.select(
-            [
-                addresses.Gateway(
-                    name,
-                    members[name].public_address,
-                    members[name].zone,
-                    members[name].capacity,
-                    self._load_of(name, now),
-                )
-                for name in names
-            ],
-            caller_zone,
-            self._rng,
+            self._current_plan(names, now), caller_zone, self._rng
         )
         self._record(caller_zone, listing)
         return listing.addresses
 
+    def _current_plan(
+        self, names: Collection[str], now: float
+    ) -> addresses.Plan:
+        key = self._members.view_version, tuple(names)
+        if key == self._plan_key and now < self._plan_until:
+            return self._plan
+        members = self._members.members
+        self._plan = addresses.plan(
+            addresses.Gateway(
+                name,
+                members[name].public_address,
+                members[name].zone,
+                members[name].capacity,
+                self._load_of(name, now),
+            )
+            for name in names
+        )
+        self._plan_key = key
+        self._plan_until = now + _PLAN_LIFETIME_S
+        return self._plan
+
     def _load_of(self, name: str, now: float) -> int | None:
         if name == self._config["name"]:
             return round(self._load)
--- a/packages/router/tests/gateway/test_address_listing.py
+++ b/packages/router/tests/gateway/test_address_listing.py
@@ -58,6 +58,9 @@
         assert len(set(listed)) == len(listed) >= 16
     assert b'resolutions_total{zone="own"} 50.0' in counters.render()
     assert listing.select(names, "elsewhere", 5.0)
+    names.remove("g9")
+    for _ in range(50):
+        assert "10.0.1.9:80" not in listing.select([*names], "b", 5.0)
 
 
 def test_load_is_measured_and_announced():
