Count only requests without a decision as waiting

A request that was refused or sent counted until its task ran again, so that two arrivals in one turn of the event loop at a full queue refused one too many. Found by reading; no test shows it, as the turn cannot be forced over sockets.

--- a/packages/router/nutmegpost_router/gateway/waiting_requests.py
+++ b/packages/router/nutmegpost_router/gateway/waiting_requests.py
@@ -102,7 +102,7 @@
     @property
     def waiting(self) -> int:
         """Number of requests that wait here."""
-        return sum(len(entries) for entries in self._entries.values())
+        return sum(queue.waiting for queue in self._queues.values())
 
     def begin_stop(self) -> None:
         """Refuses the waiting requests; no further one waits."""
