--- a/packages/core/nutmegpost_core/catalog.py
+++ b/packages/core/nutmegpost_core/catalog.py
@@ -12,7 +12,9 @@
 
 __all__ = [
     "Account",
+    "AccountKeys",
     "Catalog",
+    "Content",
     "Limits",
     "RequestKind",
     "Route",
@@ -132,6 +134,31 @@
     idle_timeout_s: float = 15.0
 
 
+class AccountKeys(NamedTuple):
+    """An account and the API keys of its callers."""
+
+    account: Account
+    keys: tuple[str, ...]
+
+
+class Content(NamedTuple):
+    """The entries of a configuration as listed, with any duplicates.
+
+    Attributes:
+        version: Version of the configuration.
+        routes: All routes.
+        services: All services.
+        accounts: All accounts; None if no request needs a key.
+        limits: Limits on the requests of callers.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    accounts: tuple[AccountKeys, ...] | None
+    limits: Limits
+
+
 class Catalog:
     """One version of the configuration."""
 
