Test what a gateway takes from duplicate entries

Cause: decode_configuration builds the accounts from catalog.Content, and no test failed when it took only the first account.

Change: a test of accounts and routes that are listed more than once, in the way the check and OPERATIONS.md describe.

Result: the test fails with that fault put in and passes without it.

--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -10,6 +10,7 @@
 
 from nutmegpost_ctl import exits
 from nutmegpost_platform import check
+from nutmegpost_platform import documents
 
 
 def _write(tmp_path, name, document):
@@ -96,6 +97,23 @@
     assert "secret" not in output
 
 
+def test_a_gateway_takes_the_last_of_duplicates_as_the_check_says():
+    # The check and the gateway read one decoded document in two ways.
+    document = _sound(2)
+    document["routes"].append(document["routes"][0] | {"name": "again"})
+    document["tenants"] += [
+        {"name": "line", "apiKeys": ["secret-1"], "priority": 3},
+        {"name": "shop", "apiKeys": ["secret-2", "secret-3"]},
+    ]
+    catalog = documents.decode_configuration(json.dumps(document).encode())
+    owners = [catalog.account(f"secret-{number}") for number in range(1, 5)]
+    assert owners == [("line", 3), ("shop", None), ("shop", None), None]
+    assert catalog.route(standin.HOST, "/look/").name == "again"
+    del document["tenants"]
+    catalog = documents.decode_configuration(json.dumps(document).encode())
+    assert not catalog.needs_key
+
+
 def test_the_differences_from_the_version_in_force_are_printed(
     tmp_path, capsys
 ):
