Keep the name by which tests ask for the sharers of the retry budget

Cause: the fleet view had replaced a method of the gateway that test_retry_budget.py calls; test_faults.py calls _public_addresses without the zone of a caller.

Change: the method returns the view's names, and the zone has a default.

--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -376,7 +376,7 @@
         headers = [("Content-Type", metrics.CONTENT_TYPE)]
         return http_server.Response(200, headers, self._counters.render())
 
-    def _public_addresses(self, caller_zone: str) -> list[str]:
+    def _public_addresses(self, caller_zone: str = "") -> list[str]:
         """Returns public addresses of gateways believed to be up.
 
         In a large fleet they are selected for the zone of the caller;
@@ -554,13 +554,17 @@
         listed = len(set(self._config["seeds"]))
         self._fleet.record(view.alive_names, listed, now)
         self._state.fleet_size = self._fleet.count
-        self._retry_sharers.record(view.retry_sharers, listed, now)
+        self._retry_sharers.record(self._retry_sharer_names(), listed, now)
         self._state.retry_sharers = self._retry_sharers.count
         if view.version != self._told_version:
             self._told_version = view.version
             self._state.rate_limits.set_routers(view.alive)
             self._load_queries.set_hosts(view.alive_hosts)
 
+    def _retry_sharer_names(self) -> frozenset[str]:
+        """Returns the gateways that may be running and spending retries."""
+        return self._fleet_view.current.retry_sharers
+
     async def _drain(self) -> http_server.OpenWork:
         """Serves the open connections until none is left or the grace is over.
 
