Send no hedges while requests of the service wait, and use plainer names

The queue of the admission came with another merge than the hedges, so that only the loads of endpoints kept hedges off a contended service.

--- a/packages/core/nutmegpost_core/contention.py
+++ b/packages/core/nutmegpost_core/contention.py
@@ -28,7 +28,7 @@
     "Request",
     "ServiceQueue",
     "Waiter",
-    "believed_s",
+    "load_trust_s",
     "is_exhausted",
     "limit",
     "quota",
@@ -43,9 +43,9 @@
 # Requests per slot up to which the excess of a source is sent, so that other
 # requests find a place in the queue of an endpoint and start next.
 EXCESS_REQUESTS_PER_SLOT = 7 / 6
-# Shortest time for which a load that leaves no room is believed: an interval
+# Shortest time for which a load that leaves no room is trusted: an interval
 # between load reports, and its transfer.
-BELIEVED_MIN_S = 0.1
+LOAD_TRUST_MIN_S = 0.1
 # Routers that are expected to send at the same time into the capacity that all
 # see free, as a share of all.
 CLAIMING_SHARE = 0.5
@@ -212,8 +212,8 @@
     return max(1, slots * per_slot) if slots else math.inf
 
 
-def believed_s(capacity: Capacity, duration_s: float) -> float:
-    """Returns how long a load is believed that leaves an endpoint no room.
+def load_trust_s(capacity: Capacity, duration_s: float) -> float:
+    """Returns how long a load is trusted that leaves an endpoint no room.
 
     After it, a router sends its share regardless. In this time the service
     runs one request of each router, so that these do not overload it.
@@ -223,7 +223,7 @@
         duration_s: Mean time that an endpoint takes for a request, seconds.
     """
     turn_s = capacity.routers * duration_s / max(1, capacity.slots)
-    return max(BELIEVED_MIN_S, turn_s)
+    return max(LOAD_TRUST_MIN_S, turn_s)
 
 
 class Quota(NamedTuple):
@@ -505,7 +505,7 @@
             self.order(other, now) < own_order
             for other in self._waiters.values()
         )
-        if self._is_hopeless(waiter, ahead, capacity, now):
+        if self._cannot_finish(waiter, ahead, capacity, now):
             return self.refuse(waiter, "late", capacity, now)
         self._waiters[waiter.sequence] = waiter
         return None
@@ -525,14 +525,14 @@
             self._waiters.values(), key=lambda waiter: self.order(waiter, now)
         )
 
-    def hopeless(
+    def remove_unfinishable(
         self, capacity: Capacity, now: float
     ) -> list[tuple[Waiter, Refusal]]:
         """Removes the requests that cannot finish before their deadlines."""
         removed = []
         ahead = 0
         for waiter in self.in_order(now):
-            if self._is_hopeless(waiter, ahead, capacity, now):
+            if self._cannot_finish(waiter, ahead, capacity, now):
                 self.remove(waiter)
                 refusal = self.refuse(waiter, "late", capacity, now)
                 removed.append((waiter, refusal))
@@ -611,7 +611,7 @@
         in_flight = max(1.0, capacity.own, capacity.slots / capacity.routers)
         return in_flight / max(0.001, self._mean_duration_s)
 
-    def _is_hopeless(
+    def _cannot_finish(
         self, waiter: Waiter, ahead: int, capacity: Capacity, now: float
     ) -> bool:
         """Returns whether a request cannot finish before its deadline.
--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -307,7 +307,7 @@
     "{request} waited {waited_ms} ms for room at service {service}, beyond the "
     "share of its account or prompt {excess}, returning as agreed {returning}",
 )
-REQUEST_CROWDED_OUT = Event(
+REQUEST_REFUSED_FOR_CAPACITY = Event(
     433,
     "INFO",
     "{request} refused for lack of room at service {service} after {waited_ms} "
--- a/packages/core/nutmegpost_core/readers.py
+++ b/packages/core/nutmegpost_core/readers.py
@@ -167,7 +167,7 @@
         self._confirmed_at = -math.inf
         self._refusals: set[str] = set()
         self._spread_s = 0.0
-        self._doubt_since: float | None = None
+        self._distrusted_since: float | None = None
         self._reason = ""
 
     @property
@@ -288,22 +288,22 @@
             ):
                 self._is_following = True
                 self._spread_s = self._rng.uniform(0, self._times.spread_s)
-                self._doubt_since = None
+                self._distrusted_since = None
         else:
-            self._update_doubt(now, behind_since)
+            self._update_distrust(now, behind_since)
         return self._is_following
 
-    def _update_doubt(self, now: float, behind_since: float) -> None:
-        reason = self._doubt(now, behind_since)
+    def _update_distrust(self, now: float, behind_since: float) -> None:
+        reason = self._distrust_reason(now, behind_since)
         if not reason:
-            self._doubt_since = None
+            self._distrusted_since = None
             return
-        if self._doubt_since is None:
-            self._doubt_since = now
-        if now - self._doubt_since >= self._spread_s:
+        if self._distrusted_since is None:
+            self._distrusted_since = now
+        if now - self._distrusted_since >= self._spread_s:
             self._end(reason)
 
-    def _doubt(self, now: float, behind_since: float) -> str:
+    def _distrust_reason(self, now: float, behind_since: float) -> str:
         """Returns why not to rely on the readers; empty for no reason."""
         if self.is_platform_refused:
             return "the platform answers no reader"
--- a/packages/core/tests/test_contention.py
+++ b/packages/core/tests/test_contention.py
@@ -52,7 +52,7 @@
     assert 0 < refusal.retry_after_s <= 0.5
     # What waits is refused as soon as it is known, not at its deadline.
     last, _ = add(waiting, number=21, rank=0, deadline=1.2)
-    assert [w for w, _ in waiting.hopeless(CAPACITY, 0.3)] == [last]
+    assert [w for w, _ in waiting.remove_unfinishable(CAPACITY, 0.3)] == [last]
 
 
 def test_refused_callers_return_spread_and_within_their_time():
--- a/packages/core/tests/test_contention_load.py
+++ b/packages/core/tests/test_contention_load.py
@@ -165,7 +165,7 @@
         for router in self.routers:
             if router.waiting:
                 self.pump(router)
-                for waiter, refusal in router.queue.hopeless(
+                for waiter, refusal in router.queue.remove_unfinishable(
                     self.capacity(router), self.now
                 ):
                     caller = router.waiting.pop(waiter.sequence)[1]
@@ -204,8 +204,8 @@
             best = self.best(router, per_slot)
         if best is None and capacity.own < quota.share:
             duration_s = router.queue.mean_duration_s
-            believed_s = contention.believed_s(capacity, duration_s)
-            best = self.best(router, 2.0, self.now - believed_s)
+            load_trust_s = contention.load_trust_s(capacity, duration_s)
+            best = self.best(router, 2.0, self.now - load_trust_s)
         return best
 
     def pump(self, router):
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -122,6 +122,7 @@
             origins,
             self._replacements,
         )
+        self._waiting = waiting_requests.WaitingRequests(local_state, counters)
         self._hedges = hedges.Hedges(
             local_state,
             self._sender,
@@ -130,11 +131,11 @@
             endpoint_links,
             queries,
             counters,
+            self._waiting.has_waiting,
         )
         self._losses = losses.Losses(
             local_state, client, load_exchange, crashes, endpoint_links
         )
-        self._waiting = waiting_requests.WaitingRequests(local_state, counters)
         self._stop: _Stop | None = None
         # The requests that are being forwarded, and what ends them.
         self._open: dict[pending_request.PendingRequest, asyncio.Timeout] = {}
--- a/packages/router/nutmegpost_router/gateway/hedges.py
+++ b/packages/router/nutmegpost_router/gateway/hedges.py
@@ -104,6 +104,7 @@
         endpoint_links: links.EndpointLinks,
         queries: load_queries.LoadQueries,
         counters: metrics.GatewayMetrics,
+        has_waiting: Callable[[str], bool],
     ):
         """Creates an object that has made no attempt.
 
@@ -115,6 +116,7 @@
             endpoint_links: Knows whether any endpoint can be reached.
             queries: Asks for the loads of endpoints.
             counters: Metrics.
+            has_waiting: Returns whether requests for a service wait here.
         """
         ratio = local_state.config.get("hedge_ratio", 0.0)
         self._state = local_state
@@ -124,6 +126,7 @@
         self._links = endpoint_links
         self._queries = queries
         self._counters = counters
+        self._has_waiting = has_waiting
         self._is_on = ratio > 0
         self._evidence = hedging.Evidence(
             local_state.config.get("hedge_evidence", hedging.Evidence.SPEED)
@@ -352,7 +355,7 @@
         )
 
     def _is_contended(self, service: str) -> bool:
-        return hedging.is_contended(
+        return self._has_waiting(service) or hedging.is_contended(
             (
                 self._state.loads.total(endpoint.name).running,
                 endpoint.slots or self._state.speeds.slots(endpoint.name),
--- a/packages/router/nutmegpost_router/gateway/waiting_requests.py
+++ b/packages/router/nutmegpost_router/gateway/waiting_requests.py
@@ -104,6 +104,10 @@
         """Number of requests that wait here."""
         return sum(queue.waiting for queue in self._queues.values())
 
+    def has_waiting(self, service: str) -> bool:
+        """Returns whether requests for a service wait here."""
+        return bool(self._entries.get(service))
+
     def begin_stop(self) -> None:
         """Refuses the waiting requests; no further one waits."""
         self._is_stopping = True
@@ -243,7 +247,7 @@
     ) -> None:
         self._counters.contention_refused(refusal.reason)
         log.emit(
-            events.REQUEST_CROWDED_OUT,
+            events.REQUEST_REFUSED_FOR_CAPACITY,
             request=pending.call.identity,
             service=pending.call.service,
             waited_ms=round(waited_s * 1000),
@@ -296,7 +300,9 @@
                 continue
             queue = self._queues[service]
             self._send_waiting(service)
-            for waiter, refusal in queue.hopeless(self._capacity(service), now):
+            for waiter, refusal in queue.remove_unfinishable(
+                self._capacity(service), now
+            ):
                 entries[waiter.sequence].decide(Admission(refusal=refusal))
             for entry in entries.values():
                 if not self._candidates(entry.pending):
@@ -340,8 +346,12 @@
                 pending, self._per_slot(service, waiter.is_excess)
             )
         if choice is None and capacity.own < quota.share:
-            believed_s = contention.believed_s(capacity, queue.mean_duration_s)
-            choice = self._choose_below(pending, _LOAD_PER_SLOT_MAX, believed_s)
+            load_trust_s = contention.load_trust_s(
+                capacity, queue.mean_duration_s
+            )
+            choice = self._choose_below(
+                pending, _LOAD_PER_SLOT_MAX, load_trust_s
+            )
         return choice
 
     def _find_room(
@@ -361,14 +371,14 @@
         self,
         pending: pending_request.PendingRequest,
         per_slot: float,
-        believed_s: float = math.inf,
+        load_trust_s: float = math.inf,
     ) -> dispatch.Choice | None:
         """Chooses among the endpoints below a load.
 
         Args:
             pending: The request.
             per_slot: Requests in flight for each slot.
-            believed_s: Age up to which a load excludes an endpoint, seconds.
+            load_trust_s: Age up to which a load excludes an endpoint, seconds.
         """
         call = pending.call
         loads = self._state.loads
@@ -380,8 +390,8 @@
             if loads.total(endpoint.name).running < limit:
                 return False
             age_s = loads.endpoint_age_s(endpoint.name, now)
-            return believed_s == math.inf or (
-                age_s is not None and age_s <= believed_s
+            return load_trust_s == math.inf or (
+                age_s is not None and age_s <= load_trust_s
             )
 
         excluded = {
