--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -153,7 +153,7 @@
 OPERATOR_KEY_IGNORED = Event(
     224,
     "WARNING",
-    "key {name} of revision {revision} is none that a gateway knows; ignored",
+    "unknown key {name} at revision {revision} is ignored",
 )
 ENDPOINT_COLD = Event(
     225,
@@ -161,7 +161,9 @@
     "endpoint {endpoint} is cold for {remaining_ms} ms, by {source}",
 )
 COLD_HEADER_REFUSED = Event(
-    226, "WARNING", "endpoint {endpoint} sent a Cold-Ms of {text}; ignored"
+    226,
+    "WARNING",
+    "endpoint {endpoint} sent an invalid time for which it is cold: {text}",
 )
 
 # 3xx members and peers
@@ -200,10 +202,12 @@
 FOLLOWING_ENDED = Event(322, "INFO", "reads the platform itself: {reason}")
 READER_SILENT = Event(323, "INFO", "no news of reader {reader}: {reason}")
 ADDRESSES_SELECTED = Event(
-    310, "INFO", "addresses are selected by zone, of {gateways} gateways"
+    310,
+    "INFO",
+    "addresses of {gateways} gateways are selected by zone and capacity",
 )
 ADDRESSES_UNSELECTED = Event(
-    311, "INFO", "all addresses are told, of {gateways} gateways"
+    311, "INFO", "all addresses of {gateways} gateways are listed"
 )
 ZONE_SHORT = Event(
     312, "WARNING", "zone {zone} has room for {share} of its demand"
@@ -317,7 +321,7 @@
 ENDPOINT_SPEED_REFUSED = Event(
     440,
     "WARNING",
-    "{endpoint} reports a speed that is no valid figure: {text}",
+    "endpoint {endpoint} reports an invalid speed: {text}",
 )
 
 HEDGE_SENT = Event(
@@ -330,8 +334,7 @@
 HEDGE_ENDED = Event(
     446,
     "INFO",
-    "the second attempt of {request} was decided on after {after_ms} ms: "
-    "{result}",
+    "second attempt of {request} ended after {after_ms} ms: {result}",
 )
 
 # 5xx endpoints and placement
