--- a/review/10/run.py
+++ b/review/10/run.py
@@ -68,29 +68,32 @@
 
 
 def check(streams):
-    """LOST: take-ups at machines in touch that go on, against new streams."""
+    """LOST: streams that go on at machines in touch, against new ones."""
     taken_up, begun = [], []
     for number, tries in streams.items():
-        for attempt in tries:
-            if not attempt["in_touch"]:
-                continue
-            served = attempt["status"] == 200 and bool(attempt["events"])
-            if attempt["resumes"]:
-                taken_up.append(served)
-            elif number >= STREAMS:
-                begun.append(served)
+        chosen = [attempt for attempt in tries if attempt["in_touch"]]
+        goes_on = [_is_served(each) for each in chosen if each["resumes"]]
+        begins = [_is_served(each) for each in chosen if not each["resumes"]]
+        if goes_on:
+            taken_up.append(any(goes_on))
+        if begins and number >= STREAMS:
+            begun.append(any(begins))
     shares = [
         sum(served) / len(served) if served else 1.0
         for served in (taken_up, begun)
     ]
     broken = len(taken_up) >= 12 and shares[0] < shares[1] / 2
     return [
-        f"{'BROKEN' if broken else 'held'}: of {len(taken_up)} take-ups at"
-        f" machines in touch {sum(taken_up)} go on, of {len(begun)} new streams"
-        f" {sum(begun)} begin"
+        f"{'BROKEN' if broken else 'held'}: of {len(taken_up)} streams taken"
+        f" up at machines in touch {sum(taken_up)} go on, of {len(begun)} new"
+        f" streams {sum(begun)} begin"
     ]
 
 
+def _is_served(attempt):
+    return attempt["status"] == 200 and bool(attempt["events"])
+
+
 if __name__ == "__main__":
     bed2.main(
         play,
