--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 python3 -m compileall -q review/bed2.py review/6 review/7 review/8 review/9 \
-  review/10 review/tried-2
+  review/10
