Keep an origin of a stream for each service that sent events of it

What callers saw: a configuration moved a route to a service with two versions.

Cause: one origin was kept for a stream, that of the service which began it. Once the route had left that service, a take-up went to any version of the new one, and recording that version only extended the time of the first origin.

Change: a stream has an origin at each service that sent events of it. If none is at a service of the route, the holders are asked, and then the version is chosen so that all gateways choose alike: a version that sent events of the stream before, otherwise by rendezvous hashing. A choice that a gateway had no time to tell is thus made again. Peers of the last build read the answers: an entry keeps its form, and the newest comes first.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -292,7 +292,7 @@
 STREAM_TAKEN_UP = Event(
     416,
     "INFO",
-    "{request} takes up the stream of {resumes}, which began at {service} of "
+    "{request} takes up the stream of {resumes}, which goes on at {service} of "
     "software {software}, by {source}",
 )
 
--- a/packages/core/nutmegpost_core/stream_origins.py
+++ b/packages/core/nutmegpost_core/stream_origins.py
@@ -2,14 +2,17 @@
 
 A caller that takes a stream up again, possibly at another router, names the
 attempt that brought its first event; only the version that began the stream can
-continue it.
+continue it. If its route has moved to another service, the stream stays at the
+version there that continued it first.
 """
 
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 import xxhash
 
 from nutmegpost_core import calls
+from nutmegpost_core import ownership
 
 __all__ = [
     "HOLDERS",
@@ -20,6 +23,7 @@
     "attempt_digest",
     "earliest_begin",
     "expiry",
+    "version_after_move",
 ]
 
 # Routers, besides the one that relays a stream, that keep its origin.
@@ -57,7 +61,7 @@
 
 
 class Origin(NamedTuple):
-    """What began a stream.
+    """What began a stream, or the part of it that a service sent.
 
     Attributes:
         service: Name of the service.
@@ -82,40 +86,80 @@
     expires: float
 
 
+def version_after_move(
+    attempt: bytes, origins: Iterable[Origin], versions: Mapping[str, str]
+) -> str:
+    """Returns the version at which a stream goes on at another service.
+
+    A version that sent events of the stream elsewhere is preferred. All routers
+    that know the same endpoints choose the same version, since the record of
+    the choice may be lost with a router.
+
+    Args:
+        attempt: Digest of the attempt that began the stream.
+        origins: What is known of the stream; none of it at this service.
+        versions: Software versions of the endpoints of the service, by name;
+            not empty.
+    """
+    known = {origin.software for origin in origins}
+    preferred = {
+        name: software
+        for name, software in versions.items()
+        if software in known
+    }
+    candidates = preferred or versions
+    return candidates[ownership.first(attempt.hex(), list(candidates), 1)[0]]
+
+
 class StreamOrigins:
-    """The origins of streams that a router knows."""
+    """The origins of streams that a router knows, one for each service."""
 
     def __init__(self) -> None:
-        self._entries: dict[bytes, OriginEntry] = {}
+        self._entries: dict[bytes, tuple[OriginEntry, ...]] = {}
 
     def __len__(self) -> int:
+        """Returns the number of streams."""
         return len(self._entries)
 
     def record(self, entry: OriginEntry) -> None:
         """Records an origin, or extends the time for which it is retained."""
-        known = self._entries.pop(entry.attempt, None)
-        if known is not None:
-            entry = known._replace(expires=max(known.expires, entry.expires))
+        others = []
+        for known in self._entries.pop(entry.attempt, ()):
+            if known.origin.service != entry.origin.service:
+                others.append(known)
+            else:
+                entry = known._replace(
+                    expires=max(known.expires, entry.expires)
+                )
         if len(self._entries) >= ORIGINS_MAX:
             del self._entries[next(iter(self._entries))]
-        self._entries[entry.attempt] = entry
+        self._entries[entry.attempt] = (entry, *others)
+
+    def find(self, attempt: bytes) -> tuple[OriginEntry, ...]:
+        """Returns the origins of a stream, the one recorded last first.
 
-    def find(self, attempt: bytes) -> OriginEntry | None:
-        """Returns the origin of a stream by the digest of its attempt."""
-        return self._entries.get(attempt)
+        Args:
+            attempt: Digest of the attempt that began it.
+        """
+        return self._entries.get(attempt, ())
 
     def of_service(self, service: str) -> list[OriginEntry]:
-        """Returns the origins of the streams that a service began."""
+        """Returns the origins of all streams at a service."""
         return [
             entry
-            for entry in self._entries.values()
+            for entries in self._entries.values()
+            for entry in entries
             if entry.origin.service == service
         ]
 
     def expire(self, now: float) -> None:
         """Discards the origins of streams that can no longer be taken up."""
         self._entries = {
-            attempt: entry
-            for attempt, entry in self._entries.items()
-            if entry.expires > now
+            attempt: retained
+            for attempt, entries in self._entries.items()
+            if (
+                retained := tuple(
+                    entry for entry in entries if entry.expires > now
+                )
+            )
         }
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -413,14 +413,11 @@
             )
         self._give_up(pending)
 
-    async def _find_origin(
-        self, call: calls.Call
-    ) -> tuple[calls.Call, str | None]:
-        """Returns a take-up, at the service that began its stream if allowed.
+    async def _find_origin(self, call: calls.Call) -> tuple[calls.Call, str]:
+        """Returns a take-up at the service at which its stream goes on.
 
         Returns:
-            The call, and the only software version that can run it; None if
-            the route has moved to another service.
+            The call, and the only software version that can run it.
 
         Raises:
             errors.UnavailableError: It is not known what began the stream.
@@ -434,9 +431,7 @@
                 "it is not known which software began the stream",
                 retry_after=retry_after_s,
             )
-        if origin.service in {share.service for share in call.route.shares}:
-            return call._replace(service=origin.service), origin.software
-        return call, None
+        return call._replace(service=origin.service), origin.software
 
     async def _choose_after_prefill(
         self, pending: pending_request.PendingRequest
--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -7,10 +7,13 @@
 Otherwise, the only version that the service has had began the stream. The
 caches of endpoints tell nothing: the prompt of a session is cached wherever a
 request of it ran.
+
+A stream whose route has moved to another service has an origin at each service
+that sent events of it.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
 import cbor2
@@ -119,10 +122,11 @@
         self._services_told = uncertain
 
     async def find(self, call: calls.Call) -> stream_origins.Origin | None:
-        """Returns what began the stream that a call takes up.
+        """Returns where the stream that a call takes up goes on.
 
         Returns:
-            The origin, or None if it is not known.
+            A service of the route and the only version there that can run the
+            call; None if they are not known.
         """
         origin, source = await self._find(call)
         log.emit(
@@ -138,19 +142,22 @@
     async def _find(
         self, call: calls.Call
     ) -> tuple[stream_origins.Origin | None, str]:
-        attempt = stream_origins.attempt_digest(call.resumed_attempt)
-        known = self._origins.find(attempt) if call.resumed_attempt else None
-        if known is not None:
-            return known.origin, "record"
+        if call.resumed_attempt:
+            known = self._known(call)
+            if known is not None:
+                return known, "record"
         # After a start, this gateway knows its peers when it is synced.
         until = _now() + _SYNC_WAIT_S
         while not self._state.caches_synced and _now() < until:
             await asyncio.sleep(_POLL_S)
         if call.resumed_attempt:
-            told, has_answer = await self._ask_holders(attempt)
-            if told:
-                self._origins.record(told)
-                return told.origin, "peer"
+            has_answer = await self._ask_holders(call)
+            known = self._known(call)
+            if known is not None:
+                return known, "peer"
+            moved = self._choose_after_move(call)
+            if moved is not None:
+                return moved, "another service"
             if not has_answer and await self._may_lack_version():
                 return None, "out of step"
         software = self._state.versions.sole_version(
@@ -160,6 +167,43 @@
             return stream_origins.Origin(call.service, software), "directory"
         return None, "nothing"
 
+    def _known(self, call: calls.Call) -> stream_origins.Origin | None:
+        """Returns the known origin of a stream at a service of its route."""
+        services = {share.service for share in call.route.shares}
+        attempt = stream_origins.attempt_digest(call.resumed_attempt)
+        for entry in self._origins.find(attempt):
+            if entry.origin.service in services:
+                return entry.origin
+        return None
+
+    def _choose_after_move(
+        self, call: calls.Call
+    ) -> stream_origins.Origin | None:
+        """Returns where a stream goes on whose route has moved.
+
+        Returns:
+            A version of the service of the call; None if no origin of the
+            stream is known.
+        """
+        attempt = stream_origins.attempt_digest(call.resumed_attempt)
+        origins = [entry.origin for entry in self._origins.find(attempt)]
+        if not origins:
+            return None
+        usable = self._state.usable(call.service)
+        uncertain = self._state.versions.uncertain(usable, _now())
+        versions = {
+            endpoint.name: endpoint.software
+            for endpoint in usable
+            if endpoint.name not in uncertain
+        }
+        if not versions:
+            # No endpoint can take the call.
+            return origins[0]._replace(service=call.service)
+        return stream_origins.Origin(
+            call.service,
+            stream_origins.version_after_move(attempt, origins, versions),
+        )
+
     async def _may_lack_version(self) -> bool:
         """Returns whether a version may have joined without being noticed.
 
@@ -215,10 +259,10 @@
                 reason=str(caught),
             )
             return http_server.Response(400, [], b"")
-        entry = self._origins.find(attempt)
-        if entry is None:
+        entries = self._origins.find(attempt)
+        if not entries:
             return http_server.Response(404, [], b"")
-        return http_server.Response(200, [], _encode([entry]))
+        return http_server.Response(200, [], _encode(entries))
 
     def _merge(self, body: bytes) -> None:
         for entry in _decode(body):
@@ -261,15 +305,16 @@
         except errors.PeerError as caught:
             log.emit(events.ORIGINS_UNSENT, peer=name, reason=str(caught))
 
-    async def _ask_holders(
-        self, attempt: bytes
-    ) -> tuple[stream_origins.OriginEntry | None, bool]:
-        """Asks the peers that may know an origin.
+    async def _ask_holders(self, call: calls.Call) -> bool:
+        """Records what the peers know that may know the origin of a stream.
+
+        It ends once the origin at a service of the route is known.
 
         Returns:
-            The origin, or None; and whether any peer answered.
+            Whether any peer answered.
         """
         has_answer = False
+        attempt = stream_origins.attempt_digest(call.resumed_attempt)
         peers = self._peers()
         questions = [
             asyncio.create_task(self._ask(holder, peers[holder], attempt))
@@ -281,8 +326,10 @@
             ):
                 entries = await answer
                 has_answer = has_answer or entries is not None
-                if entries:
-                    return entries[0], True
+                for entry in entries or []:
+                    self._origins.record(entry)
+                if self._known(call) is not None:
+                    break
         except TimeoutError:
             log.emit(
                 events.ORIGINS_UNSENT,
@@ -292,7 +339,7 @@
         finally:
             for question in questions:
                 question.cancel()
-        return None, has_answer
+        return has_answer
 
     async def _ask(
         self, name: str, address: vms.Address, attempt: bytes
@@ -311,7 +358,7 @@
             return None
 
 
-def _encode(entries: list[stream_origins.OriginEntry]) -> bytes:
+def _encode(entries: Sequence[stream_origins.OriginEntry]) -> bytes:
     now = _now()
     return cbor2.dumps(
         [
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -610,3 +610,138 @@
             assert not ran
 
     standin.run_scenario(scenario)
+
+
+def _runners_of(service, **versions):
+    return [
+        standin.Runner(name, service, 8, version=version)
+        for name, version in versions.items()
+    ]
+
+
+def _moved_configuration(version, service):
+    """Returns a configuration whose resumable route leads to a service."""
+    document = standin.configuration(version)
+    document["services"].append(document["services"][1] | {"name": "others"})
+    for route in document["routes"]:
+        if route["name"] == "draft":
+            route["service"] = service
+    return document
+
+
+async def _move_route(fleet, gateway_indexes, version=2, service="others"):
+    fleet.store.put("op/config", _moved_configuration(version, service))
+    for index in gateway_indexes:
+        await fleet.wait_until(
+            lambda index=index: (
+                fleet.gateways[index].local_state.catalog.version == version
+            )
+        )
+
+
+def _set_behaviors(fleet, behavior, is_chosen=lambda runner: True):
+    for runner in fleet.runners.values():
+        runner.behaviors = [behavior] * 4 if is_chosen(runner) else []
+
+
+async def _take_up_and_break_off(fleet, identity, begun, gateway_index):
+    """Takes a stream up; the answer ends after one event.
+
+    Returns:
+        The version that sent it.
+    """
+    for runner in fleet.runners.values():
+        runner.behaviors = [standin.cut_stream_after(1), standin.reject] * 2
+    with pytest.raises(standin.http_client.ExchangeError):
+        await _take_up(fleet, identity, begun, gateway_index)
+    _set_behaviors(fleet, standin.respond)
+    (version,) = _versions_that_ran(fleet, identity)
+    return version
+
+
+# Guards against streams of two versions of a service that their route moved to.
+@pytest.mark.parametrize("gateway_index", [0, 1])
+def test_moved_stream_stays_at_the_version_that_went_on_with_it(gateway_index):
+    async def scenario():
+        runners = [
+            *_runners(e1="v1", e2="v2"),
+            *_runners_of("others", o1="v3", o2="v4", o3="v3", o4="v4"),
+        ]
+        async with standin.Fleet(
+            runners, gateways=2, config=_moved_configuration(1, "engines")
+        ) as fleet:
+            await fleet.wait_until_all_met()
+            await _begin_and_break_off(fleet, "begun")
+            await _move_route(fleet, (0, 1))
+            version = await _take_up_and_break_off(fleet, "again", "begun", 0)
+            assert version in ("v3", "v4")
+            # The peers are told what went on with the stream.
+            await asyncio.sleep(0.2)
+            _set_behaviors(
+                fleet, standin.reject, lambda runner: runner.version == version
+            )
+            await _take_up(fleet, "rejected", "begun", gateway_index)
+            assert not _versions_that_ran(fleet, "rejected")
+            _set_behaviors(fleet, standin.respond)
+            response = await _take_up(fleet, "last", "begun", gateway_index)
+            assert response.status == 200
+            assert _versions_that_ran(fleet, "last") == {version}
+
+    standin.run_scenario(scenario)
+
+
+# Guards against two versions where a gateway is lost before it tells its peers.
+def test_gateways_choose_the_same_version_for_a_moved_stream():
+    async def scenario():
+        runners = [
+            *_runners(e1="v1", e2="v2"),
+            *_runners_of("others", o1="v3", o2="v4", o3="v3", o4="v4"),
+        ]
+        async with standin.Fleet(
+            runners, gateways=3, config=_moved_configuration(1, "engines")
+        ) as fleet:
+            await fleet.wait_until_all_met()
+            for number in range(6):
+                await _begin_and_break_off(fleet, f"begun-{number}")
+            await _move_route(fleet, (0, 1, 2))
+            await asyncio.sleep(0.2)
+            answers = await asyncio.gather(
+                *(
+                    _take_up(
+                        fleet, f"a-{number}-{index}", f"begun-{number}", index
+                    )
+                    for number in range(6)
+                    for index in (1, 2)
+                )
+            )
+            assert {answer.status for answer in answers} == {200}
+            for number in range(6):
+                assert _versions_that_ran(
+                    fleet, f"a-{number}-1"
+                ) == _versions_that_ran(fleet, f"a-{number}-2")
+
+    standin.run_scenario(scenario)
+
+
+# Guards against a stream that leaves its version when its route moves.
+def test_moved_stream_goes_on_at_its_version_if_the_service_has_it():
+    async def scenario():
+        runners = [
+            *_runners(e1="v1", e2="v2"),
+            *_runners_of("others", o1="v1", o2="v2"),
+        ]
+        async with standin.Fleet(
+            runners, config=_moved_configuration(1, "engines")
+        ) as fleet:
+            began = [
+                await _begin_and_break_off(fleet, f"begun-{number}")
+                for number in range(4)
+            ]
+            await _move_route(fleet, (0,))
+            for number, runner in enumerate(began):
+                again = f"again-{number}"
+                response = await _take_up(fleet, again, f"begun-{number}", 0)
+                assert response.status == 200
+                assert _versions_that_ran(fleet, again) == {runner.version}
+
+    standin.run_scenario(scenario)
