Tell origins of streams again to gateways that joined or restarted

What callers saw: all gateways were stopped and started in turn while two versions served.

Cause: an origin was told to three peers when its stream began, and never again. A gateway that restarted had lost what it was told, so after one turn only the gateway that relays a stream knew its origin.

Change: a gateway keeps account of which holders of a stream were told, by name and incarnation. When gateways join, leave or restart, it tells the origin to the holders that may lack it, and so does each gateway that was told it. Gateway.run ends its tasks when it is cancelled, so that tests can start a killed gateway again under its name.

--- a/packages/core/nutmegpost_core/events.py
+++ b/packages/core/nutmegpost_core/events.py
@@ -187,6 +187,11 @@
     "INFO",
     "cannot exchange origins of streams with peer {peer}: {reason}",
 )
+ORIGINS_REPLICATED = Event(
+    308,
+    "INFO",
+    "origins of {count} streams told again, as the gateways are now {gateways}",
+)
 MEMBERS_RECEIVED = Event(
     307,
     "INFO",
--- a/packages/core/nutmegpost_core/stream_origins.py
+++ b/packages/core/nutmegpost_core/stream_origins.py
@@ -15,7 +15,6 @@
 from nutmegpost_core import ownership
 
 __all__ = [
-    "HOLDERS",
     "Origin",
     "OriginEntry",
     "StreamOrigins",
@@ -26,8 +25,6 @@
     "version_after_move",
 ]
 
-# Routers, besides the one that relays a stream, that keep its origin.
-HOLDERS = 3
 # Time after the end of an answer within which a caller takes the stream up.
 TAKE_UP_S = 60.0
 # Origins that are retained; the oldest are discarded first.
@@ -121,6 +118,10 @@
         """Returns the number of streams."""
         return len(self._entries)
 
+    def __contains__(self, attempt: object) -> bool:
+        """Returns whether an origin is known by the digest of its attempt."""
+        return attempt in self._entries
+
     def record(self, entry: OriginEntry) -> None:
         """Records an origin, or extends the time for which it is retained."""
         others = []
@@ -143,13 +144,19 @@
         """
         return self._entries.get(attempt, ())
 
-    def of_service(self, service: str) -> list[OriginEntry]:
-        """Returns the origins of all streams at a service."""
+    def of_service(self, service: str) -> list[bytes]:
+        """Returns the attempts that began the streams with a known origin.
+
+        Args:
+            service: The service of the origin.
+
+        Returns:
+            Their digests.
+        """
         return [
-            entry
-            for entries in self._entries.values()
-            for entry in entries
-            if entry.origin.service == service
+            attempt
+            for attempt, entries in self._entries.items()
+            if any(entry.origin.service == service for entry in entries)
         ]
 
     def expire(self, now: float) -> None:
--- a/packages/router/nutmegpost_router/gateway/process.py
+++ b/packages/router/nutmegpost_router/gateway/process.py
@@ -31,6 +31,7 @@
 from nutmegpost_router.gateway import loads
 from nutmegpost_router.gateway import member_snapshots
 from nutmegpost_router.gateway import metrics
+from nutmegpost_router.gateway import origin_replicas
 from nutmegpost_router.gateway import peer_relay
 from nutmegpost_router.gateway import peers
 from nutmegpost_router.gateway import ports
@@ -271,16 +272,18 @@
             asyncio.create_task(self._supervise(name, run))
             for name, run in self._tasks()
         ]
-        await self._listen()
-        log.emit(
-            events.PROCESS_STARTED,
-            name=self._config["name"],
-            incarnation=self._members.local.incarnation,
-        )
-        await self._stopped.wait()
-        cut = await self._drain()
-        for task in tasks:
-            task.cancel()
+        try:
+            await self._listen()
+            log.emit(
+                events.PROCESS_STARTED,
+                name=self._config["name"],
+                incarnation=self._members.local.incarnation,
+            )
+            await self._stopped.wait()
+            cut = await self._drain()
+        finally:
+            for task in tasks:
+                task.cancel()
         await self.close()
         log.emit(
             events.PROCESS_STOPPED, name=self._config["name"], **cut._asdict()
@@ -394,7 +397,7 @@
         self, request: http_server.Request
     ) -> http_server.Response:
         path = request.target.partition("?")[0]
-        if path == stream_origins.PATH:
+        if path == origin_replicas.PATH:
             return await self._origins.handle(request)
         if path == member_snapshots.PATH:
             return self._snapshots.handle()
@@ -492,19 +495,23 @@
     async def _probe_endpoint(self, endpoint: roster.Endpoint) -> None:
         await self._client.probe(vms.parse_address(endpoint.address))
 
-    def _origin_peers(self) -> dict[str, vms.Address]:
-        """Returns the control addresses of the live peers by name.
+    def _origin_peers(self) -> dict[str, origin_replicas.Peer]:
+        """Returns the live peers by name.
 
         A gateway that has met none yet takes the addresses that it knows.
         """
         port = self._control_port
+        members = self._members.members
         live = {
-            name: vms.Address(host, port)
+            name: origin_replicas.Peer(
+                vms.Address(host, port), members[name].incarnation
+            )
             for name, host in self._fleet_view.current.alive_hosts.items()
             if name != self._config["name"]
         }
         return live or {
-            str(address): address for address in self._control_addresses()
+            str(address): origin_replicas.Peer(address, 0)
+            for address in self._control_addresses()
         }
 
     @property
--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -1,9 +1,9 @@
 """Finds the software version that began a stream that a caller takes up.
 
 Each gateway records what began the streams that it relays. While one version is
-not known to be the only one that has served recently, it also tells a few
-peers, which rendezvous hashing names for the attempt, so that the origin is
-known after its loss. A gateway that does not know an origin asks these peers.
+not known to be the only one that has served recently, a few peers keep the
+origin too, so that it is known after the loss of this gateway. A gateway that
+does not know an origin asks these peers.
 Otherwise, the only version that the service has had began the stream. The
 caches of endpoints tell nothing: the prompt of a session is cached wherever a
 request of it ran.
@@ -13,28 +13,23 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
-from typing import Any
+from collections.abc import Awaitable, Callable
 
 import cbor2
 
 from nutmegpost_core import calls
 from nutmegpost_core import errors
 from nutmegpost_core import events
-from nutmegpost_core import ownership
 from nutmegpost_core import stream_origins
 from nutmegpost_core import vms
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
+from nutmegpost_router.gateway import origin_replicas
 from nutmegpost_router.gateway import state
 
-__all__ = ["PATH", "OriginExchange"]
+__all__ = ["OriginExchange"]
 
-PATH = "/stream-origins"
-# Delay before peers are told, so that origins within it share a message.
-_BATCH_DELAY_S = 0.03
-_TIMEOUT_S = 0.4
 # Time to wait for the peers that may know an origin.
 _ASK_TIMEOUT_S = 0.2
 # Time to wait after a start until the peers are known.
@@ -43,7 +38,6 @@
 _DIRECTORY_AGE_MAX_S = 1.0
 _EXPIRY_INTERVAL_S = 10.0
 _POLL_S = 0.02
-_ENTRIES_PER_MESSAGE_MAX = 500
 
 
 class OriginExchange:
@@ -53,7 +47,7 @@
         self,
         local_state: state.State,
         client: http_client.Client,
-        peers: Callable[[], Mapping[str, vms.Address]],
+        peers: origin_replicas.PeersByName,
         is_directory_current: Callable[[], Awaitable[bool]],
     ):
         """Creates an exchange that knows no origin.
@@ -61,7 +55,7 @@
         Args:
             local_state: State of the gateway.
             client: Connections to peers.
-            peers: Returns the control addresses of the live peers by name.
+            peers: Returns the live peers by name.
             is_directory_current: Asks the platform whether the known list of
                 endpoints is up to date.
         """
@@ -71,9 +65,9 @@
         self._is_directory_current = is_directory_current
         self._directory_lock = asyncio.Lock()
         self._origins = stream_origins.StreamOrigins()
-        self._untold: dict[bytes, stream_origins.OriginEntry] = {}
-        self._untold_event = asyncio.Event()
-        self._messages: set[asyncio.Task[None]] = set()
+        self._replicas = origin_replicas.OriginReplicas(
+            local_state.config["name"], self._origins, client, peers
+        )
         self._services_told: set[str] = set()
 
     def record(self, call: calls.Call, software: str) -> None:
@@ -96,7 +90,7 @@
         since = stream_origins.earliest_begin(call)
         # All gateways know the only version that has served.
         if self._state.versions.sole_version(call.service, since) != software:
-            self._queue([entry])
+            self._replicas.tell([entry.attempt])
 
     def update_versions(self, now: float) -> None:
         """Tells peers all origins of a service once they are needed.
@@ -118,7 +112,7 @@
             if self._state.versions.sole_version(service, since) is None
         }
         for service in uncertain - self._services_told:
-            self._queue(self._origins.of_service(service))
+            self._replicas.tell(self._origins.of_service(service))
         self._services_told = uncertain
 
     async def find(self, call: calls.Call) -> stream_origins.Origin | None:
@@ -225,23 +219,16 @@
     # Peers.
 
     async def run(self) -> None:
-        """Tells peers about new origins, until it is cancelled."""
+        """Tells peers what they lack, until it is cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._tell_peers())
+            group.create_task(self._replicas.run())
             group.create_task(self._expire())
 
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(_EXPIRY_INTERVAL_S)
             self._origins.expire(_now())
-
-    async def _tell_peers(self) -> None:
-        while True:
-            await self._untold_event.wait()
-            await asyncio.sleep(_BATCH_DELAY_S)
-            self._untold_event.clear()
-            untold, self._untold = list(self._untold.values()), {}
-            self._tell(untold)
+            self._replicas.retain()
 
     async def handle(
         self, request: http_server.Request
@@ -262,48 +249,13 @@
         entries = self._origins.find(attempt)
         if not entries:
             return http_server.Response(404, [], b"")
-        return http_server.Response(200, [], _encode(entries))
+        return http_server.Response(200, [], origin_replicas.encode(entries))
 
     def _merge(self, body: bytes) -> None:
-        for entry in _decode(body):
-            self._origins.record(entry)
-
-    def _queue(self, entries: list[stream_origins.OriginEntry]) -> None:
-        self._untold |= {entry.attempt: entry for entry in entries}
-        if self._untold:
-            self._untold_event.set()
-
-    def _holders(
-        self, attempt: bytes, peers: Mapping[str, vms.Address]
-    ) -> list[str]:
-        return ownership.first(
-            attempt.hex(), list(peers), stream_origins.HOLDERS
-        )
-
-    def _tell(self, entries: list[stream_origins.OriginEntry]) -> None:
-        peers = self._peers()
-        by_holder: dict[str, list[stream_origins.OriginEntry]] = {}
+        entries = origin_replicas.decode(body)
         for entry in entries:
-            for holder in self._holders(entry.attempt, peers):
-                by_holder.setdefault(holder, []).append(entry)
-        for holder, told in by_holder.items():
-            for start in range(0, len(told), _ENTRIES_PER_MESSAGE_MAX):
-                batch = told[start : start + _ENTRIES_PER_MESSAGE_MAX]
-                self._start(self._post(holder, peers[holder], _encode(batch)))
-
-    def _start(self, message: Coroutine[Any, Any, None]) -> None:
-        """Sends a message in a task, so that no peer delays the others."""
-        task = asyncio.create_task(message)
-        self._messages.add(task)
-        task.add_done_callback(self._messages.discard)
-
-    async def _post(self, name: str, address: vms.Address, body: bytes) -> None:
-        try:
-            await self._client.request(
-                address, "POST", PATH, {}, body, timeout_s=_TIMEOUT_S
-            )
-        except errors.PeerError as caught:
-            log.emit(events.ORIGINS_UNSENT, peer=name, reason=str(caught))
+            self._origins.record(entry)
+        self._replicas.record_told([entry.attempt for entry in entries])
 
     async def _ask_holders(self, call: calls.Call) -> bool:
         """Records what the peers know that may know the origin of a stream.
@@ -315,10 +267,9 @@
         """
         has_answer = False
         attempt = stream_origins.attempt_digest(call.resumed_attempt)
-        peers = self._peers()
         questions = [
-            asyncio.create_task(self._ask(holder, peers[holder], attempt))
-            for holder in self._holders(attempt, peers)
+            asyncio.create_task(self._ask(name, address, attempt))
+            for name, address in self._replicas.holders(attempt).items()
         ]
         try:
             for answer in asyncio.as_completed(
@@ -347,9 +298,13 @@
         """Returns what a peer knows; None if it did not answer."""
         try:
             answer = await self._client.request(
-                address, "GET", f"{PATH}?{attempt.hex()}", {}
+                address, "GET", f"{origin_replicas.PATH}?{attempt.hex()}", {}
+            )
+            return (
+                origin_replicas.decode(answer.body)
+                if answer.status == 200
+                else []
             )
-            return _decode(answer.body) if answer.status == 200 else []
         except errors.PeerError as caught:
             log.emit(events.ORIGINS_UNSENT, peer=name, reason=str(caught))
             return None
@@ -358,32 +313,5 @@
             return None
 
 
-def _encode(entries: Sequence[stream_origins.OriginEntry]) -> bytes:
-    now = _now()
-    return cbor2.dumps(
-        [
-            [attempt, *origin, int((expires - now) * 1000)]
-            for attempt, origin, expires in entries
-        ]
-    )
-
-
-def _decode(body: bytes) -> list[stream_origins.OriginEntry]:
-    """Returns the entries that a peer sent.
-
-    Raises:
-        cbor2.CBORDecodeError, TypeError, ValueError: They are malformed.
-    """
-    now = _now()
-    return [
-        stream_origins.OriginEntry(
-            bytes(attempt),
-            stream_origins.Origin(str(service), str(software)),
-            now + int(lifetime_ms) / 1000,
-        )
-        for attempt, service, software, lifetime_ms in cbor2.loads(body)
-    ]
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -745,3 +745,63 @@
                 assert _versions_that_ran(fleet, again) == {runner.version}
 
     standin.run_scenario(scenario)
+
+
+async def _restart(fleet, index):
+    """Kills a gateway and starts it again, with nothing that it knew.
+
+    Returns:
+        Its index.
+    """
+    await fleet.kill_gateway(index)
+    settings = dict(fleet.gateways[index].config) | {"first_start": False}
+    gateway = fleet.start_gateway(**settings)
+    await fleet.wait_until(lambda: gateway.ready)
+    return len(fleet.gateways) - 1
+
+
+# Guards against streams that nobody knows after the gateways restarted in turn.
+def test_stream_goes_on_after_all_gateways_were_restarted_in_turn():
+    async def scenario():
+        async with _two_versions(gateways=3) as fleet:
+            await fleet.wait_until_all_met()
+            began = [
+                await _begin_and_break_off(fleet, f"begun-{number}")
+                for number in range(6)
+            ]
+            for index in range(3):
+                last = await _restart(fleet, index)
+                # The peers notice that it restarted.
+                await asyncio.sleep(1.5)
+            for number, runner in enumerate(began):
+                again = f"again-{number}"
+                response = await _take_up(fleet, again, f"begun-{number}", last)
+                assert response.status == 200
+                assert _versions_that_ran(fleet, again) == {runner.version}
+
+    standin.run_scenario(scenario)
+
+
+# Guards against origins that a peer never gets because it was told too early.
+def test_peer_that_could_not_be_told_is_told_again():
+    async def scenario():
+        async with _two_versions(gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            peer = standin.vms.parse_address(
+                fleet.gateways[1].config["control_address"]
+            )
+            until = asyncio.get_running_loop().time() + 0.5
+            _allow_connections(
+                fleet.gateways[0],
+                lambda address: (
+                    address != peer or asyncio.get_running_loop().time() > until
+                ),
+            )
+            began = await _begin_and_break_off(fleet, "begun")
+            await asyncio.sleep(1.2)
+            await fleet.kill_gateway(0)
+            response = await _take_up(fleet, "again", "begun", 1)
+            assert response.status == 200
+            assert _versions_that_ran(fleet, "again") == {began.version}
+
+    standin.run_scenario(scenario)
