Tell the origins of all streams while any service has several versions

What callers saw: a configuration moved a route from a service of one version to one with two, and a gateway was killed.

Cause: a gateway told its peers the origin of a stream only while the service of the stream had several versions, as they can work out a sole version. They work it out for the service to which the route leads at the take-up, and that one had two versions.

Change: origins are told while it is not known of each service that one version alone has served it, and all of them once when that ends. The peers are compared only while there are origins to keep.

--- a/packages/core/nutmegpost_core/software_versions.py
+++ b/packages/core/nutmegpost_core/software_versions.py
@@ -148,6 +148,21 @@
             return None
         return versions.pop()
 
+    def has_sole_versions(self, since: float) -> bool:
+        """Returns whether one version alone has served each service.
+
+        Args:
+            since: Monotonic time of the earliest service that counts, seconds.
+
+        Returns:
+            Whether it is known that no service had several.
+        """
+        if not self.is_observed(since):
+            return False
+        recent = {key for key, at in self._last_served.items() if at >= since}
+        served = self._serving | recent
+        return len({service for service, _ in served}) == len(served)
+
     def encode(self, now: float) -> EncodedHistory:
         """Returns what is known, for a peer."""
         known = [(*key, 0.0) for key in sorted(self._serving)]
--- a/packages/core/nutmegpost_core/stream_origins.py
+++ b/packages/core/nutmegpost_core/stream_origins.py
@@ -144,20 +144,9 @@
         """
         return self._entries.get(attempt, ())
 
-    def of_service(self, service: str) -> list[bytes]:
-        """Returns the attempts that began the streams with a known origin.
-
-        Args:
-            service: The service of the origin.
-
-        Returns:
-            Their digests.
-        """
-        return [
-            attempt
-            for attempt, entries in self._entries.items()
-            if any(entry.origin.service == service for entry in entries)
-        ]
+    def attempts(self) -> list[bytes]:
+        """Returns the digests of the attempts with a known origin."""
+        return list(self._entries)
 
     def expire(self, now: float) -> None:
         """Discards the origins of streams that can no longer be taken up."""
--- a/packages/core/tests/test_software_versions.py
+++ b/packages/core/tests/test_software_versions.py
@@ -122,3 +122,20 @@
     assert history.uncertain([without_start], 101.0) == set()
     assert history.uncertain([_endpoint("e2", "v1")], 101.0) == set()
     assert history.uncertain([listed], later) == set()
+
+
+# Guards against origins that peers lack when a route moves to another service.
+def test_two_versions_of_any_service_are_noticed():
+    history = _history("v1")
+    assert not history.has_sole_versions(99.0)
+    assert history.has_sole_versions(100.0)
+    others = [_endpoint(f"o{n}", f"v{n}", "others") for n in (1, 2)]
+    history.update([*_endpoints("v1"), others[0]], 110.0)
+    assert history.has_sole_versions(110.0)
+    history.update([*_endpoints("v1"), *others], 120.0)
+    assert not history.has_sole_versions(120.0)
+    history.update([*_endpoints("v1"), others[1]], 130.0)
+    assert not history.has_sole_versions(130.0)
+    assert history.has_sole_versions(130.5)
+    history.record_gap(140.0)
+    assert not history.has_sole_versions(139.0)
--- a/packages/core/tests/test_stream_origins.py
+++ b/packages/core/tests/test_stream_origins.py
@@ -90,9 +90,12 @@
     assert _find(origins, "id-2")
 
 
-def test_origins_of_one_service_are_listed():
+def test_attempts_are_listed_once_for_all_their_origins():
     origins = stream_origins.StreamOrigins()
     other = stream_origins.Origin("drafts", "v1")
     origins.record(_entry("a"))
+    origins.record(_entry("b"))
     origins.record(_entry("b", origin=other))
-    assert origins.of_service("drafts") == [stream_origins.attempt_digest("b")]
+    assert origins.attempts() == [
+        stream_origins.attempt_digest(attempt) for attempt in ("a", "b")
+    ]
--- a/packages/router/nutmegpost_router/gateway/origin_replicas.py
+++ b/packages/router/nutmegpost_router/gateway/origin_replicas.py
@@ -76,6 +76,8 @@
         self._holders = origin_holders.HolderTable(own_name)
         self._untold: set[bytes] = set()
         self._untold_event = asyncio.Event()
+        # Set while streams are held, so that the peers are compared.
+        self._has_streams = asyncio.Event()
         self._messages: set[asyncio.Task[None]] = set()
 
     def tell(self, attempts: Iterable[bytes]) -> None:
@@ -86,6 +88,7 @@
         """
         for attempt in attempts:
             self._holders.add(attempt)
+            self._has_streams.set()
             self._queue(attempt)
 
     def record_told(self, attempts: Iterable[bytes]) -> None:
@@ -96,6 +99,7 @@
             if attempt not in self._holders:
                 self._holders.add(attempt)
                 self._holders.take_untold(attempt)
+                self._has_streams.set()
 
     def holders(self, attempt: bytes) -> dict[str, vms.Address]:
         """Returns the peers that may know an origin, by name."""
@@ -106,6 +110,8 @@
     def retain(self) -> None:
         """Discards what is known of streams whose origins have expired."""
         self._holders.retain(self._origins)
+        if not self._holders.attempts:
+            self._has_streams.clear()
 
     async def run(self) -> None:
         """Tells peers what they lack, until it is cancelled."""
@@ -121,6 +127,7 @@
         """Finds holders that lack origins after each change of the peers."""
         compared_version = self._holders.version
         while True:
+            await self._has_streams.wait()
             await asyncio.sleep(_PEERS_INTERVAL_S)
             self._holders.update(_incarnations(self._peers()))
             if self._holders.version == compared_version:
--- a/packages/router/nutmegpost_router/gateway/stream_origins.py
+++ b/packages/router/nutmegpost_router/gateway/stream_origins.py
@@ -1,12 +1,11 @@
 """Finds the software version that began a stream that a caller takes up.
 
-Each gateway records what began the streams that it relays. While one version is
-not known to be the only one that has served recently, a few peers keep the
-origin too, so that it is known after the loss of this gateway. A gateway that
-does not know an origin asks these peers.
-Otherwise, the only version that the service has had began the stream. The
-caches of endpoints tell nothing: the prompt of a session is cached wherever a
-request of it ran.
+Each gateway records what began the streams that it relays. While it is not
+known of each service that one version alone has served recently, a few peers
+keep the origin too, so that it is known after the loss of this gateway. A
+gateway that does not know an origin asks these peers. Otherwise, the only
+version that the service has had began the stream. The caches of endpoints tell
+nothing: the prompt of a session is cached wherever a request of it ran.
 
 A stream whose route has moved to another service has an origin at each service
 that sent events of it.
@@ -68,7 +67,8 @@
         self._replicas = origin_replicas.OriginReplicas(
             local_state.config["name"], self._origins, client, peers
         )
-        self._services_told: set[str] = set()
+        # Whether peers are told origins, since several versions may serve.
+        self._are_needed = False
 
     def record(self, call: calls.Call, software: str) -> None:
         """Records what began the stream of a call, or goes on with it.
@@ -88,32 +88,32 @@
         )
         self._origins.record(entry)
         since = stream_origins.earliest_begin(call)
-        # All gateways know the only version that has served.
-        if self._state.versions.sole_version(call.service, since) != software:
+        versions = self._state.versions
+        # All gateways know the only version that has served, whichever service
+        # the route leads to by then.
+        if (
+            not versions.has_sole_versions(since)
+            or versions.sole_version(call.service, since) != software
+        ):
             self._replicas.tell([entry.attempt])
 
     def update_versions(self, now: float) -> None:
-        """Tells peers all origins of a service once they are needed.
+        """Tells peers all origins once they are needed.
 
-        They are needed while it is not known that one version alone has served:
-        another has joined, or endpoints may have come and gone unnoticed.
+        They are needed while it is not known that one version alone has served
+        each service: another has joined, or endpoints may have come and gone
+        unnoticed. The route of a stream may lead to any service when its caller
+        takes it up.
 
         Args:
             now: Monotonic time, seconds.
         """
-        since = now - stream_origins.TAKE_UP_S
-        services = {
-            endpoint.service
-            for endpoint in self._state.roster.endpoints.values()
-        }
-        uncertain = {
-            service
-            for service in services
-            if self._state.versions.sole_version(service, since) is None
-        }
-        for service in uncertain - self._services_told:
-            self._replicas.tell(self._origins.of_service(service))
-        self._services_told = uncertain
+        was_needed = self._are_needed
+        self._are_needed = not self._state.versions.has_sole_versions(
+            now - stream_origins.TAKE_UP_S
+        )
+        if self._are_needed and not was_needed:
+            self._replicas.tell(self._origins.attempts())
 
     async def find(self, call: calls.Call) -> stream_origins.Origin | None:
         """Returns where the stream that a call takes up goes on.
--- a/tests/platform/test_two_versions.py
+++ b/tests/platform/test_two_versions.py
@@ -37,10 +37,14 @@
 
 async def _add_newer(fleet):
     """Starts and publishes an endpoint of another version, e3."""
-    newer = standin.Runner("e3", "engines", 8, version="v2")
-    fleet.runners["e3"] = newer
-    await newer.start()
-    fleet.store.put("servers/e3", newer.entry())
+    await _add(fleet, standin.Runner("e3", "engines", 8, version="v2"))
+
+
+async def _add(fleet, runner):
+    """Starts and publishes an endpoint."""
+    fleet.runners[runner.name] = runner
+    await runner.start()
+    fleet.store.put(f"servers/{runner.name}", runner.entry())
 
 
 class _Cut:
@@ -747,6 +751,76 @@
     standin.run_scenario(scenario)
 
 
+# Guards against streams that only a killed gateway knows when their route moves
+# to a service of two versions.
+@pytest.mark.parametrize("joins_late", [False, True])
+def test_stream_of_one_version_goes_on_after_its_route_moved(joins_late):
+    async def scenario():
+        others = _runners_of("others", o1="v1", o2="v2")
+        runners = [*_runners(e1="v1", e2="v1"), *others[: 2 - joins_late]]
+        async with standin.Fleet(
+            runners, gateways=3, config=_moved_configuration(1, "engines")
+        ) as fleet:
+            await fleet.wait_until_all_met()
+            for number in range(4):
+                await _begin_and_break_off(fleet, f"begun-{number}")
+            if joins_late:
+                await _add(fleet, others[1])
+                for gateway in fleet.gateways:
+                    endpoints = gateway.local_state.roster.endpoints
+                    await fleet.wait_until(
+                        lambda endpoints=endpoints: "o2" in endpoints
+                    )
+            await _move_route(fleet, (0, 1, 2))
+            await asyncio.sleep(0.3)
+            await fleet.kill_gateway(0)
+            for number in range(4):
+                again = f"again-{number}"
+                response = await _take_up(fleet, again, f"begun-{number}", 1)
+                assert response.status == 200
+                assert _versions_that_ran(fleet, again) == {"v1"}
+
+    standin.run_scenario(scenario)
+
+
+# Guards against streams that are lost where two services share a route.
+def test_stream_goes_on_at_the_service_of_a_shared_route_that_began_it():
+    async def scenario():
+        document = _moved_configuration(1, "engines")
+        for route in document["routes"]:
+            if route["name"] == "draft":
+                route["trafficSplit"] = [
+                    {"service": name, "weight": 1}
+                    for name in ("engines", "others")
+                ]
+        runners = [
+            *_runners(e1="v1", e2="v1"),
+            *_runners_of("others", o1="v1", o2="v2", o3="v1", o4="v2"),
+        ]
+        async with standin.Fleet(runners, gateways=3, config=document) as fleet:
+            await fleet.wait_until_all_met()
+            began = [
+                await _begin_and_break_off(fleet, f"begun-{number}")
+                for number in range(8)
+            ]
+            assert {runner.service for runner in began} == {"engines", "others"}
+            await asyncio.sleep(0.3)
+            await fleet.kill_gateway(0)
+            for number, runner in enumerate(began):
+                again = f"again-{number}"
+                response = await _take_up(fleet, again, f"begun-{number}", 1)
+                assert response.status == 200
+                (ran,) = [
+                    other
+                    for other in fleet.runners.values()
+                    if again in other.executed
+                ]
+                assert ran.service == runner.service
+                assert ran.version == runner.version
+
+    standin.run_scenario(scenario)
+
+
 async def _restart(fleet, index):
     """Kills a gateway and starts it again, with nothing that it knew.
 
