Relay events that follow a comment line

Cause: EventRelay took each block that begins with a colon for a comment.

Change: a block is a comment if all of its lines are.

Result: test_event_with_a_comment_line_is_relayed (two of three cases) and test_data_without_an_id_after_a_comment_is_no_comment failed before and pass now.

--- a/packages/router/nutmegpost_router/gateway/event_relay.py
+++ b/packages/router/nutmegpost_router/gateway/event_relay.py
@@ -102,8 +102,8 @@
         pending = self._pending
         new_events: list[bytes] = []
         for event in received:
-            if event.data.startswith(b":"):
-                # A comment; it is no part of the answer.
+            if _is_comment(event):
+                # It is no part of the answer.
                 continue
             event_id = event.event_id
             if not (event_id.isdigit() and len(event_id) <= _ID_DIGITS_MAX):
@@ -116,5 +116,12 @@
         return new_events, None
 
 
+def _is_comment(event: sse.RawEvent) -> bool:
+    """Returns whether an event consists of comment lines only."""
+    return event.data.startswith(b":") and all(
+        line.startswith(b":") for line in event.data.rstrip().splitlines()
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/router/tests/gateway/test_event_relay.py
+++ b/packages/router/tests/gateway/test_event_relay.py
@@ -113,3 +113,41 @@
             relay.add(b"id: 1\n\n")
 
     _run(scenario)
+
+
+# Guards against a missing event in a stream that ends as complete.
+@pytest.mark.parametrize(
+    "event",
+    [
+        b": still here\nid: 1\ndata: a\n\n",
+        b":\n: more\nid: 1\ndata: a\n\n",
+        b"id: 1\n: between\ndata: a\n\n",
+    ],
+)
+def test_event_with_a_comment_line_is_relayed(event):
+    def scenario():
+        relay, pending, exchange = _relay()
+        assert relay.add(event) is http_client.Consumed.PROGRESS
+        assert exchange.written == [event]
+        assert pending.last_event_id == "1"
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("comment", [b":\n\n", b": a\n: b\n\n"])
+def test_comments_without_an_event_are_dropped(comment):
+    def scenario():
+        relay, _, exchange = _relay()
+        assert relay.add(comment) is http_client.Consumed.NOTHING
+        assert exchange.written == []
+
+    _run(scenario)
+
+
+def test_data_without_an_id_after_a_comment_is_no_comment():
+    def scenario():
+        relay, _, _ = _relay()
+        with pytest.raises(errors.PeerError):
+            relay.add(b": a\ndata: b\n\n")
+
+    _run(scenario)
