Pass header fields outside ASCII on as they came

Cause: received values are decoded as Latin-1, and h11 encodes text as ASCII. The client sent requests outside the block that closes a connection on errors.

Change: header_fields.py encodes values as Latin-1, those of our own that it lacks as UTF-8. A connection whose request cannot be sent is closed.

--- a/packages/router/nutmegpost_router/http_client.py
+++ b/packages/router/nutmegpost_router/http_client.py
@@ -17,6 +17,7 @@
 from nutmegpost_core import chunks
 from nutmegpost_core import errors
 from nutmegpost_core import vms
+from nutmegpost_router import header_fields
 from nutmegpost_router import sockets
 
 __all__ = [
@@ -272,7 +273,11 @@
             header_lines.append(("Content-Length", str(len(body))))
         parts = [
             self._h11.send(
-                h11.Request(method=method, target=path, headers=header_lines)
+                h11.Request(
+                    method=method,
+                    target=path,
+                    headers=header_fields.encode(header_lines),
+                )
             )
         ]
         if body:
@@ -787,8 +792,8 @@
         if not may_send():
             self.return_to_pool(address, connection)
             raise WithdrawnError("the request is not needed any more")
-        connection.send(str(address), method, path, headers, body)
         try:
+            connection.send(str(address), method, path, headers, body)
             await connection.read_head(_deadline(timeout_s), extend)
         except BaseException:
             connection.abort()
--- a/packages/router/nutmegpost_router/http_server.py
+++ b/packages/router/nutmegpost_router/http_server.py
@@ -15,6 +15,7 @@
 
 from nutmegpost_core import errors
 from nutmegpost_core import vms
+from nutmegpost_router import header_fields
 from nutmegpost_router import sockets
 
 __all__ = [
@@ -205,7 +206,9 @@
         Args:
             trailers: Trailer fields, sent after the body.
         """
-        self._connection.send(h11.EndOfMessage(headers=trailers or []))
+        self._connection.send(
+            h11.EndOfMessage(headers=header_fields.encode(trailers or []))
+        )
 
     @property
     def writable(self) -> bool:
@@ -241,7 +244,9 @@
 
 
 def _head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
-    return h11.Response(status_code=status, headers=headers)
+    return h11.Response(
+        status_code=status, headers=header_fields.encode(headers)
+    )
 
 
 class _Connection(asyncio.Protocol):
--- a/packages/router/tests/test_http.py
+++ b/packages/router/tests/test_http.py
@@ -528,3 +528,54 @@
     head = await reader.readuntil(b"\r\n\r\n")
     length = int(head.lower().partition(b"content-length: ")[2].split()[0])
     return int(head.split()[1]), await reader.readexactly(length)
+
+
+# Guards against connections that end without an answer, and ones left open.
+def test_header_fields_outside_ascii_pass_both_ways():
+    name = "caf\u00e9 \u00ff"
+
+    async def repeat_name(exchange):
+        headers = [("X-Name", exchange.request.headers["x-name"])]
+        if exchange.request.target == "/stream":
+            exchange.start(200, headers)
+            exchange.finish([("X-Last", name)])
+        else:
+            exchange.send(http_server.Response(200, headers, b""))
+
+    async def run_client(address):
+        client = http_client.Client()
+        for path in ("/whole", "/stream"):
+            answer = await client.request(
+                address, "GET", path, {"X-Name": name}
+            )
+            assert answer.status == 200
+            assert answer.headers["x-name"] == name
+        client.close()
+
+    _run(repeat_name, run_client)
+
+
+def test_request_that_cannot_be_sent_closes_its_connection():
+    async def run_client(address):
+        closed = asyncio.Event()
+        client = http_client.Client()
+        connect = client._connect
+
+        async def connect_and_watch(address):
+            connection = await connect(address)
+            abort = connection.abort
+
+            def abort_and_tell():
+                closed.set()
+                abort()
+
+            connection.abort = abort_and_tell
+            return connection
+
+        client._connect = connect_and_watch
+        with pytest.raises(Exception, match="header"):
+            await client.request(address, "GET", "/", {"X-Name": "a\nb"})
+        assert closed.is_set()
+        client.close()
+
+    _run(_echo, run_client)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -726,3 +726,30 @@
             assert b"not a number" in response.body
 
     standin.run_scenario(scenario)
+
+
+# Guards against requests that run and get no answer.
+def test_header_fields_outside_ascii_reach_endpoint_and_caller():
+    name = "caf\u00e9.pdf"
+
+    async def answer_with_name(runner, exchange):
+        request = exchange.request
+        runner.executed.append(request.headers["attempt-id"])
+        headers = [
+            *runner.response_fields(request),
+            ("X-File-Name", request.headers["x-file-name"]),
+        ]
+        exchange.send(standin.http_server.Response(200, headers, b"done"))
+
+    async def scenario():
+        runner = standin.Runner("p1", "plain")
+        runner.behaviors = [answer_with_name] * 3
+        async with standin.Fleet([runner]) as fleet:
+            for number in range(3):
+                response = await fleet.send_request(
+                    "/look/1", f"id-{number}", X_File_Name=name
+                )
+                assert response.status == 200
+                assert response.headers["x-file-name"] == name
+
+    standin.run_scenario(scenario)
