Count the first event of a stream as an answer to its parts

Cause: both parts of the crashing requests are charged with the same crashes, and an answer clears a part. A stream counted as an answer at its end.

Change: its first event counts. A request that crashes an endpoint has none; a request with one was not charged before either.

--- a/packages/core/nutmegpost_core/crashing_parts.py
+++ b/packages/core/nutmegpost_core/crashing_parts.py
@@ -2,9 +2,10 @@
 
 Requests that share a crashing part have nothing else in common, so no single
 one of them crashes endpoints twice. When an endpoint goes down, each shared
-part of the prompts in flight on it is charged with the crash, and an answer to
-a request removes the charges of its parts. A crashing part is never answered;
-the parts that it is used together with are, in other requests.
+part of the prompts in flight on it is charged with the crash, and the first
+event of an answer removes the charges of the request's parts. A crashing part
+is never answered; the parts that it is used together with are, in other
+requests.
 
 A part is suspect after several crashes without an answer since. Crashes at one
 moment have one cause, such as the loss of a rack, and do not make a part
--- a/packages/router/nutmegpost_router/gateway/forwarding.py
+++ b/packages/router/nutmegpost_router/gateway/forwarding.py
@@ -121,6 +121,7 @@
             counters,
             origins,
             self._replacements,
+            crashes,
         )
         self._waiting = waiting_requests.WaitingRequests(local_state, counters)
         self._hedges = hedges.Hedges(
--- a/packages/router/nutmegpost_router/gateway/sending.py
+++ b/packages/router/nutmegpost_router/gateway/sending.py
@@ -16,6 +16,7 @@
 from nutmegpost_router import http_client
 from nutmegpost_router import http_server
 from nutmegpost_router import log
+from nutmegpost_router.gateway import crash_guard
 from nutmegpost_router.gateway import event_relay
 from nutmegpost_router.gateway import held_attempts
 from nutmegpost_router.gateway import metrics
@@ -95,6 +96,7 @@
         counters: metrics.GatewayMetrics,
         origins: stream_origins.OriginExchange,
         next_attempts: replacements.Replacements,
+        crashes: crash_guard.CrashGuard,
     ):
         """Creates a sender.
 
@@ -105,10 +107,12 @@
             counters: Metrics.
             origins: Is told what began each stream.
             next_attempts: Reserves what replaces an attempt.
+            crashes: Is told which requests endpoints begin to answer.
         """
         self._replacements = next_attempts
         self._state = local_state
         self._origins = origins
+        self._crashes = crashes
         self._protocols = protocols
         self._client = client
         self._counters = counters
@@ -499,6 +503,8 @@
         """Prepares for the first event of an attempt."""
         if pending.on_first_event is not None:
             pending.on_first_event(load)
+        # An endpoint that a request crashes does not begin to answer it.
+        self._crashes.record_answer(pending.fingerprint, _now())
         self._record_origin(pending, load.choice.endpoint)
 
     def _record_origin(
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -99,3 +99,52 @@
             assert _crashes(fleet) == crashes
 
     standin.run_scenario(scenario)
+
+
+async def _respond_slowly(runner, exchange):
+    """Crashes on the crashing part, or sends a stream of 2 s."""
+    if CRASHING_PART in exchange.request.headers["prompt-prefix"]:
+        await standin.respond(runner, exchange)
+        return
+    runner.executed.append(exchange.request.headers["attempt-id"])
+    first_id = int(exchange.request.headers.get("last-event-id", "0")) + 1
+    for event_id in range(first_id, 11):
+        if event_id == first_id:
+            await standin.send_events(runner, exchange, event_id, event_id)
+        else:
+            exchange.write(b"id: %d\ndata: piece\n\n" % event_id)
+        await asyncio.sleep(0.2)
+    exchange.finish()
+
+
+# Guards against a new first part that is blamed until its first stream ends.
+def test_new_part_is_not_blamed_while_its_first_streams_last():
+    async def scenario():
+        async with _fleet(14, gateways=2) as fleet:
+            await fleet.wait_until_all_met()
+            for runner in fleet.runners.values():
+                runner.behaviors = [_respond_slowly] * 100
+            sound = []
+            for number in range(20):
+                sound.append(
+                    asyncio.create_task(
+                        _send(
+                            fleet, f"sound-{number}", "aa:20,bb:30", number % 2
+                        )
+                    )
+                )
+                if number < 12:
+                    await _send_crashing(fleet, number, number % 2)
+                else:
+                    await asyncio.sleep(0.05)
+            crashes = _crashes(fleet)
+            responses = await asyncio.gather(*sound)
+            assert crashes <= CRASHES_MAX + REQUESTS_AFTER_MAX
+            refused = [
+                response
+                for response in responses
+                if response is not None and response.status == 503
+            ]
+            assert not refused
+
+    standin.run_scenario(scenario)
