--- a/packages/core/nutmegpost_core/origin_holders.py
+++ b/packages/core/nutmegpost_core/origin_holders.py
@@ -11,7 +11,8 @@
 
 __all__ = ["HOLDERS", "HolderTable", "holders"]
 
-# Routers that keep the origin of a stream, besides the one that relays it.
+# Routers that keep the origin of a stream. The one that relays it may be among
+# them.
 HOLDERS = 4
 
 
