--- a/review/bed3.py
+++ b/review/bed3.py
@@ -50,7 +50,7 @@
 }
 _EMPTY = b""
 _PLACEHOLDER = re.compile(r"{{([a-zA-Z_.0-9]+)(\|json)?}}")
-_SECTION = re.compile(r"{{#([a-zA-Z.]+)}}(.*?){{/\1}}", re.S)
+_SECTION = re.compile(r"{{#([a-zA-Z.]+)}}(.*?){{/\1}}", re.DOTALL)
 
 
 class Record:
@@ -58,7 +58,8 @@
 
     def __init__(self, folder):
         self._began = time.monotonic()
-        self._file = open(pathlib.Path(folder) / "record.txt", "w")
+        path = pathlib.Path(folder) / "record.txt"
+        self._file = path.open("w")
 
     def add(self, text):
         elapsed_s = time.monotonic() - self._began
@@ -668,7 +669,8 @@
         text = render(template, self.values(bootstrap))
         path = pathlib.Path(self._fleet.folder) / f"{self.name}.json"
         path.write_text(text)
-        self._log = open(pathlib.Path(self._fleet.folder) / f"{self.name}.log", "ab")
+        log_path = pathlib.Path(self._fleet.folder) / f"{self.name}.log"
+        self._log = log_path.open("ab")
         environment = {
             "PATH": os.environ["PATH"],
             "HOME": self._fleet.folder,
