--- a/review/bed3.py
+++ b/review/bed3.py
@@ -62,6 +62,8 @@
         self._file = path.open("w")
 
     def add(self, text):
+        if self._file.closed:
+            return
         elapsed_s = time.monotonic() - self._began
         self._file.write(f"{elapsed_s:8.3f} {text}\n")
 
@@ -174,7 +176,7 @@
     send, which a dark machine does not; what is sent is not read.
     """
 
-    def __init__(self, address, handle):
+    def __init__(self, address, handle, receive_buffer=0):
         self.address = address
         self._handle = handle
         self.writers = set()
@@ -185,6 +187,9 @@
         host, port = address
         self._sock = socket.socket()
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if receive_buffer:
+            option = socket.SO_RCVBUF
+            self._sock.setsockopt(socket.SOL_SOCKET, option, receive_buffer)
         self._sock.setblocking(False)
         self._sock.bind((host, port))
         self._sock.listen(512)
@@ -381,6 +386,7 @@
         self.events = fields.get("events", 40)
         self.gap_s = fields.get("gap_s", 0.1)
         self.work_s = fields.get("work_s", 0.02)
+        self.receive_buffer = fields.get("receive_buffer", 0)
         self.state = "ready"
         self.address = fields.get("address") or (HOSTS.next(), 20000)
         self.runs = []
@@ -394,7 +400,9 @@
         self.listener = None
 
     def start(self, register_after_s=0.0):
-        self.listener = Listener(self.address, self._handle)
+        self.listener = Listener(
+            self.address, self._handle, self.receive_buffer
+        )
         self._beat = asyncio.create_task(self._heartbeat(register_after_s))
 
     async def go_dark(self):
