--- a/review/bed3.py
+++ b/review/bed3.py
@@ -165,7 +165,9 @@
     """Closes a connection with a reset."""
     sock = writer.get_extra_info("socket")
     with contextlib.suppress(OSError, AttributeError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
     writer.transport.abort()
 
 
@@ -272,7 +274,9 @@
             "key": key,
             "value": base64.b64encode(data).decode(),
             "revision": self.revision,
-            "createRev": self.items.get(key, {}).get("createRev", self.revision),
+            "createRev": self.items.get(key, {}).get(
+                "createRev", self.revision
+            ),
             "lease": 0,
         }
         self.items[key] = item
@@ -313,7 +317,9 @@
                 reset(writer)
                 return
             path, _, query = request.target.partition("?")
-            values = dict(part.partition("=")[::2] for part in query.split("&") if part)
+            values = dict(
+                part.partition("=")[::2] for part in query.split("&") if part
+            )
             values = {k: _unquote(v) for k, v in values.items()}
             status, body = await self._answer(path, values)
             if self.is_down:
@@ -336,7 +342,8 @@
             items = [
                 item
                 for key, item in sorted(self.items.items())
-                if key.startswith(values["prefix"]) and key > values.get("after", "")
+                if key.startswith(values["prefix"])
+                and key > values.get("after", "")
             ]
             return 200, {
                 "items": items,
@@ -362,7 +369,9 @@
 
 
 def _unquote(text):
-    return re.sub("%([0-9A-Fa-f]{2})", lambda found: chr(int(found[1], 16)), text)
+    return re.sub(
+        "%([0-9A-Fa-f]{2})", lambda found: chr(int(found[1], 16)), text
+    )
 
 
 class Runner:
@@ -637,6 +646,7 @@
         self.process = None
         self._fleet = fleet
         self._log = None
+        self._is_killed = False
 
     @property
     def address(self):
@@ -686,6 +696,7 @@
             "NUTMEGPOST_BOOT": str(path),
             "PYTHONPATH": str(ROOT / "target/deps"),
         }
+        self._is_killed = False
         self.process = await asyncio.create_subprocess_exec(
             "python3",
             "-m",
@@ -710,7 +721,11 @@
         raise CannotRunError(f"{self.name} is not ready")
 
     def signal(self, number):
-        if self.process is not None and self.process.returncode is None:
+        """Sends a signal, unless the process was killed before."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        if not self._is_killed:
+            self._is_killed = number == signal.SIGKILL
             self.process.send_signal(number)
 
     async def kill(self):
@@ -743,7 +758,9 @@
         return f"{host}:{port}"
 
     def add_runner(self, name, service_name, version="v1", **fields):
-        runner = Runner(self.store, self.record, name, service_name, version, **fields)
+        runner = Runner(
+            self.store, self.record, name, service_name, version, **fields
+        )
         self.runners[name] = runner
         runner.start()
         return runner
