--- a/review/bed3.py
+++ b/review/bed3.py
@@ -808,7 +808,8 @@
         address: Address of a gateway.
         target: The path.
         attempt: The id of the attempt.
-        **options: `method`, `body`, `fields`, `deadline_ms`.
+        **options: `method`, `body`, `fields`, `deadline_ms`, and `unread_s`,
+            the time after which a request without an answer is given up.
     """
     answer = Answer()
     method = options.get("method", "GET")
@@ -833,7 +834,9 @@
             async with asyncio.timeout(1.0):
                 reader, writer = await asyncio.open_connection(*address)
             writer.write(head + body)
-            await _read_answer(reader, answer)
+            async with asyncio.timeout(options.get("unread_s")):
+                head = await read_head(reader)
+            await _read_answer(reader, head, answer)
     except (OSError, TimeoutError, EOFError, ValueError) as caught:
         record.add(f"broken {attempt}: {caught!r}")
     finally:
@@ -846,8 +849,7 @@
     return answer
 
 
-async def _read_answer(reader, answer):
-    head = await read_head(reader)
+async def _read_answer(reader, head, answer):
     if head is None:
         raise EOFError("closed without an answer")
     answer.status = int(head[0].split(" ")[1])
